--- a/src/cicadaledge/cli/_app.py
+++ b/src/cicadaledge/cli/_app.py
@@ -66,7 +66,7 @@
 ) -> None:
     """Publish the first configuration on the log; later changes are plans."""
     from cicadaledge.config import CONTROL_STREAM, Publish, encode_record
-    from cicadaledge.platform import HttpLogClient
+    from cicadaledge.log import HttpLogClient
     from cicadaledge.settings import Address
     from cicadaledge.world import configuration_from_dict
 
--- a/src/cicadaledge/codes.py
+++ b/src/cicadaledge/codes.py
@@ -28,8 +28,11 @@
     KEY_REUSED = 1008
     QUEUE_TIMEOUT = 2001
     QUEUE_FULL = 2002
+    TIMED_OUT = 2003
     LEAVING = 2004
     NOT_READY = 2005
+    NO_CAPACITY = 2006
+    KEYS_STALE = 2007
     BACKEND_LOST = 3001
     BACKEND_UNREACHABLE = 3002
     STREAM_CUT = 3003
@@ -79,8 +82,15 @@
     ),
     Code.QUEUE_TIMEOUT: CodeInfo(503, _NOT_RUN, "No slot became free before the deadline."),
     Code.QUEUE_FULL: CodeInfo(429, _NOT_RUN, "The account has too many waiting requests."),
+    Code.TIMED_OUT: CodeInfo(
+        504, _MAY_HAVE_RUN, "The request did not finish within the time it had."
+    ),
     Code.LEAVING: CodeInfo(503, _NOT_RUN, "This router takes no new requests."),
     Code.NOT_READY: CodeInfo(503, _NOT_RUN, "This router does not know its configuration yet."),
+    Code.NO_CAPACITY: CodeInfo(503, _NOT_RUN, "No backend server can take the request now."),
+    Code.KEYS_STALE: CodeInfo(
+        503, _NOT_RUN, "This router cannot tell whether the key is still valid."
+    ),
     Code.BACKEND_LOST: CodeInfo(
         502, _MAY_HAVE_RUN, "The backend server was lost after the request was sent."
     ),
--- /dev/null
+++ b/src/cicadaledge/edge/_attempt.py
@@ -0,0 +1,207 @@
+"""One sending of a request to one backend server."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._dialect import AnswerSigns, Dialect
+from cicadaledge.edge._events import EventCutter
+from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
+from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.errors import BackendError
+from cicadaledge.placing import Chosen, LoadBook
+from cicadaledge.routing import RouteKind
+
+if TYPE_CHECKING:
+    from cicadaledge.edge._caller import AnswerWriter
+    from cicadaledge.edge._desk import Work
+
+_STRAY_ANSWERS = 2  # late answers to earlier requests that are passed over on one connection
+_OK = 200
+_FIRST_ERROR = 500
+
+
+class AttemptEnd(enum.StrEnum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    FAILED = "failed"
+    LOST = "lost"
+    UNREACHED = "unreached"
+
+
+@frozen
+class WholeAnswer:
+    """A server's answer that was read to its end."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    async def send(self, writer: AnswerWriter) -> None:
+        """Pass it on."""
+        await writer.whole(self.status, self.headers, self.body)
+
+
+@frozen
+class AttemptResult:
+    """How an attempt ended.
+
+    Args:
+        answer: A failure that the server itself answered with.
+        cold_left_ms: How long the server said it stays cold.
+    """
+
+    end: AttemptEnd
+    reason: str = ""
+    status: int | None = None
+    answer: WholeAnswer | None = None
+    cold_left_ms: float | None = None
+
+    @property
+    def failed(self) -> bool:
+        """Whether the server is to blame."""
+        return self.end in (AttemptEnd.FAILED, AttemptEnd.LOST) or (
+            self.status is not None and self.status >= _FIRST_ERROR and self.answer is not None
+        )
+
+
+class Attempt:
+    """Sends a request to the chosen server and relays the answer.
+
+    Args:
+        work: The request.
+        chosen: Where it goes.
+        writer: Where the answer goes.
+    """
+
+    def __init__(
+        self,
+        work: Work,
+        chosen: Chosen,
+        writer: AnswerWriter,
+        dialect: Dialect,
+        pool: ServerPool,
+        load: LoadBook,
+    ) -> None:
+        self.resume_after: str | None = None
+        self.first_ms: float | None = None
+        self._work = work
+        self._chosen = chosen
+        self._writer = writer
+        self._dialect = dialect
+        self._pool = pool
+        self._load = load
+
+    async def run(self) -> AttemptResult:
+        """Return how it ended; an answer that was begun may be incomplete then."""
+        server = self._chosen.server
+        try:
+            connection = await self._pool.take(server, repeatable=self._work.route.idempotent)
+        except BackendError as error:
+            return AttemptResult(AttemptEnd.UNREACHED, str(error))
+        complete = False
+        try:
+            result = await self._exchange(connection)
+            complete = True
+            return result
+        except BackendError as error:
+            if not error.sent:
+                return AttemptResult(AttemptEnd.UNREACHED, str(error))
+            return AttemptResult(AttemptEnd.LOST, str(error))
+        finally:
+            if complete:
+                self._pool.give_back(server, connection)
+            else:
+                connection.abort()
+
+    async def _exchange(self, connection: HttpConnection) -> AttemptResult:
+        call = self._work.call
+        left_ms = self._work.until_ms - clock_ms()
+        headers = self._dialect.server_headers(
+            call, self._chosen.server, self._work.account_name, left_ms
+        )
+        if self.resume_after is not None and self.resume_after != call.resume_after:
+            headers += self._dialect.resume_headers(self.resume_after)
+        connection.send(call.method, call.target, headers, call.body)
+        ran_before = self._work.may_have_run
+        self._work.may_have_run = True
+        head, signs = await self._own_head(connection)
+        if signs.not_run:
+            body = await connection.body()
+            self._work.may_have_run = ran_before
+            reason = "another server has the address" if signs.wrong_server else "server is full"
+            del body
+            return AttemptResult(
+                AttemptEnd.NOT_RUN, reason, head.status, cold_left_ms=signs.cold_left_ms
+            )
+        if self._work.route.kind is RouteKind.STREAM and head.status == _OK:
+            await self._relay_stream(connection, head)
+            return AttemptResult(
+                AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signs.cold_left_ms
+            )
+        return await self._relay_whole(connection, head, signs)
+
+    async def _own_head(self, connection: HttpConnection) -> tuple[AnswerHead, AnswerSigns]:
+        """Return the head of the answer to this request; pass over late ones to others."""
+        for _ in range(_STRAY_ANSWERS + 1):
+            head = await connection.head()
+            signs = self._dialect.read_signs(head)
+            if signs.request_id == self._work.call.request_id:
+                return head, signs
+            if signs.not_run and signs.request_id is None:
+                return head, signs
+            await connection.body()
+            if not connection.skip_answer():
+                break
+        raise BackendError(f"{connection.peer} answered another request", sent=True)
+
+    async def _relay_whole(
+        self, connection: HttpConnection, head: AnswerHead, signs: AnswerSigns
+    ) -> AttemptResult:
+        body = await connection.body()
+        self._note_first()
+        answer = WholeAnswer(head.status, self._dialect.answer_headers(head), body)
+        if head.status >= _FIRST_ERROR or self._writer.started:
+            return AttemptResult(
+                AttemptEnd.FAILED, "server failed", head.status, answer, signs.cold_left_ms
+            )
+        await answer.send(self._writer)
+        return AttemptResult(
+            AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signs.cold_left_ms
+        )
+
+    async def _relay_stream(self, connection: HttpConnection, head: AnswerHead) -> None:
+        """Pass events on as they come.
+
+        Where another server may go on with the stream, whole events only, and the last id is
+        kept in `resume_after`.
+        """
+        cutter = EventCutter() if self._work.route.resumable else None
+        while (piece := await connection.piece()) is not None:
+            self._note_first()
+            self._start_answer(head)
+            data = cutter.feed(piece) if cutter else piece
+            if cutter and cutter.last_id is not None:
+                self.resume_after = cutter.last_id
+            if data:
+                await self._writer.piece(data)
+        self._start_answer(head)
+        rest = cutter.take_rest() if cutter else b""
+        if rest:
+            await self._writer.piece(rest)
+        self._writer.end()
+
+    def _start_answer(self, head: AnswerHead) -> None:
+        if not self._writer.started:
+            self._writer.start(head.status, self._dialect.answer_headers(head))
+
+    def _note_first(self) -> None:
+        if self.first_ms is None:
+            self.first_ms = clock_ms()
+            self._load.first_token(self._chosen.placement)
--- /dev/null
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -0,0 +1,122 @@
+"""What a router believes of the configuration and of the backend servers."""
+
+from __future__ import annotations
+
+from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._source import (
+    Change,
+    ForeignEntry,
+    ServerChanged,
+    ServerRemoved,
+    TableChanged,
+    ZoneChanged,
+)
+from cicadaledge.logs import PartLog
+from cicadaledge.routing import RoutingTable, ServerDirectory
+
+_log = PartLog("beliefs")
+
+
+class Beliefs:
+    """Configuration, servers and how old the proof of the configuration is.
+
+    Args:
+        settings: Bounds and timing of this router.
+    """
+
+    def __init__(self, settings: EdgeSettings) -> None:
+        self.table: RoutingTable | None = None
+        self.directory = ServerDirectory()
+        self.control_offset = -1
+        self.servers_known = False
+        self._settings = settings
+        self._proof_ms = float("-inf")
+        self._hold_removals_until_ms = 0.0
+        self._held_removals: dict[str, float] = {}
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over one change."""
+        match change:
+            case TableChanged(table):
+                self._apply_table(table)
+            case ZoneChanged(zone, evacuated):
+                self._apply_zone(zone, evacuated)
+            case ServerChanged(entry):
+                self._held_removals.pop(entry.server, None)
+                if self.directory.apply(entry, now_ms):
+                    _log.info(
+                        "Server has changed.",
+                        server=entry.server,
+                        service=entry.service,
+                        zone=entry.zone,
+                        state=entry.state.value,
+                        born_ms=entry.born_ms,
+                        sequence=entry.sequence,
+                        cold_left_ms=entry.cold_left_ms,
+                    )
+            case ServerRemoved(server):
+                self._remove(server, now_ms)
+            case ForeignEntry(server, reason):
+                if self.directory.note_foreign(server):
+                    _log.warning("Server entry is foreign.", server=server, reason=reason)
+
+    def keep_only(self, servers: set[str], now_ms: float) -> None:
+        """Remove the servers that a complete reading of the entries did not show."""
+        for server in self.directory.names() - servers:
+            self._remove(server, now_ms)
+
+    def note_proof(self, proof_ms: float, offset: int) -> None:
+        """Note that the configuration read up to *offset* was the newest at *proof_ms*."""
+        self.control_offset = max(self.control_offset, offset)
+        self._proof_ms = max(self._proof_ms, proof_ms)
+
+    def note_store_back(self, now_ms: float) -> None:
+        """Keep servers for a while whose entries lapsed while the store was away."""
+        self._hold_removals_until_ms = now_ms + self._settings.timing.lapse_ms
+
+    def settle_removals(self, now_ms: float) -> None:
+        """Carry out removals that have waited long enough."""
+        for server, until_ms in list(self._held_removals.items()):
+            if now_ms >= until_ms:
+                del self._held_removals[server]
+                self._remove_now(server, now_ms)
+
+    def proof_age_ms(self, now_ms: float) -> float:
+        """Return the age of the newest proof that the configuration is current."""
+        return now_ms - self._proof_ms
+
+    def may_use_keys(self, now_ms: float) -> bool:
+        """Return whether a key in the configuration cannot have been revoked too long ago."""
+        bounds = self._settings.bounds
+        if not bounds.strict_revoke:
+            return self.table is not None
+        limit_ms = bounds.revoke_ms - self._settings.timing.revoke_margin_ms
+        return self.table is not None and self.proof_age_ms(now_ms) < limit_ms
+
+    def _apply_table(self, table: RoutingTable) -> None:
+        if self.table is not None and table.version <= self.table.version:
+            return
+        former = self.table.version if self.table else None
+        self.table = table
+        _log.info(
+            "Configuration is in force.",
+            version=table.version,
+            former_version=former,
+            routes=len(table.routes),
+            accounts=len(table.accounts),
+        )
+
+    def _apply_zone(self, zone: str, evacuated: bool) -> None:
+        changed = self.directory.evacuate(zone) if evacuated else self.directory.restore(zone)
+        if changed:
+            _log.info("Zone has changed.", zone=zone, evacuated=evacuated)
+
+    def _remove(self, server: str, now_ms: float) -> None:
+        if now_ms < self._hold_removals_until_ms:
+            self._held_removals.setdefault(server, self._hold_removals_until_ms)
+            return
+        self._remove_now(server, now_ms)
+
+    def _remove_now(self, server: str, now_ms: float) -> None:
+        if self.directory.remove(server, now_ms):
+            _log.info("Server is gone.", server=server)
--- /dev/null
+++ b/src/cicadaledge/edge/_caller.py
@@ -0,0 +1,252 @@
+"""A caller's connection: reads requests one after the other and writes their answers.
+
+h11 stands in for cheroot here: a caller that leaves is noticed while its request waits or
+runs, and an answer that ends early is never made to look complete.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import h11
+
+from cicadaledge.codes import Code
+from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._http_client import Headers
+from cicadaledge.routing import Limits
+
+_REASONS = {200: b"OK", 400: b"Bad Request", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+_LINGER_S = 1.0  # time for the peer to read the last answer before a reset could overtake it
+
+
+class RequestHead:
+    """Head of a caller's request."""
+
+    __slots__ = ("headers", "method", "started_ms", "target")
+
+    def __init__(self, request: h11.Request, started_ms: float) -> None:
+        self.method = request.method.decode("ascii")
+        self.target = request.target.decode("latin-1")
+        self.headers: Headers = request.headers.raw_items()
+        self.started_ms = started_ms
+
+
+class AnswerWriter:
+    """Writes one answer to a caller."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+        self.started = False
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer."""
+        self._connection.send_head(status, [*headers, (b"Content-Length", str(len(body)).encode())])
+        self.started = True
+        if body:
+            self._connection.send_data(body)
+        self._connection.send_end()
+        await self._connection.channel.drain()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known."""
+        self._connection.send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        self.started = True
+
+    async def piece(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        self._connection.send_data(data)
+        await self._connection.channel.drain()
+
+    def end(self) -> None:
+        """End the answer; it is complete."""
+        self._connection.send_end()
+
+    def break_off(self) -> None:
+        """End the connection so that the answer is visibly not complete."""
+        self._connection.channel.abort()
+
+
+class CallerService(Protocol):
+    """Answers requests."""
+
+    @property
+    def limits(self) -> Limits:
+        """Bounds on what callers send."""
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are to be closed after their present answer."""
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Answer one request that was read whole."""
+
+    def refuse(
+        self, writer: AnswerWriter, code: Code, detail: str, status: int
+    ) -> tuple[Headers, bytes]:
+        """Return headers and body of a refusal that needs no route."""
+
+
+class _RequestError(Exception):
+    """The caller sent something that is no proper request."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        self.status = status
+        super().__init__(detail)
+
+
+class CallerConnection:
+    """Serves one connection until either side closes it.
+
+    Args:
+        channel: The connected channel.
+        service: Answers the requests.
+    """
+
+    def __init__(self, channel: Channel, service: CallerService) -> None:
+        self.channel = channel
+        self.idle = True
+        self._service = service
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=service.limits.header_bytes
+        )
+
+    async def run(self) -> None:
+        """Answer requests until the connection ends."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.channel.on_gone = lambda: self._cancel(task)
+        try:
+            while await self._serve_one():
+                pass
+            self.channel.close()
+        except asyncio.CancelledError:
+            if not self.channel.gone:
+                self.channel.abort()
+        finally:
+            self.channel.on_gone = None
+
+    @staticmethod
+    def _cancel(task: asyncio.Task[None]) -> None:
+        task.cancel()
+
+    async def _serve_one(self) -> bool:
+        """Answer one request; return whether another may follow."""
+        try:
+            received = await self._read_request()
+        except _RequestError as error:
+            await self._refuse_malformed(error)
+            return False
+        if received is None:
+            return False
+        head, body = received
+        writer = AnswerWriter(self)
+        await self._service.answer(head, body, writer)
+        if self.channel.gone or self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def _read_request(self) -> tuple[RequestHead, bytes] | None:
+        limits = self._service.limits
+        self.idle = True
+        request = await self._first_event(limits.idle_timeout_ms)
+        if request is None:
+            return None
+        self.idle = False
+        started_ms = clock_ms()
+        try:
+            async with asyncio.timeout(limits.header_timeout_ms / 1000):
+                return await self._read_rest(request, started_ms, limits)
+        except TimeoutError:
+            raise _RequestError(408, "the request did not arrive in time") from None
+
+    async def _first_event(self, idle_timeout_ms: float) -> h11.Request | bytes | None:
+        """Wait for the first bytes of a request; None if the connection ends or stays idle."""
+        event = self._next_event()
+        if event is not h11.NEED_DATA:
+            return event  # type: ignore[return-value]
+        if self._h11.trailing_data[0]:
+            return b""
+        try:
+            async with asyncio.timeout(idle_timeout_ms / 1000):
+                data = await self.channel.read()
+        except TimeoutError:
+            return None
+        if not data:
+            return None
+        self._h11.receive_data(data)
+        return b""
+
+    async def _read_rest(
+        self, first: h11.Request | bytes, started_ms: float, limits: Limits
+    ) -> tuple[RequestHead, bytes] | None:
+        request = first if isinstance(first, h11.Request) else await self._event()
+        if not isinstance(request, h11.Request):
+            return None
+        self._check_framing(request)
+        if self._h11.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        pieces: list[bytes] = []
+        size = 0
+        while isinstance(event := await self._event(), h11.Data):
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise _RequestError(413, f"the body is over {limits.body_bytes} bytes")
+            pieces.append(bytes(event.data))
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        return RequestHead(request, started_ms), b"".join(pieces)
+
+    def _check_framing(self, request: h11.Request) -> None:
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise _RequestError(400, "both Content-Length and Transfer-Encoding were sent")
+        if names.count(b"host") != 1:
+            raise _RequestError(400, "expected exactly one Host header")
+
+    async def _event(self) -> object:
+        while (event := self._next_event()) is h11.NEED_DATA:
+            data = await self.channel.read()
+            try:
+                self._h11.receive_data(data)
+            except RuntimeError as error:
+                raise _RequestError(400, str(error)) from error
+        return event
+
+    def _next_event(self) -> object:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _RequestError(error.error_status_hint, str(error)) from error
+
+    async def _refuse_malformed(self, error: _RequestError) -> None:
+        if self.channel.gone or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.channel.abort()
+            return
+        writer = AnswerWriter(self)
+        headers, body = self._service.refuse(writer, Code.BAD_REQUEST, str(error), error.status)
+        await writer.whole(error.status, [*headers, (b"Connection", b"close")], body)
+        await asyncio.sleep(_LINGER_S)
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self._service.closing and not any(name.lower() == b"connection" for name, _ in headers):
+            headers = [*headers, (b"Connection", b"close")]
+        reason = _REASONS.get(status, b"")
+        self._send(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of an answer's body."""
+        self._send(h11.Data(data=data))
+
+    def send_end(self) -> None:
+        """End an answer."""
+        self._send(h11.EndOfMessage())
+
+    def _send(self, event: h11.Event) -> None:
+        data = self._h11.send(event)
+        if data:
+            self.channel.write(data)
--- /dev/null
+++ b/src/cicadaledge/edge/_channel.py
@@ -0,0 +1,161 @@
+"""A TCP connection as bytes to read and write, which tells at once when the peer has gone."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import cast
+
+_READ_PAUSE_BYTES = 262_144  # a quarter of a megabyte: one caller cannot fill the memory
+_KEEPALIVE_IDLE_S = 1  # a silent connection is found within about 3 s
+_KEEPALIVE_PERIOD_S = 1
+_KEEPALIVE_PROBES = 2
+_USER_TIMEOUT_MS = 4_000  # unacknowledged bytes mean a lost path after the bound of contact
+
+
+def clock_ms() -> float:
+    """Return milliseconds on a clock that also counts time suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+class Channel(asyncio.Protocol):
+    """One TCP connection.
+
+    Args:
+        on_open: Called with the channel when the peer has connected.
+    """
+
+    def __init__(self, on_open: Callable[[Channel], None] | None = None) -> None:
+        self.on_gone: Callable[[], None] | None = None
+        self.gone = False
+        self.reset = False
+        self.received_bytes = 0
+        self._on_open = on_open
+        self._buffer = bytearray()
+        self._ended = False
+        self._reading_paused = False
+        self._transport: asyncio.Transport | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._writing_paused = False
+
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The connected transport."""
+        assert self._transport is not None
+        return self._transport
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that nobody has read."""
+        return bool(self._buffer)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peer has not taken yet."""
+        return self.transport.get_write_buffer_size()
+
+    async def read(self) -> bytes:
+        """Return the next bytes; empty once the peer has ended its side."""
+        while not self._buffer and not self._ended:
+            self._reader = asyncio.get_running_loop().create_future()
+            await self._reader
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if self._reading_paused and not self.gone:
+            self._reading_paused = False
+            self.transport.resume_reading()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send bytes; those for a peer that has gone are dropped."""
+        if not self.gone:
+            self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the peer has taken most of what was written."""
+        while self._writing_paused and not self.gone:
+            self._writer = asyncio.get_running_loop().create_future()
+            await self._writer
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection; the peer sees that the exchange is not complete."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the socket up to find silent connections."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_PERIOD_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep bytes until they are read."""
+        self._buffer += data
+        self.received_bytes += len(data)
+        if len(self._buffer) > _READ_PAUSE_BYTES and not self._reading_paused:
+            self._reading_paused = True
+            self.transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Treat a closed sending side as a closed connection."""
+        self._ended = True
+        self._wake_reader()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever reads or writes, and tell the owner."""
+        self.reset = exc is not None or not self._ended
+        self._ended = True
+        self.gone = True
+        self._wake_reader()
+        self.resume_writing()
+        if self.on_gone is not None:
+            self.on_gone()
+
+    def pause_writing(self) -> None:
+        """Hold `drain` back: the peer reads slowly."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Let `drain` return."""
+        self._writing_paused = False
+        if self._writer is not None and not self._writer.done():
+            self._writer.set_result(None)
+
+    def _wake_reader(self) -> None:
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+
+async def connect(host: str, port: int, timeout_ms: float) -> Channel:
+    """Return a channel to an address.
+
+    Raises:
+        OSError: The peer refused, or did not answer within *timeout_ms*.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, channel = await loop.create_connection(Channel, host, port)
+    except TimeoutError as error:
+        raise OSError(
+            f"{host}:{port} did not accept a connection in {timeout_ms:.0f} ms"
+        ) from error
+    return channel
--- /dev/null
+++ b/src/cicadaledge/edge/_daemon.py
@@ -0,0 +1,244 @@
+"""The router process at the edge: wires its parts together and stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from cicadaledge.edge._beliefs import Beliefs
+from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
+from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._desk import CallDesk
+from cicadaledge.edge._dialect import Dialect
+from cicadaledge.edge._follow import TopicFollower
+from cicadaledge.edge._http_client import Headers
+from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._peers import PeerKeeper
+from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._source import ChangeSource, MemberRegistry
+from cicadaledge.logs import LineWriter, PartLog
+from cicadaledge.placing import AccountShares, LoadBook, Placer, ServerHealth
+from cicadaledge.routing import Limits
+
+_BACKLOG = 512  # connections that wait to be accepted; a burst of one zone's callers
+_UPKEEP_S = 1.0
+_CHECK_S = 0.05
+_METRICS_PATH = "/metrics"
+_OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
+_log = PartLog("router")
+
+
+class ProbeService:
+    """Answers the balancer's question and serves the metrics.
+
+    Args:
+        is_ready: Whether callers may be sent here.
+    """
+
+    limits = Limits()
+    closing = False
+
+    def __init__(
+        self, dialect: Dialect, is_ready: Callable[[], bool], metrics: EdgeMetrics
+    ) -> None:
+        self._dialect = dialect
+        self._is_ready = is_ready
+        self._metrics = metrics
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Answer a probe."""
+        path = head.target.split("?", 1)[0]
+        if path == self._dialect.ready_path:
+            await writer.whole(_OK if self._is_ready() else _UNAVAILABLE, [], b"")
+        elif path == _METRICS_PATH:
+            content, headers = self._metrics.text()
+            named = [(name.encode(), value.encode()) for name, value in headers.items()]
+            await writer.whole(_OK, named, content)
+        else:
+            await writer.whole(_NOT_FOUND, [], b"")
+
+    def refuse(
+        self, writer: AnswerWriter, code: int, detail: str, status: int
+    ) -> tuple[Headers, bytes]:
+        """Return the answer to a malformed probe."""
+        return [], b""
+
+
+class EdgeRouter:
+    """One router process.
+
+    Args:
+        settings: Settings of this process.
+        dialect: Names of headers.
+        control: Topic of the configuration.
+        servers: Topic of the servers' heartbeats.
+        registry: Where router processes find each other.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        dialect: Dialect,
+        control: ChangeSource,
+        servers: ChangeSource,
+        registry: MemberRegistry,
+    ) -> None:
+        self._settings = settings
+        self._beliefs = Beliefs(settings)
+        self._metrics = EdgeMetrics()
+        self._load = LoadBook()
+        self._shares = AccountShares(settings.bounds.share_window_ms)
+        self._pool = ServerPool(settings.timing)
+        health = ServerHealth()
+        placer = Placer(
+            settings.placing,
+            self._beliefs.directory,
+            self._load,
+            self._shares,
+            health,
+            settings.region_of,
+            settings.region,
+        )
+        self._desk = CallDesk(
+            settings,
+            dialect,
+            self._beliefs,
+            self._load,
+            self._shares,
+            health,
+            placer,
+            self._pool,
+            self._metrics,
+        )
+        self._probes = ProbeService(dialect, self._is_ready, self._metrics)
+        self._peers = PeerKeeper(settings, registry, self._beliefs, self._load, self._shares)
+        self._control = TopicFollower(control, self._beliefs, settings)
+        self._servers = TopicFollower(servers, self._beliefs, settings)
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: set[CallerConnection] = set()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        await self._peers.listen()
+        callers = await self._listen(self._settings.callers, self._desk)
+        probes = await self._listen(self._settings.probes, self._probes)
+        metrics = await self._listen(self._settings.metrics, self._probes)
+        parts = [asyncio.create_task(part) for part in self._parts()]
+        for part in parts:
+            part.add_done_callback(self._on_part_done)
+        _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
+        await self._stopping.wait()
+        await self._shut_down(callers)
+        for part in parts:
+            part.remove_done_callback(self._on_part_done)
+            part.cancel()
+        for server in (probes, metrics):
+            server.close()
+        await self._peers.links.close()
+        _log.info("Router has stopped.", router=self._settings.router, broken_off=self._desk.active)
+
+    def _parts(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self._control.follow_control(),
+            self._servers.follow_servers(),
+            self._peers.keep_members(),
+            self._peers.keep_views(),
+            self._keep_up(),
+        ]
+
+    def _on_part_done(self, part: asyncio.Task[None]) -> None:
+        error = None if part.cancelled() else part.exception()
+        if error is not None:
+            _log.warning("A part has failed; the router stops.", error=repr(error))
+            self._stopping.set()
+
+    def _on_reload(self) -> None:
+        _log.info("Settings are kept; changes need a restart.", router=self._settings.router)
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._beliefs.servers_known
+            and self._beliefs.may_use_keys(clock_ms())
+        )
+
+    async def _listen(self, address: Any, service: CallerService) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+
+        def accept() -> Channel:
+            return Channel(lambda channel: self._start(channel, service))
+
+        return await loop.create_server(accept, address.host, address.port, backlog=_BACKLOG)
+
+    def _start(self, channel: Channel, service: CallerService) -> None:
+        connection = CallerConnection(channel, service)
+        task = asyncio.get_running_loop().create_task(connection.run())
+        self._tasks.add(task)
+        if service is self._desk:
+            self._connections.add(connection)
+
+        def done(ended: asyncio.Task[None]) -> None:
+            self._tasks.discard(ended)
+            self._connections.discard(connection)
+            if not ended.cancelled() and ended.exception() is not None:
+                _log.warning("Connection has failed.", error=repr(ended.exception()))
+                channel.abort()
+
+        task.add_done_callback(done)
+
+    async def _keep_up(self) -> None:
+        while True:
+            self._pool.close_idle()
+            self._metrics.set_state("callers", len(self._connections))
+            self._metrics.set_state("active", self._desk.active)
+            self._metrics.set_state("peers", len(self._peers.links.peers()))
+            self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
+            await asyncio.sleep(_UPKEEP_S)
+
+    async def _shut_down(self, callers: asyncio.Server) -> None:
+        """Take connections until the balancer knows, then finish what was accepted."""
+        timing = self._settings.timing
+        started_ms = clock_ms()
+        end_ms = started_ms + self._settings.bounds.grace_ms - timing.stop_margin_ms
+        _log.info("Router is leaving.", router=self._settings.router, active=self._desk.active)
+        self._desk.closing = True
+        self._peers.leaving = True
+        await asyncio.sleep(timing.stop_accept_ms / 1000)
+        self._desk.refusing = True
+        callers.close()
+        while clock_ms() < end_ms:
+            self._close_idle_callers()
+            if not self._desk.active and not self._connections:
+                return
+            await asyncio.sleep(_CHECK_S)
+        _log.warning("Grace has passed; answers are broken off.", count=self._desk.active)
+
+    def _close_idle_callers(self) -> None:
+        for connection in list(self._connections):
+            if connection.idle and not connection.channel.has_unread:
+                connection.channel.close()
+
+
+def run_edge_router(
+    settings: EdgeSettings,
+    dialect: Dialect,
+    control: ChangeSource,
+    servers: ChangeSource,
+    registry: MemberRegistry,
+) -> None:
+    """Run a router until it is told to stop."""
+
+    async def main() -> None:
+        LineWriter(sys.stdout.fileno()).attach()
+        await EdgeRouter(settings, dialect, control, servers, registry).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/src/cicadaledge/edge/_desk.py
@@ -0,0 +1,364 @@
+"""Takes a caller's request from its head to the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+from attrs import define, field
+
+from cicadaledge.codes import Code, RunState, code_info
+from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
+from cicadaledge.edge._beliefs import Beliefs
+from cicadaledge.edge._caller import AnswerWriter, RequestHead
+from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._dialect import Dialect
+from cicadaledge.edge._http_client import Headers
+from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._retries import RetryBudget
+from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.errors import RefusalError
+from cicadaledge.logs import PartLog
+from cicadaledge.placing import AccountShares, Chosen, LoadBook, Placer, Refused, ServerHealth
+from cicadaledge.routing import Account, Call, Limits, Route, RoutingTable, Service
+
+_HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
+_HOLD_STEP_S = 0.015  # a tenth of the shortest hold
+_UNREACHED_TRIES = 3  # servers that cannot be reached before a request is refused
+_BUSY_RETRY_MS = 200.0  # a full server has a place after a fraction of a request's time
+_STALE_RETRY_MS = 1_000.0  # another router may read the store; this one needs seconds
+_LEAVING_RETRY_MS = 50.0  # any other router can serve it
+_log = PartLog("request")
+
+
+@define
+class Work:
+    """One request on its way.
+
+    Args:
+        account: The account that it belongs to, or None where none is needed.
+        regions: Regions that may run it, or None for all.
+        until_ms: When its time runs out.
+    """
+
+    call: Call
+    route: Route
+    service: Service
+    table: RoutingTable
+    account: Account | None
+    regions: frozenset[str] | None
+    until_ms: float
+    tried: set[str] = field(factory=set)
+    attempts: int = 0
+    may_have_run: bool = False
+
+    @property
+    def account_name(self) -> str | None:
+        """Name of the account, or None."""
+        return self.account.name if self.account else None
+
+
+class CallDesk:
+    """Admits, places, sends and relays requests.
+
+    Args:
+        settings: Settings of this router.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        dialect: Dialect,
+        beliefs: Beliefs,
+        load: LoadBook,
+        shares: AccountShares,
+        health: ServerHealth,
+        placer: Placer,
+        pool: ServerPool,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self.closing = False
+        self.refusing = False
+        self.active = 0
+        self._settings = settings
+        self._dialect = dialect
+        self._beliefs = beliefs
+        self._load = load
+        self._shares = shares
+        self._health = health
+        self._placer = placer
+        self._pool = pool
+        self._metrics = metrics
+        self._retries = RetryBudget(settings.bounds)
+        self._chance = random.Random()
+
+    @property
+    def limits(self) -> Limits:
+        """Bounds on what callers send."""
+        table = self._beliefs.table
+        return table.limits if table else Limits()
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Answer one request that was read whole."""
+        self.active += 1
+        try:
+            await self._answer(head, body, writer)
+        finally:
+            self.active -= 1
+
+    def refuse(
+        self, writer: AnswerWriter, code: Code, detail: str, status: int
+    ) -> tuple[Headers, bytes]:
+        """Return headers and body of a refusal that needs no route."""
+        self._metrics.refused(int(code))
+        _log.info("Refused.", code=int(code), detail=detail, status=status)
+        body = _refusal_body(RefusalError(code, detail), None)
+        return self._dialect.refusal_headers(None), body
+
+    async def _answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        call = None
+        try:
+            call = self._parse(head, body)
+            work = self._admit(call)
+            await self._serve(work, writer)
+        except RefusalError as refusal:
+            await self._send_refusal(refusal, call, writer)
+        except asyncio.CancelledError:
+            waited_ms = round(clock_ms() - head.started_ms)
+            request_id = call.request_id if call else None
+            _log.info("Caller has left.", request_id=request_id, after_ms=waited_ms)
+            self._metrics.left()
+            raise
+
+    def _parse(self, head: RequestHead, body: bytes) -> Call:
+        try:
+            return self._dialect.parse(
+                head.method, head.target, head.headers, body, head.started_ms
+            )
+        except ValueError as error:
+            raise RefusalError(Code.BAD_REQUEST, str(error)) from error
+
+    def _admit(self, call: Call) -> Work:
+        """Return the work, or refuse it by the configuration alone."""
+        if self.refusing:
+            raise RefusalError(Code.LEAVING, retry_after_ms=int(_LEAVING_RETRY_MS))
+        table = self._beliefs.table
+        if table is None or not self._beliefs.servers_known:
+            raise RefusalError(Code.NOT_READY, retry_after_ms=int(_STALE_RETRY_MS))
+        current = self._beliefs.may_use_keys(clock_ms())
+        route = table.match(call.host.split(":", 1)[0], call.path)
+        if route is None:
+            if not current:
+                raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
+            raise RefusalError(Code.NOT_FOUND, f"no route for {call.host}{call.path}")
+        account = self._account(call, route, table, current)
+        service = table.services[route.choose_service(self._chance)]
+        time_ms = route.timeout_ms
+        if call.deadline_ms is not None:
+            time_ms = min(time_ms, call.deadline_ms)
+        regions = _allowed_regions(route, account)
+        work = Work(call, route, service, table, account, regions, call.started_ms + time_ms)
+        if account is not None and service.engine is not None:
+            self._shares.note_asked(account.name, call.cost_tokens, clock_ms())
+        self._retries.note_request(service.name, clock_ms())
+        return work
+
+    def _account(
+        self, call: Call, route: Route, table: RoutingTable, current: bool
+    ) -> Account | None:
+        """Return whose key the call carries.
+
+        Raises:
+            RefusalError: The key is unknown, or may have been revoked.
+        """
+        account = table.account_of_key(call.key) if call.key else None
+        if not table.has_accounts or not route.needs_key:
+            return account if current else None
+        if not current:
+            raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
+        if account is None:
+            raise RefusalError(Code.UNAUTHENTICATED)
+        return account
+
+    async def _serve(self, work: Work, writer: AnswerWriter) -> None:
+        attempt: Attempt | None = None
+        left_ms = work.until_ms - clock_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / 1000):
+                await self._run_attempts(work, writer)
+        except TimeoutError:
+            del attempt
+            code = Code.TIMED_OUT if work.may_have_run else Code.QUEUE_TIMEOUT
+            raise RefusalError(code, retry_after_ms=None) from None
+
+    async def _run_attempts(self, work: Work, writer: AnswerWriter) -> None:
+        """Send the request to one server after the other until it is answered."""
+        resume_after = work.call.resume_after
+        unreached = 0
+        while True:
+            chosen = await self._place(work)
+            self._recheck(work)
+            attempt = Attempt(work, chosen, writer, self._dialect, self._pool, self._load)
+            attempt.resume_after = resume_after
+            result = await self._run_attempt(work, chosen, attempt)
+            if result.end is AttemptEnd.ANSWERED:
+                return
+            work.tried.add(chosen.server.server)
+            if result.end is AttemptEnd.UNREACHED:
+                unreached += 1
+                if unreached < _UNREACHED_TRIES:
+                    continue
+                raise RefusalError(Code.BACKEND_UNREACHABLE, retry_after_ms=int(_BUSY_RETRY_MS))
+            work.attempts += 1
+            resume_after = attempt.resume_after
+            if not self._may_repeat(work, result, writer):
+                await self._give_up(work, result, writer)
+                return
+
+    async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
+        now_ms = clock_ms()
+        self._placer.note_sent(work.call, chosen, now_ms)
+        try:
+            result = await attempt.run()
+        finally:
+            self._load.end(chosen.placement)
+        ended_ms = clock_ms()
+        server = chosen.server.server
+        if result.end is AttemptEnd.UNREACHED:
+            self._health.note_unreachable(server, ended_ms)
+        else:
+            peers = [one.server for one in self._beliefs.directory.usable(work.service.name)]
+            self._health.note_answer(server, result.failed, peers, ended_ms)
+        if result.cold_left_ms:
+            self._beliefs.directory.note_cold(server, ended_ms + result.cold_left_ms)
+        self._metrics.attempted(result.end.value)
+        _log.info(
+            "Attempt has ended.",
+            request_id=work.call.request_id,
+            server=server,
+            end=result.end.value,
+            status=result.status,
+            reason=result.reason,
+            predicted_ms=round(chosen.predicted_ms),
+            first_ms=attempt.first_ms and round(attempt.first_ms - now_ms),
+            took_ms=round(ended_ms - now_ms),
+        )
+        return result
+
+    async def _place(self, work: Work) -> Chosen:
+        """Return a server; wait a little for one.
+
+        Raises:
+            RefusalError: None can take the request.
+        """
+        hold_until_ms = work.call.started_ms + work.route.aim_ms * _HOLD_PART
+        while True:
+            now_ms = clock_ms()
+            use = self._use_of_share(work, now_ms)
+            choice = self._placer.choose(
+                work.call, work.route, work.service, work.regions, work.tried, use, now_ms
+            )
+            if isinstance(choice, Chosen):
+                if work.account is not None and work.service.engine is not None:
+                    self._shares.note_admitted(work.account.name, work.call.cost_tokens, now_ms)
+                return choice
+            if now_ms + _HOLD_STEP_S * 1000 > hold_until_ms:
+                self._log_refused(work, choice, use, now_ms)
+                code = Code.BACKEND_LOST if work.may_have_run else Code.NO_CAPACITY
+                raise RefusalError(code, choice.reason, retry_after_ms=int(choice.retry_after_ms))
+            await asyncio.sleep(_HOLD_STEP_S)
+
+    def _use_of_share(self, work: Work, now_ms: float) -> float:
+        if work.account is None or work.service.engine is None:
+            return 0.0
+        capacity = work.table.limits.tokens_per_s
+        return self._shares.use_of_share(work.account.name, capacity, now_ms)
+
+    def _log_refused(self, work: Work, choice: Refused, use: float, now_ms: float) -> None:
+        _log.info(
+            "No server was chosen.",
+            request_id=work.call.request_id,
+            route=work.route.name,
+            account=work.account_name,
+            reason=choice.reason,
+            use_of_share=round(use, 2),
+            prompt_tokens=work.call.prompt_tokens,
+            waited_ms=round(now_ms - work.call.started_ms),
+            version=work.table.version,
+        )
+
+    def _recheck(self, work: Work) -> None:
+        """Refuse a request that a newer configuration, read meanwhile, does not allow."""
+        table = self._beliefs.table
+        assert table is not None
+        if work.account is None and not work.route.needs_key and table is work.table:
+            return
+        route = table.match(work.call.host.split(":", 1)[0], work.call.path)
+        if route is None:
+            raise RefusalError(Code.NOT_FOUND, "the route was removed")
+        self._account(work.call, route, table, self._beliefs.may_use_keys(clock_ms()))
+
+    def _may_repeat(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> bool:
+        """Return whether another server may have the request."""
+        if work.attempts >= work.route.max_attempts:
+            return False
+        if result.end is not AttemptEnd.NOT_RUN and not work.route.idempotent:
+            return False
+        if writer.started and not work.route.resumable:
+            return False
+        routers = self._load.live_peers(clock_ms()) + 1
+        return self._retries.take(work.service.name, routers, clock_ms())
+
+    async def _give_up(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> None:
+        """End a request that no other server may have."""
+        if result.answer is not None and not writer.started:
+            await result.answer.send(writer)
+            return
+        if result.end is AttemptEnd.NOT_RUN and not work.may_have_run:
+            raise RefusalError(Code.NO_CAPACITY, result.reason, retry_after_ms=int(_BUSY_RETRY_MS))
+        raise RefusalError(Code.BACKEND_LOST, result.reason)
+
+    async def _send_refusal(
+        self, refusal: RefusalError, call: Call | None, writer: AnswerWriter
+    ) -> None:
+        request_id = call.request_id if call else None
+        _log.info(
+            "Refused.",
+            request_id=request_id,
+            code=int(refusal.code),
+            detail=refusal.detail,
+            run_state=refusal.run_state.value,
+            broken_off=writer.started,
+            after_ms=round(clock_ms() - call.started_ms) if call else None,
+        )
+        self._metrics.refused(int(refusal.code))
+        if writer.started:
+            writer.break_off()
+            return
+        status = code_info(refusal.code).http_status
+        headers = self._dialect.refusal_headers(refusal.retry_after_ms)
+        await writer.whole(status, headers, _refusal_body(refusal, request_id))
+
+
+def _allowed_regions(route: Route, account: Account | None) -> frozenset[str] | None:
+    """Return the regions that both allow, or None if neither is bound."""
+    bound = [regions for regions in (route.regions, account and account.regions) if regions]
+    if not bound:
+        return None
+    allowed = bound[0]
+    for regions in bound[1:]:
+        allowed &= regions
+    return allowed
+
+
+def _refusal_body(refusal: RefusalError, request_id: str | None) -> bytes:
+    plain = {
+        "code": int(refusal.code),
+        "name": refusal.code.name,
+        "detail": refusal.detail,
+        "run_state": RunState(refusal.run_state).value,
+        "request_id": request_id,
+    }
+    return json.dumps(plain).encode()
--- /dev/null
+++ b/src/cicadaledge/edge/_dialect.py
@@ -0,0 +1,69 @@
+"""What the serving path needs of an interface's headers, whatever their names are."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import frozen
+
+from cicadaledge.edge._http_client import AnswerHead, Headers
+from cicadaledge.routing import Call, ServerEntry
+
+
+@frozen
+class ServerLoad:
+    """Requests that a server says it runs and keeps waiting."""
+
+    running: int
+    waiting: int
+
+
+@frozen
+class AnswerSigns:
+    """What the head of a server's answer says beside its status.
+
+    Args:
+        request_id: Id of the request that it answers, or None.
+        not_run: Whether the server states that it did not run the request.
+        wrong_server: Whether another server has the address now.
+        load: None if the answer does not tell.
+        cold_left_ms: How long the server stays cold, or None.
+    """
+
+    request_id: str | None
+    not_run: bool
+    wrong_server: bool
+    load: ServerLoad | None
+    cold_left_ms: float | None
+
+
+class Dialect(Protocol):
+    """Names of headers towards callers and backend servers."""
+
+    ready_path: str
+
+    def parse(
+        self, method: str, target: str, headers: Headers, body: bytes, started_ms: float
+    ) -> Call:
+        """Return a caller's request in the product's terms.
+
+        Raises:
+            ValueError: A header has no valid value.
+        """
+
+    def server_headers(
+        self, call: Call, server: ServerEntry, account: str | None, left_ms: float
+    ) -> Headers:
+        """Return the headers of a request to a backend server."""
+
+    def resume_headers(self, last_event: str) -> Headers:
+        """Return the headers that ask for the events after one."""
+
+    def read_signs(self, head: AnswerHead) -> AnswerSigns:
+        """Return what an answer's head says."""
+
+    def answer_headers(self, head: AnswerHead) -> Headers:
+        """Return a server's headers as the caller gets them."""
+
+    def refusal_headers(self, retry_after_ms: float | None) -> Headers:
+        """Return the headers of an answer of the router's own."""
--- /dev/null
+++ b/src/cicadaledge/edge/_http_client.py
@@ -0,0 +1,199 @@
+"""HTTP/1.1 towards backend servers and the store, strict about where an answer ends.
+
+h11 stands in for urllib3 here: a request must be given up the moment its caller leaves, and
+bytes after the end of an answer must be seen before the connection is used again.
+"""
+
+from __future__ import annotations
+
+import h11
+
+from cicadaledge.edge._channel import Channel, clock_ms, connect
+from cicadaledge.errors import BackendError
+
+Headers = list[tuple[bytes, bytes]]
+
+_HEAD_LIMIT_BYTES = 65_536
+_DEFAULT_IDLE_MS = 4_000.0  # shorter than the idle time-out of usual servers
+_IDLE_MARGIN_MS = 1_000.0  # a whole-second Keep-Alive may have run out half a round trip ago
+
+
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    __slots__ = ("headers", "status")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+
+    def get(self, name: bytes) -> str | None:
+        """Return the first header of a name (any case), or None."""
+        lowered = name.lower()
+        for key, value in self.headers:
+            if key.lower() == lowered:
+                return value.decode("latin-1")
+        return None
+
+
+class HttpConnection:
+    """A connection that carries one exchange at a time.
+
+    Args:
+        channel: Connected channel.
+        peer: Named in errors.
+    """
+
+    def __init__(self, channel: Channel, peer: str) -> None:
+        self.peer = peer
+        self.channel = channel
+        self.used_ms = clock_ms()
+        self.exchanges = 0
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES)
+        self._idle_ms = _DEFAULT_IDLE_MS
+        self._closing = False
+        self._request: h11.Request | None = None
+
+    @classmethod
+    async def open(cls, host: str, port: int, peer: str, timeout_ms: float) -> HttpConnection:
+        """Return a new connection.
+
+        Raises:
+            BackendError: The peer cannot be reached; nothing was sent.
+        """
+        try:
+            return cls(await connect(host, port, timeout_ms), peer)
+        except OSError as error:
+            raise BackendError(f"{peer} cannot be reached: {error}", sent=False) from error
+
+    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Send a whole request.
+
+        Raises:
+            BackendError: The connection has gone; nothing was sent.
+        """
+        if self.channel.gone:
+            raise BackendError(f"{self.peer} has closed the connection", sent=False)
+        framed = [*headers]
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            framed.append((b"Content-Length", str(len(body)).encode()))
+        self._request = h11.Request(method=method, target=target, headers=framed)
+        data = self._h11.send(self._request)
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        self.exchanges += 1
+        self.channel.write(data)
+
+    async def head(self) -> AnswerHead:
+        """Return the head of the answer.
+
+        Raises:
+            BackendError: The connection broke or carried something else.
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                self._note_connection(event)
+                return AnswerHead(event.status_code, event.headers.raw_items())
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken("ended without an answer")
+
+    async def piece(self) -> bytes | None:
+        """Return the next bytes of the answer's body, or None at its end.
+
+        Raises:
+            BackendError: The connection broke before the end.
+        """
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise self._broken("ended within an answer")
+
+    async def body(self) -> bytes:
+        """Return the rest of the answer's body.
+
+        Raises:
+            BackendError: The connection broke before the end.
+        """
+        pieces = []
+        while (piece := await self.piece()) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def skip_answer(self) -> bool:
+        """Go on to an answer behind the one that was read; return whether that can be done.
+
+        A server can send a late answer to an earlier request before the awaited one.
+        """
+        if self._h11.their_state is not h11.DONE or self._request is None:
+            return False
+        rest, ended = self._h11.trailing_data
+        following = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES)
+        following.send(self._bare_request())
+        following.send(h11.EndOfMessage())
+        self._h11 = following
+        if rest:
+            following.receive_data(rest)
+        return not ended
+
+    def finish(self) -> bool:
+        """Make ready for another request; return whether the connection can be used again."""
+        self.used_ms = clock_ms()
+        if self._closing or self.channel.gone or self.channel.unsent_bytes:
+            return False
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            return False
+        if self._h11.trailing_data[0] or self.channel.has_unread:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    def is_usable(self, idle_limit_ms: float) -> bool:
+        """Return whether an idle connection may carry another request."""
+        idle_ms = clock_ms() - self.used_ms
+        limit_ms = min(idle_limit_ms, self._idle_ms)
+        return not self.channel.gone and not self.channel.has_unread and idle_ms < limit_ms
+
+    def abort(self) -> None:
+        """Reset the connection, so that the server stops working for it."""
+        self.channel.abort()
+
+    async def _next(self) -> object:
+        try:
+            while (event := self._h11.next_event()) is h11.NEED_DATA:
+                data = await self.channel.read()
+                if not data and self.channel.reset:
+                    raise self._broken("was reset")
+                self._h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise self._broken(f"is not HTTP: {error}") from error
+        return event
+
+    def _bare_request(self) -> h11.Request:
+        """Return the request without its body, to set up the state after sending it."""
+        assert self._request is not None
+        headers = [
+            item for item in self._request.headers.raw_items() if item[0] != b"Content-Length"
+        ]
+        return h11.Request(
+            method=self._request.method, target=self._request.target, headers=headers
+        )
+
+    def _broken(self, what: str) -> BackendError:
+        return BackendError(f"the answer of {self.peer} {what}", sent=True)
+
+    def _note_connection(self, response: h11.Response) -> None:
+        for name, value in response.headers:
+            if name == b"connection" and b"close" in value.lower():
+                self._closing = True
+            elif name == b"keep-alive":
+                self._note_idle_limit(value)
+
+    def _note_idle_limit(self, value: bytes) -> None:
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.strip().isdigit():
+                self._idle_ms = max(0.0, float(number) * 1000.0 - _IDLE_MARGIN_MS)
--- /dev/null
+++ b/src/cicadaledge/edge/_metrics.py
@@ -0,0 +1,60 @@
+"""Counters and histograms of a router at the edge, in the registry's text format."""
+
+from __future__ import annotations
+
+import resource
+
+import aioprometheus
+from aioprometheus.renderer import render
+
+_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0)
+
+
+class EdgeMetrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self._refusals = aioprometheus.Counter("cicadaledge_refusals_total", "Refusals by code.")
+        self._attempts = aioprometheus.Counter(
+            "cicadaledge_attempts_total", "Sendings to backend servers by how they ended."
+        )
+        self._left = aioprometheus.Counter(
+            "cicadaledge_callers_left_total", "Requests whose caller left before the answer."
+        )
+        self._gauges = aioprometheus.Gauge("cicadaledge_state", "What the router believes.")
+        self._latency = aioprometheus.Histogram(
+            "cicadaledge_answer_seconds",
+            "From the request to the answer's end.",
+            buckets=list(_BUCKETS_S),
+        )
+        for one in (self._refusals, self._attempts, self._left, self._gauges, self._latency):
+            self._registry.register(one)
+
+    def refused(self, code: int) -> None:
+        """Count a refusal."""
+        self._refusals.inc({"code": str(code)})
+
+    def attempted(self, end: str) -> None:
+        """Count a sending."""
+        self._attempts.inc({"end": end})
+
+    def left(self) -> None:
+        """Count a caller that left."""
+        self._left.inc({})
+
+    def answered(self, seconds: float) -> None:
+        """Note the time of an answer."""
+        self._latency.add({}, seconds)
+
+    def set_state(self, name: str, value: float) -> None:
+        """Set one gauge of the router's state."""
+        self._gauges.set({"name": name}, value)
+
+    def text(self) -> tuple[bytes, dict[str, str]]:
+        """Return the rendered metrics and their headers."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.set_state("cpu_seconds", usage.ru_utime + usage.ru_stime)
+        self.set_state("peak_resident_kb", usage.ru_maxrss)
+        content, headers = render(self._registry, ["text/plain"])
+        return content, dict(headers)
--- /dev/null
+++ b/src/cicadaledge/edge/_source.py
@@ -0,0 +1,122 @@
+"""What the store tells a router, in the product's terms."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import field, frozen
+
+from cicadaledge.errors import CicadaledgeError
+from cicadaledge.routing import RoutingTable, ServerEntry
+
+
+class StoreError(CicadaledgeError):
+    """The store did not answer a call, or refused it."""
+
+
+class HistoryLostError(StoreError):
+    """The records asked for are no longer kept; the newest ones must be read anew."""
+
+
+@frozen
+class TableChanged:
+    """A version of the configuration was accepted."""
+
+    table: RoutingTable
+
+
+@frozen
+class ZoneChanged:
+    """An availability zone is evacuated, or taken back."""
+
+    zone: str
+    evacuated: bool
+
+
+@frozen
+class ServerChanged:
+    """A backend server wrote a heartbeat."""
+
+    entry: ServerEntry
+
+
+@frozen
+class ServerRemoved:
+    """A backend server's entry was removed."""
+
+    server: str
+
+
+@frozen
+class ForeignEntry:
+    """An entry that no backend server wrote."""
+
+    server: str
+    reason: str
+
+
+Change = TableChanged | ZoneChanged | ServerChanged | ServerRemoved | ForeignEntry
+
+
+@frozen
+class ChangePage:
+    """Changes in the order of their offsets.
+
+    Args:
+        next_offset: Where to read on.
+        proof_ms: Time at which the store had nothing newer than `next_offset`, on the clock
+            that counts suspension.
+    """
+
+    changes: list[Change]
+    next_offset: int
+    proof_ms: float
+
+
+class ChangeSource(Protocol):
+    """A topic of the store that others write."""
+
+    name: str
+
+    async def newest(self) -> ChangePage:
+        """Return the newest change of each subject.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+
+    async def since(self, offset: int, wait_ms: int) -> ChangePage:
+        """Return changes from an offset on; wait for the first one.
+
+        Raises:
+            HistoryLostError: Older changes are gone.
+            StoreError: The store did not answer.
+        """
+
+
+@frozen
+class FleetMember:
+    """A router process of the fleet."""
+
+    router: str
+    host: str
+    peer_port: int
+    started_ms: int = field(default=0)
+
+
+class MemberRegistry(Protocol):
+    """Where router processes find each other."""
+
+    async def announce(self, member: FleetMember) -> None:
+        """Write this process's entry.
+
+        Raises:
+            StoreError: The store did not answer; the entry may be written.
+        """
+
+    async def members(self) -> list[FleetMember]:
+        """Return all entries, old ones too.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
--- a/src/cicadaledge/loadtool/_launcher.py
+++ b/src/cicadaledge/loadtool/_launcher.py
@@ -24,7 +24,7 @@
     operator_key,
     plan_deployment,
 )
-from cicadaledge.platform import HttpLogClient
+from cicadaledge.log import HttpLogClient
 from cicadaledge.settings import Address
 from cicadaledge.world import configuration_from_dict
 
--- /dev/null
+++ b/src/cicadaledge/logs/_writer.py
@@ -0,0 +1,93 @@
+"""Writes log lines to a descriptor without ever blocking."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections import deque
+from typing import Any
+
+import eliot
+
+_BACKLOG_BYTES = 262_144  # about a thousand lines; a reader that is further behind has stalled
+
+
+class LineWriter:
+    """Queues lines and writes them as the reader takes them.
+
+    Lines that do not fit into the queue are dropped and counted; a line that tells how many
+    were lost follows as soon as there is room.
+
+    Args:
+        descriptor: Set to non-blocking mode.
+        backlog_bytes: Most bytes that are queued.
+    """
+
+    def __init__(self, descriptor: int, backlog_bytes: int = _BACKLOG_BYTES) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._backlog_bytes = backlog_bytes
+        self._lines: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._untold = 0
+        self._waiting = False
+        os.set_blocking(descriptor, False)
+
+    def attach(self) -> None:
+        """Make this the destination of all log messages of the process."""
+        eliot.add_destinations(self.write)
+
+    def write(self, message: dict[str, Any]) -> None:
+        """Queue one message; return at once."""
+        line = json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n"
+        if self._queued_bytes + len(line) > self._backlog_bytes:
+            self.dropped += 1
+            self._untold += 1
+            return
+        if self._untold:
+            note = json.dumps({"message": "logs: Lines were dropped.", "count": self._untold})
+            self._queue(note.encode() + b"\n")
+            self._untold = 0
+        self._queue(line)
+        if not self._waiting:
+            self._flush()
+
+    def _queue(self, line: bytes) -> None:
+        self._lines.append(line)
+        self._queued_bytes += len(line)
+
+    def _flush(self) -> None:
+        while self._lines:
+            line = self._lines[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                self._wait()
+                return
+            except OSError:
+                # The reader has gone; there is nobody to tell.
+                self._lines.clear()
+                self._queued_bytes = 0
+                return
+            self._queued_bytes -= written
+            if written < len(line):
+                self._lines[0] = line[written:]
+            else:
+                self._lines.popleft()
+        self._stop_waiting()
+
+    def _wait(self) -> None:
+        if self._waiting:
+            return
+        try:
+            asyncio.get_running_loop().add_writer(self._descriptor, self._flush)
+        except (RuntimeError, OSError):
+            # No loop runs, or the descriptor cannot be watched: the next line tries again.
+            return
+        self._waiting = True
+
+    def _stop_waiting(self) -> None:
+        if self._waiting:
+            asyncio.get_running_loop().remove_writer(self._descriptor)
+            self._waiting = False
--- /dev/null
+++ b/src/cicadaledge/placing/__init__.py
@@ -0,0 +1,27 @@
+"""Decides which backend server gets a request, or that none can serve it; no network.
+
+Answers the load of days that ask more of a model pool than its engines produce.
+"""
+
+from cicadaledge.placing._engine import EngineModel, EngineSettings
+from cicadaledge.placing._health import ServerHealth
+from cicadaledge.placing._load import LoadBook, Placement, ServerTotals
+from cicadaledge.placing._placer import Chosen, Placer, PlacingSettings, Refused
+from cicadaledge.placing._rates import RateWindow
+from cicadaledge.placing._shares import AccountShares, fair_level
+
+__all__ = [
+    "AccountShares",
+    "Chosen",
+    "EngineModel",
+    "EngineSettings",
+    "LoadBook",
+    "Placement",
+    "Placer",
+    "PlacingSettings",
+    "RateWindow",
+    "Refused",
+    "ServerHealth",
+    "ServerTotals",
+    "fair_level",
+]
--- /dev/null
+++ b/src/cicadaledge/placing/_placer.py
@@ -0,0 +1,268 @@
+"""Chooses the backend server of a request, or refuses it."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+from attrs import field, frozen
+
+from cicadaledge.placing._engine import EngineModel, EngineSettings
+from cicadaledge.placing._health import ServerHealth
+from cicadaledge.placing._load import LoadBook, Placement, ServerTotals
+from cicadaledge.placing._shares import AccountShares
+from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
+
+
+@frozen
+class PlacingSettings:
+    """Thresholds of placing and admission.
+
+    Args:
+        engine: Speed of the engines.
+        running_limit: Requests that one engine runs at once, of all routers. More of them
+            slow every stream down: 27 served most on the heaviest days, 20 and 64 less.
+        aim_share: Part of a route's objective that the predicted first token may take.
+        affine_tokens: Shared tokens from which a request goes only where they are kept.
+        region_crossing_ms: Added to the predicted time for a server of another region.
+        fair_low: Use of share up to which an account is not held back.
+        fair_high: Use of share from which it gets only `beyond_share` of the bounds.
+        beyond_share: Part of the bounds open to accounts beyond their share.
+        cold_part: Part of the rate that a cold server bears that the fleet uses.
+        warm_rate_per_s: Requests a second to one server that may turn cold unnoticed.
+        settle_ms: Age from which a server is believed to keep the parts it is first for.
+        short_retry_ms: Least pause before a refused request may come again.
+        long_retry_ms: Longest such pause.
+    """
+
+    engine: EngineSettings = field(factory=EngineSettings)
+    running_limit: int = 27
+    aim_share: float = 0.7
+    affine_tokens: int = 1_000
+    region_crossing_ms: float = 60.0
+    fair_low: float = 0.9
+    fair_high: float = 1.5
+    beyond_share: float = 0.3
+    cold_part: float = 0.8
+    warm_rate_per_s: float = 18.0
+    settle_ms: float = 6_000.0
+    short_retry_ms: float = 150.0
+    long_retry_ms: float = 1_000.0
+
+
+@frozen
+class Chosen:
+    """A server for the request."""
+
+    server: ServerEntry
+    placement: Placement
+    predicted_ms: float
+
+
+@frozen
+class Refused:
+    """No server can take the request now.
+
+    Args:
+        reason: What was short.
+        retry_after_ms: When it has a chance.
+    """
+
+    reason: str
+    retry_after_ms: float
+
+
+class Placer:
+    """Decides for one router, with the fleet's load as far as it is known.
+
+    Args:
+        settings: Thresholds.
+        region_of: Returns the region of an availability zone.
+        own_region: Region of this router.
+    """
+
+    def __init__(
+        self,
+        settings: PlacingSettings,
+        directory: ServerDirectory,
+        load: LoadBook,
+        shares: AccountShares,
+        health: ServerHealth,
+        region_of: Callable[[str], str],
+        own_region: str,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._load = load
+        self._shares = shares
+        self._health = health
+        self._region_of = region_of
+        self._own_region = own_region
+        self._engines: dict[str, EngineModel] = {}
+
+    def choose(
+        self,
+        call: Call,
+        route: Route,
+        service: Service,
+        regions: frozenset[str] | None,
+        tried: set[str],
+        use_of_share: float,
+        now_ms: float,
+    ) -> Chosen | Refused:
+        """Return where to send a request now.
+
+        Args:
+            regions: Regions whose servers may run it, or None for all.
+            tried: Servers that have had it already.
+            use_of_share: What its account gets, as a multiple of its share.
+        """
+        usable = self._candidates(service, regions, tried, now_ms)
+        if not usable:
+            return Refused("no server", self._settings.long_retry_ms)
+        if service.engine is None:
+            return self._choose_plain(usable, service, now_ms)
+        return self._choose_engine(call, route, service, usable, use_of_share, now_ms)
+
+    def note_sent(self, call: Call, chosen: Chosen, now_ms: float) -> None:
+        """Count a request that is about to be sent."""
+        self._load.start(chosen.placement, now_ms)
+        if call.prompt_tokens:
+            self._engine(chosen.server.server).remember(call.shared_parts)
+
+    def _candidates(
+        self, service: Service, regions: frozenset[str] | None, tried: set[str], now_ms: float
+    ) -> list[ServerEntry]:
+        allowed = [
+            entry
+            for entry in self._directory.usable(service.name)
+            if entry.server not in tried
+            and (regions is None or self._region_of(entry.zone) in regions)
+        ]
+        sound = [one for one in allowed if not self._health.is_ejected(one.server, now_ms)]
+        return sound or allowed
+
+    def _choose_plain(
+        self, usable: list[ServerEntry], service: Service, now_ms: float
+    ) -> Chosen | Refused:
+        best: tuple[float, ServerEntry] | None = None
+        for entry in usable:
+            if not self._within_rate(entry, service, now_ms):
+                continue
+            totals = self._load.totals(entry.server, now_ms)
+            load = totals.running / max(entry.slots, 1)
+            score = load + (0.0 if self._is_near(entry) else 1.0)
+            if load < 2.0 and (best is None or score < best[0]):
+                best = (score, entry)
+        if best is None:
+            return Refused("all servers are full", self._settings.short_retry_ms)
+        return Chosen(best[1], Placement(best[1].server, 0, 0), 0.0)
+
+    def _choose_engine(
+        self,
+        call: Call,
+        route: Route,
+        service: Service,
+        usable: list[ServerEntry],
+        use_of_share: float,
+        now_ms: float,
+    ) -> Chosen | Refused:
+        ranked = sorted(usable, key=lambda entry: _rank(call, entry.server))
+        shared_tokens = sum(part.tokens for part in call.shared_parts)
+        if shared_tokens >= self._settings.affine_tokens:
+            ranked = ranked[:1]
+        openness = self._openness(use_of_share)
+        best: tuple[float, Chosen] | None = None
+        for place, entry in enumerate(ranked):
+            chosen = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
+            if chosen is None:
+                continue
+            cost_ms = chosen.predicted_ms
+            if best is None or cost_ms < best[0]:
+                best = (cost_ms, chosen)
+        if best is None:
+            return Refused("engines are full", self._retry_after_ms(ranked[0], now_ms))
+        return best[1]
+
+    def _weigh(
+        self,
+        call: Call,
+        route: Route,
+        service: Service,
+        entry: ServerEntry,
+        is_first: bool,
+        openness: float,
+        now_ms: float,
+    ) -> Chosen | None:
+        """Return the choice of one server, or None if it cannot serve in time."""
+        assert service.engine is not None
+        totals = self._load.totals(entry.server, now_ms)
+        settled = now_ms - self._directory.first_seen_ms(entry.server) > self._settings.settle_ms
+        engine = self._engine(entry.server)
+        unread = engine.unread_tokens(
+            call.prompt_tokens, call.shared_parts, all_kept=is_first and settled
+        )
+        predicted_ms = engine.first_token_ms(totals, unread)
+        if not self._is_near(entry):
+            predicted_ms += self._settings.region_crossing_ms
+        if not self._fits(call, service, totals, openness):
+            return None
+        waiting_ms = predicted_ms - engine.first_token_ms(ServerTotals(), unread)
+        bound_ms = route.aim_ms * self._settings.aim_share * openness
+        if predicted_ms > bound_ms and waiting_ms > bound_ms * 0.35:
+            return None
+        if not self._within_rate(entry, service, now_ms):
+            return None
+        context = call.prompt_tokens + call.output_tokens
+        return Chosen(entry, Placement(entry.server, unread, context), predicted_ms)
+
+    def _fits(self, call: Call, service: Service, totals: ServerTotals, openness: float) -> bool:
+        assert service.engine is not None
+        limit = min(self._settings.running_limit, service.engine.slots)
+        if totals.running >= max(1.0, limit * openness):
+            return False
+        memory = service.engine.memory_tokens * self._settings.engine.memory_share
+        return totals.context_tokens + call.prompt_tokens + call.output_tokens <= memory
+
+    def _within_rate(self, entry: ServerEntry, service: Service, now_ms: float) -> bool:
+        """Return whether one more request stays below what the server bears when cold."""
+        if service.cold_per_s <= 0:
+            return True
+        if self._directory.cold_until_ms(entry.server) <= now_ms:
+            return (
+                self._load.totals(entry.server, now_ms).sent_last_s < self._settings.warm_rate_per_s
+            )
+        routers = self._load.live_peers(now_ms) + 1
+        part = service.cold_per_s * self._settings.cold_part / routers
+        return self._load.own_sent_last_s(entry.server, now_ms) < max(1.0, part)
+
+    def _openness(self, use_of_share: float) -> float:
+        """Return the part of the bounds that is open to an account."""
+        settings = self._settings
+        if use_of_share <= settings.fair_low:
+            return 1.0
+        if use_of_share >= settings.fair_high:
+            return settings.beyond_share
+        along = (use_of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
+        return 1.0 - along * (1.0 - settings.beyond_share)
+
+    def _retry_after_ms(self, entry: ServerEntry, now_ms: float) -> float:
+        totals = self._load.totals(entry.server, now_ms)
+        wait_ms = totals.unread_tokens / self._settings.engine.read_tokens_per_ms / 2
+        return min(max(wait_ms, self._settings.short_retry_ms), self._settings.long_retry_ms)
+
+    def _is_near(self, entry: ServerEntry) -> bool:
+        return self._region_of(entry.zone) == self._own_region
+
+    def _engine(self, server: str) -> EngineModel:
+        engine = self._engines.get(server)
+        if engine is None:
+            engine = self._engines[server] = EngineModel(self._settings.engine)
+        return engine
+
+
+def _rank(call: Call, server: str) -> bytes:
+    """Return the rendezvous rank of a server for a request's last shared part."""
+    shared = call.shared_parts
+    subject = shared[-1].digest if shared else call.request_id
+    return hashlib.blake2b(f"{subject}/{server}".encode(), digest_size=8).digest()
--- a/src/cicadaledge/platform/__init__.py
+++ b/src/cicadaledge/platform/__init__.py
@@ -1,21 +1,24 @@
-"""Clients of the platform and of backend servers."""
+"""Translates the users' platform into the product's types; decides nothing."""
 
-from cicadaledge.platform._backend import (
-    BackendConnection,
-    BackendConnections,
-    BootMismatchError,
-    ServerLoad,
-    call_backend,
+from cicadaledge.platform._decode import decode_server, decode_table
+from cicadaledge.platform._dialect import PlatformDialect
+from cicadaledge.platform._main import main
+from cicadaledge.platform._node import load_edge_settings
+from cicadaledge.platform._store import (
+    ControlTopic,
+    MemberTopic,
+    ServerTopic,
+    StoreClient,
 )
-from cicadaledge.platform._log import HttpLogClient, LogClient, LogPage
 
 __all__ = [
-    "BackendConnection",
-    "BackendConnections",
-    "BootMismatchError",
-    "HttpLogClient",
-    "LogClient",
-    "LogPage",
-    "ServerLoad",
-    "call_backend",
+    "ControlTopic",
+    "MemberTopic",
+    "PlatformDialect",
+    "ServerTopic",
+    "StoreClient",
+    "decode_server",
+    "decode_table",
+    "load_edge_settings",
+    "main",
 ]
--- /dev/null
+++ b/src/cicadaledge/platform/_dialect.py
@@ -0,0 +1,157 @@
+"""The platform's header names towards callers and backend servers."""
+
+from __future__ import annotations
+
+from cicadaledge.edge import AnswerHead, AnswerSigns, Headers, ServerLoad
+from cicadaledge.routing import Call, PromptPart, ServerEntry
+
+_KEY_SCHEME = "Token "
+_MISDIRECTED = 421
+
+# Headers that concern one connection only.
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that only the router may set for a backend server.
+_OWN_HEADERS = frozenset(
+    {
+        b"authorization",
+        b"deadline-ms",
+        b"expect-instance",
+        b"tenant-id",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+
+
+class PlatformDialect:
+    """Reads and writes the headers of the platform's pages."""
+
+    ready_path = "/cicadaledge/readyz"
+
+    def parse(
+        self, method: str, target: str, headers: Headers, body: bytes, started_ms: float
+    ) -> Call:
+        """Return a caller's request in the product's terms."""
+        named = {name.lower(): value.decode("latin-1").strip() for name, value in headers}
+        names = [name.lower() for name, _ in headers]
+        if names.count(b"attempt-id") != 1 or not named[b"attempt-id"]:
+            raise ValueError("expected exactly one Attempt-Id header")
+        tokens_in, tokens_out = _token_usage(named.get(b"token-usage"))
+        return Call(
+            request_id=named[b"attempt-id"],
+            method=method,
+            host=named.get(b"host", ""),
+            target=target,
+            headers=[item for item in headers if item[0].lower() not in _named_in(named)],
+            body=body,
+            started_ms=started_ms,
+            deadline_ms=_milliseconds(named.get(b"deadline-ms")),
+            key=_key(named.get(b"authorization")),
+            model=named.get(b"model", ""),
+            prompt_tokens=tokens_in,
+            output_tokens=tokens_out,
+            parts=_prompt_parts(named.get(b"prompt-prefix")),
+            resume_after=named.get(b"last-event-id"),
+        )
+
+    def server_headers(
+        self, call: Call, server: ServerEntry, account: str | None, left_ms: float
+    ) -> Headers:
+        """Return the headers of a request to a backend server."""
+        headers = [item for item in call.headers if item[0].lower() not in _OWN_HEADERS]
+        headers.append((b"Deadline-Ms", str(max(1, int(left_ms))).encode()))
+        headers.append((b"Expect-Instance", server.server.encode("latin-1")))
+        if account is not None:
+            headers.append((b"Tenant-Id", account.encode("latin-1")))
+        return headers
+
+    def resume_headers(self, last_event: str) -> Headers:
+        """Return the headers that ask for the events after one."""
+        return [(b"Last-Event-Id", last_event.encode("latin-1"))]
+
+    def read_signs(self, head: AnswerHead) -> AnswerSigns:
+        """Return what an answer's head says."""
+        wrong_server = head.status == _MISDIRECTED
+        return AnswerSigns(
+            request_id=head.get(b"Attempt-Id"),
+            not_run=wrong_server or head.get(b"Not-Executed") is not None,
+            wrong_server=wrong_server,
+            load=_server_load(head.get(b"Server-Load")),
+            cold_left_ms=_milliseconds(head.get(b"Cold-Ms")),
+        )
+
+    def answer_headers(self, head: AnswerHead) -> Headers:
+        """Return a server's headers as the caller gets them."""
+        return [item for item in head.headers if item[0].lower() not in _HOP_HEADERS]
+
+    def refusal_headers(self, retry_after_ms: float | None) -> Headers:
+        """Return the headers of an answer of the router's own."""
+        headers = [(b"Content-Type", b"application/json")]
+        if retry_after_ms is not None:
+            headers.append((b"Retry-After", f"{retry_after_ms / 1000:.3f}".encode()))
+        return headers
+
+
+def _named_in(named: dict[bytes, str]) -> frozenset[bytes]:
+    """Return the headers that concern this connection, those it names itself included."""
+    listed = named.get(b"connection", "")
+    own = frozenset(token.strip().lower().encode("latin-1") for token in listed.split(","))
+    return _HOP_HEADERS | (own - {b"", b"close", b"keep-alive", b"attempt-id", b"host"})
+
+
+def _key(value: str | None) -> str | None:
+    if value is None or not value.startswith(_KEY_SCHEME):
+        return None
+    return value[len(_KEY_SCHEME) :].strip()
+
+
+def _milliseconds(value: str | None) -> float | None:
+    if value is None:
+        return None
+    number = float(value)
+    if not 0 <= number < float("inf"):
+        raise ValueError(f"expected milliseconds, found {value!r}")
+    return number
+
+
+def _token_usage(value: str | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most tokens of the output."""
+    if value is None:
+        return 0, 0
+    prompt, _, output = value.partition(",")
+    return max(0, int(prompt)), max(0, int(output or 0))
+
+
+def _prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for item in value.split(","):
+        digest, _, tokens = item.strip().partition(":")
+        parts.append(PromptPart(digest, int(tokens)))
+    return tuple(parts)
+
+
+def _server_load(value: str | None) -> ServerLoad | None:
+    """Return running and waiting requests; the third number repeats the slots."""
+    numbers = (value or "").split(",")
+    if len(numbers) < 2 or not all(number.strip().isdigit() for number in numbers[:2]):
+        return None
+    return ServerLoad(int(numbers[0]), int(numbers[1]))
--- /dev/null
+++ b/src/cicadaledge/platform/_node.py
@@ -0,0 +1,61 @@
+"""Reads the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from cicadaledge.edge import BoundSettings, EdgeSettings
+from cicadaledge.errors import SettingsError
+from cicadaledge.settings import Address
+
+_FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
+_USUAL_FILE = "/etc/cicadaledge/node.toml"
+
+
+def load_edge_settings() -> EdgeSettings:
+    """Return the settings of this process.
+
+    Raises:
+        SettingsError: The file is missing, unreadable or incomplete.
+    """
+    path = Path(os.environ.get(_FILE_VARIABLE, _USUAL_FILE))
+    try:
+        return _settings(tomllib.loads(path.read_text()))
+    except (OSError, ValueError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    except (KeyError, TypeError) as error:
+        raise SettingsError(
+            [f"{path}: a value is missing or has the wrong type: {error}"]
+        ) from error
+
+
+def _settings(plain: dict[str, Any]) -> EdgeSettings:
+    bounds = plain["bounds"]
+    return EdgeSettings(
+        router=plain["nodeName"],
+        zone=plain["zone"],
+        region=plain["region"],
+        regions_by_zone=dict(plain["zones"]),
+        callers=_address(plain["listenAddrs"]["front"]),
+        probes=_address(plain["listenAddrs"]["ready"]),
+        peers=Address(plain["ip"], int(plain["internalPortRange"][0])),
+        metrics=Address(plain["ip"], int(plain["internalPortRange"][1])),
+        store=_address(plain["platform"]["address"]),
+        bounds=BoundSettings(
+            grace_ms=float(bounds["graceS"]) * 1000,
+            revoke_ms=float(bounds["revokeMs"]),
+            strict_revoke=bool(bounds.get("strictRevoke", False)),
+            retry_ratio=float(bounds["retryBudgetRatio"]),
+            retry_slack=float(bounds["retryBudgetSlack"]),
+            retry_window_ms=float(bounds["budgetWindowS"]) * 1000,
+            share_window_ms=float(bounds.get("quotaWindowS", 4)) * 1000,
+        ),
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- a/src/cicadaledge/router/_answer_stream.py
+++ b/src/cicadaledge/router/_answer_stream.py
@@ -9,9 +9,9 @@
 import urllib3
 from attrs import frozen
 
+from cicadaledge.backends import BackendConnection, BackendConnections
 from cicadaledge.codes import Code
 from cicadaledge.errors import BackendError, RefusalError
-from cicadaledge.platform import BackendConnection, BackendConnections
 from cicadaledge.router._context import RouterContext
 
 _RESUME_TRIES = 2
--- a/src/cicadaledge/router/_callers.py
+++ b/src/cicadaledge/router/_callers.py
@@ -13,6 +13,7 @@
 from cicadaledge.claims import Answer
 from cicadaledge.codes import Code
 from cicadaledge.errors import CallerGoneError, RefusalError
+from cicadaledge.logs import PartLog
 from cicadaledge.router._admission import Admission
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._event_ids import EventId, EventIdSigner
@@ -25,7 +26,6 @@
     refusal_body,
     status_line,
 )
-from cicadaledge.router._logs import PartLog
 from cicadaledge.router._metrics import RouterMetrics
 from cicadaledge.router._model_dispatch import (
     ModelCall,
--- a/src/cicadaledge/router/_claim_desk.py
+++ b/src/cicadaledge/router/_claim_desk.py
@@ -21,9 +21,9 @@
 )
 from cicadaledge.codes import Code
 from cicadaledge.errors import LogError, RefusalError
+from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
 from cicadaledge.router._context import RouterContext, wall_ms
-from cicadaledge.router._logs import PartLog
 
 _RETRY_S = 0.25
 _READ_BACK_S = 3.0
--- a/src/cicadaledge/router/_context.py
+++ b/src/cicadaledge/router/_context.py
@@ -11,8 +11,8 @@
 from cicadaledge.capacity import SuspectBook
 from cicadaledge.config import FleetState, Record
 from cicadaledge.errors import LogUnavailableError
+from cicadaledge.log import LogClient, LogPage
 from cicadaledge.membership import Liveness, Member, rank
-from cicadaledge.platform import LogClient, LogPage
 from cicadaledge.settings import RouterSettings
 from cicadaledge.wire import Heartbeat, PeerLinks
 from cicadaledge.world import Configuration, ZoneState
--- a/src/cicadaledge/router/_control_log.py
+++ b/src/cicadaledge/router/_control_log.py
@@ -27,10 +27,10 @@
     LogUnavailableError,
     RefusalError,
 )
+from cicadaledge.log import LogPage
+from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
-from cicadaledge.platform import LogPage
 from cicadaledge.router._context import RouterContext, wall_ms
-from cicadaledge.router._logs import PartLog
 from cicadaledge.wire import StateReply, StateRequest
 
 _RETRY_S = 0.25
--- a/src/cicadaledge/router/_coordination.py
+++ b/src/cicadaledge/router/_coordination.py
@@ -9,8 +9,8 @@
 
 from cicadaledge.capacity import Coordinator
 from cicadaledge.config import Record
+from cicadaledge.logs import PartLog
 from cicadaledge.router._context import RouterContext
-from cicadaledge.router._logs import PartLog
 from cicadaledge.wire import (
     Adopt,
     Counters,
--- a/src/cicadaledge/router/_daemon.py
+++ b/src/cicadaledge/router/_daemon.py
@@ -10,9 +10,11 @@
 
 from cheroot import wsgi
 
+from cicadaledge.backends import BackendConnections
 from cicadaledge.codes import Code
 from cicadaledge.errors import RefusalError
-from cicadaledge.platform import BackendConnections, HttpLogClient
+from cicadaledge.log import HttpLogClient
+from cicadaledge.logs import PartLog
 from cicadaledge.router._callers import CallerInterface
 from cicadaledge.router._claim_desk import ClaimDesk
 from cicadaledge.router._context import RouterContext, SwitchableLog, monotonic_ms
@@ -29,7 +31,6 @@
     StartResponse,
     refusal_answer,
 )
-from cicadaledge.router._logs import PartLog
 from cicadaledge.router._metrics import RouterMetrics
 from cicadaledge.router._model_dispatch import ModelDispatcher, new_request_id
 from cicadaledge.router._old_system import OldSystemClient
--- a/src/cicadaledge/router/_deaths.py
+++ b/src/cicadaledge/router/_deaths.py
@@ -4,9 +4,9 @@
 
 import time
 
+from cicadaledge.backends import call_backend
 from cicadaledge.codes import Code
 from cicadaledge.errors import BackendError, RefusalError
-from cicadaledge.platform import call_backend
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._desk import Ticket
 from cicadaledge.wire import Death, Outcome, Poisoned
--- a/src/cicadaledge/router/_fleet.py
+++ b/src/cicadaledge/router/_fleet.py
@@ -6,10 +6,10 @@
 
 from cicadaledge.config import Record, join_record
 from cicadaledge.errors import LogError
+from cicadaledge.logs import PartLog
 from cicadaledge.membership import Leave, Member, Remove, rank
 from cicadaledge.router._context import RouterContext
 from cicadaledge.router._control_log import ControlLog
-from cicadaledge.router._logs import PartLog
 from cicadaledge.wire import Heartbeat, Poisoned, Witness
 
 _JOIN_PERIOD_S = 0.5
--- a/src/cicadaledge/router/_granted.py
+++ b/src/cicadaledge/router/_granted.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from cicadaledge.backends import BackendConnection, BackendConnections
 from cicadaledge.errors import BackendError
-from cicadaledge.platform import BackendConnection, BackendConnections
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._deaths import DeathWatch
 from cicadaledge.router._desk import EntryDesk, Ticket
--- a/src/cicadaledge/router/_home_keeper.py
+++ b/src/cicadaledge/router/_home_keeper.py
@@ -4,13 +4,13 @@
 
 import asyncio
 
+from cicadaledge.backends import call_backend
 from cicadaledge.capacity import HomeLessor, LoadReport
 from cicadaledge.config import Record
 from cicadaledge.errors import BackendError
+from cicadaledge.logs import PartLog
 from cicadaledge.membership import Leave, Remove
-from cicadaledge.platform import call_backend
 from cicadaledge.router._context import RouterContext
-from cicadaledge.router._logs import PartLog
 from cicadaledge.wire import (
     LeaseRelease,
     LeaseReply,
--- a/src/cicadaledge/router/_model_dispatch.py
+++ b/src/cicadaledge/router/_model_dispatch.py
@@ -9,15 +9,15 @@
 
 from attrs import frozen
 
+from cicadaledge.backends import BackendConnection, call_backend
 from cicadaledge.codes import Code
 from cicadaledge.errors import BackendError, CallerGoneError, RefusalError
-from cicadaledge.platform import BackendConnection, call_backend
+from cicadaledge.logs import PartLog
 from cicadaledge.router._answer_stream import AnswerReader
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._desk import EntryDesk, Ticket
 from cicadaledge.router._event_ids import EventId, EventIdSigner
 from cicadaledge.router._granted import GrantedConnections
-from cicadaledge.router._logs import PartLog
 from cicadaledge.router._position import Position
 from cicadaledge.wire import Descriptor, Outcome
 
--- a/src/cicadaledge/router/_operators.py
+++ b/src/cicadaledge/router/_operators.py
@@ -13,6 +13,7 @@
 from cicadaledge.codes import Code
 from cicadaledge.config import Intent
 from cicadaledge.errors import CicadaledgeError, RefusalError
+from cicadaledge.logs import PartLog
 from cicadaledge.router._context import RouterContext
 from cicadaledge.router._control_log import ControlLog
 from cicadaledge.router._coordination import CoordinatorKeeper
@@ -25,7 +26,6 @@
     json_answer,
     refusal_answer,
 )
-from cicadaledge.router._logs import PartLog
 from cicadaledge.router._model_dispatch import new_request_id
 
 T = TypeVar("T")
--- a/src/cicadaledge/router/_service_dispatch.py
+++ b/src/cicadaledge/router/_service_dispatch.py
@@ -12,11 +12,11 @@
 from cicadaledge.claims import Answer
 from cicadaledge.codes import Code, RunState
 from cicadaledge.errors import BackendError, CallerGoneError, RefusalError
+from cicadaledge.logs import PartLog
 from cicadaledge.router._claim_desk import ClaimDesk
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._desk import EntryDesk, Ticket
 from cicadaledge.router._granted import GrantedConnections
-from cicadaledge.router._logs import PartLog
 from cicadaledge.wire import Descriptor, Outcome
 
 _HINT_COST_MS = 50
--- /dev/null
+++ b/src/cicadaledge/routing/__init__.py
@@ -0,0 +1,30 @@
+"""Routes, client accounts and backend servers, as one router believes them to be."""
+
+from cicadaledge.routing._call import Call, PromptPart
+from cicadaledge.routing._servers import ServerDirectory, ServerEntry, ServerState
+from cicadaledge.routing._table import (
+    Account,
+    Engine,
+    Limits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceWeight,
+)
+
+__all__ = [
+    "Call",
+    "Engine",
+    "Limits",
+    "PromptPart",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "ServerDirectory",
+    "ServerEntry",
+    "ServerState",
+    "Service",
+    "ServiceWeight",
+    "Account",
+]
--- /dev/null
+++ b/src/cicadaledge/routing/_servers.py
@@ -0,0 +1,169 @@
+"""The backend servers that one router knows of."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+from attrs import define, frozen
+
+_TOMBSTONE_MS = 60_000  # late heartbeats come at most seconds after a removal
+
+
+class ServerState(enum.StrEnum):
+    """What a server says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@frozen
+class ServerEntry:
+    """One heartbeat of a backend server.
+
+    Args:
+        born_ms: Start of its incarnation, milliseconds since the epoch.
+        sequence: Grows with each heartbeat of one incarnation.
+        cold_left_ms: How long it stays cold, from the heartbeat on.
+    """
+
+    server: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    state: ServerState
+    slots: int
+    cold_left_ms: float
+    born_ms: int
+    sequence: int
+
+
+@define
+class _Known:
+    entry: ServerEntry
+    first_seen_ms: float
+    cold_until_ms: float
+    removed_ms: float | None = None
+    foreign: bool = False
+
+
+class ServerDirectory:
+    """Newest entry of each server, with what it implies for placing.
+
+    Entries from an older incarnation, or older than the newest of the same incarnation, are
+    ignored: heartbeats can be applied late.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._evacuated: set[str] = set()
+
+    def apply(self, entry: ServerEntry, now_ms: float) -> bool:
+        """Take over a heartbeat; return whether the server's usability changed."""
+        known = self._known.get(entry.server)
+        cold_until_ms = now_ms + entry.cold_left_ms
+        if known is None:
+            self._known[entry.server] = _Known(entry, now_ms, cold_until_ms)
+            return True
+        newest = known.entry
+        if (entry.born_ms, entry.sequence) <= (newest.born_ms, newest.sequence):
+            return False
+        changed = (
+            known.removed_ms is not None
+            or known.foreign
+            or entry.state is not newest.state
+            or entry.born_ms != newest.born_ms
+        )
+        if entry.born_ms != newest.born_ms:
+            known.first_seen_ms = now_ms
+        known.entry = entry
+        known.cold_until_ms = cold_until_ms
+        known.removed_ms = None
+        known.foreign = False
+        return changed
+
+    def remove(self, server: str, now_ms: float) -> bool:
+        """Note that a server's entry is gone; return whether this is news."""
+        known = self._known.get(server)
+        if known is None or known.removed_ms is not None:
+            return False
+        known.removed_ms = now_ms
+        return True
+
+    def note_foreign(self, server: str) -> bool:
+        """Note an entry that no server wrote; return whether it hid a server."""
+        known = self._known.get(server)
+        if known is None or known.foreign:
+            return False
+        known.foreign = True
+        return True
+
+    def names(self) -> set[str]:
+        """Return the servers whose entries are there."""
+        return {name for name, known in self._known.items() if known.removed_ms is None}
+
+    def note_cold(self, server: str, until_ms: float) -> None:
+        """Note that a server is cold until a time, if that is later than known."""
+        known = self._known.get(server)
+        if known is not None:
+            known.cold_until_ms = max(known.cold_until_ms, until_ms)
+
+    def evacuate(self, zone: str) -> bool:
+        """Send nothing more to a zone; return whether this is news."""
+        if zone in self._evacuated:
+            return False
+        self._evacuated.add(zone)
+        return True
+
+    def restore(self, zone: str) -> bool:
+        """Take a zone back; return whether it was evacuated."""
+        if zone not in self._evacuated:
+            return False
+        self._evacuated.discard(zone)
+        return True
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The zones that get nothing."""
+        return frozenset(self._evacuated)
+
+    def usable(self, service: str) -> Iterator[ServerEntry]:
+        """Yield the servers of a service that may get requests."""
+        for known in self._known.values():
+            entry = known.entry
+            if entry.service != service or known.removed_ms is not None or known.foreign:
+                continue
+            if entry.state is ServerState.READY and entry.zone not in self._evacuated:
+                yield entry
+
+    def is_usable(self, entry: ServerEntry) -> bool:
+        """Return whether a server that was chosen earlier may still get requests."""
+        known = self._known.get(entry.server)
+        return (
+            known is not None
+            and known.removed_ms is None
+            and not known.foreign
+            and known.entry.born_ms == entry.born_ms
+            and known.entry.state is ServerState.READY
+            and entry.zone not in self._evacuated
+        )
+
+    def cold_until_ms(self, server: str) -> float:
+        """Return until when a server is cold."""
+        known = self._known.get(server)
+        return known.cold_until_ms if known else 0.0
+
+    def first_seen_ms(self, server: str) -> float:
+        """Return since when this incarnation of a server is known."""
+        known = self._known.get(server)
+        return known.first_seen_ms if known else 0.0
+
+    def forget_old(self, now_ms: float) -> None:
+        """Drop servers that were removed long ago."""
+        for name, known in list(self._known.items()):
+            if known.removed_ms is not None and now_ms - known.removed_ms > _TOMBSTONE_MS:
+                del self._known[name]
+
+    def __len__(self) -> int:
+        return sum(1 for known in self._known.values() if known.removed_ms is None)
--- /dev/null
+++ b/src/cicadaledge/routing/_table.py
@@ -0,0 +1,154 @@
+"""The configuration in force: routes, services, client accounts and limits."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+from attrs import field, frozen
+
+
+class RouteKind(enum.StrEnum):
+    """What may be repeated."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@frozen
+class ServiceWeight:
+    """A service and its weight in a traffic split."""
+
+    service: str
+    weight: float
+
+
+@frozen
+class Route:
+    """Where requests of one host and path prefix go, and how.
+
+    Args:
+        timeout_ms: Longest time that a request may be kept without its final answer.
+        aim_ms: Latency objective, for streams up to the first event.
+        max_attempts: Most servers that one request may be sent to.
+        needs_key: Whether callers must present an account's key.
+        resumable: Whether another server may continue a broken stream.
+        regions: Regions whose servers may run the request; empty allows all.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    aim_ms: float
+    max_attempts: int
+    split: tuple[ServiceWeight, ...]
+    needs_key: bool = True
+    resumable: bool = False
+    regions: frozenset[str] = frozenset()
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+    def choose_service(self, chance: random.Random) -> str:
+        """Return a service, drawn by weight."""
+        weights = [one.weight for one in self.split]
+        if len(weights) == 1 or sum(weights) <= 0:
+            return self.split[0].service
+        return chance.choices(self.split, weights)[0].service
+
+
+@frozen
+class Engine:
+    """Limits of a model service's engines.
+
+    Args:
+        slots: Requests that an engine runs at once.
+        memory_tokens: Tokens of running requests and cached parts that fit into its memory.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+@frozen
+class Service:
+    """Backend servers that do the same work.
+
+    Args:
+        cold_per_s: Requests a second that a cold server bears; 0 if none are ever cold.
+        engine: None for plain services.
+    """
+
+    name: str
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: Engine | None = None
+
+
+@frozen
+class Account:
+    """A client account: its name, keys and the regions that it is bound to."""
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+    regions: frozenset[str] = frozenset()
+
+
+@frozen
+class Limits:
+    """What callers may send, and what the engines produce together."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+    tokens_per_s: float = 0.0
+
+
+@frozen
+class RoutingTable:
+    """One version of the configuration.
+
+    Args:
+        version: Grows with each change.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    accounts: tuple[Account, ...]
+    limits: Limits = Limits()
+    _by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
+    _by_key: dict[str, Account] = field(init=False, repr=False, eq=False)
+
+    @_by_host.default
+    def _group_routes(self) -> dict[str, list[Route]]:
+        grouped: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+            grouped.setdefault(route.host, []).append(route)
+        return grouped
+
+    @_by_key.default
+    def _index_keys(self) -> dict[str, Account]:
+        return {key: account for account in self.accounts for key in account.keys}
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests must carry keys at all."""
+        return bool(self.accounts)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins *path*, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def account_of_key(self, key: str) -> Account | None:
+        """Return the account that holds *key*, or None."""
+        return self._by_key.get(key)
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -105,6 +105,8 @@
     _messages.TransferItem,
     _messages.AccountCost,
     _messages.Death,
+    _messages.ServerUse,
+    _messages.AccountUse,
 )
 _FRAMES: tuple[type, ...] = (
     _messages.Hello,
@@ -127,6 +129,7 @@
     _messages.Counters,
     _messages.Poisoned,
     _messages.Witness,
+    _messages.LoadView,
 )
 
 for _kind in _PARTS + _FRAMES:
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -313,3 +313,51 @@
 
     router: str
     incarnation: int
+
+
+@frozen
+class ServerUse:
+    """What one router has placed on a backend server and is not finished.
+
+    Args:
+        running: Requests sent that have not ended.
+        unread_tokens: Prompt tokens of requests without a first token, cached parts left out.
+        context_tokens: Tokens that the running requests keep in memory.
+        sent_last_s: Requests sent within the last second.
+    """
+
+    server: str = field(metadata=NAME)
+    running: int
+    unread_tokens: int
+    context_tokens: int
+    sent_last_s: int
+
+
+@frozen
+class AccountUse:
+    """Tokens per second of one account at one router, asked for and admitted."""
+
+    account: str = field(metadata=NAME)
+    asked_per_s: float
+    admitted_per_s: float
+
+
+@frozen
+class LoadView:
+    """One router's part of the fleet's load, sent to every other router.
+
+    Args:
+        sent_ms: Sender's clock.
+        echo_ms: Receiver's clock: the newest `sent_ms` heard from it, -1 if none.
+        proof_age_ms: Age of the sender's newest proof that its configuration is current,
+            -1 if it has none.
+        configuration_offset: Offset up to which the sender has read the configuration.
+    """
+
+    sent_ms: int
+    echo_ms: int
+    proof_age_ms: int
+    configuration_offset: int
+    leaving: bool
+    servers: list[ServerUse]
+    accounts: list[AccountUse]
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -197,6 +197,30 @@
   incarnation @1 :UInt64;
 }
 
+struct ServerUse {
+  server @0 :Name;
+  running @1 :UInt32;
+  unreadTokens @2 :UInt32;
+  contextTokens @3 :UInt32;
+  sentLastS @4 :UInt32;
+}
+
+struct AccountUse {
+  account @0 :Name;
+  askedPerS @1 :Float32;
+  admittedPerS @2 :Float32;
+}
+
+struct LoadView {
+  sentMs @0 :Int64;          # sender's clock
+  echoMs @1 :Int64;          # receiver's clock: newest sentMs heard from it, -1 if none
+  proofAgeMs @2 :Int64;      # -1 if none
+  configurationOffset @3 :Int64;
+  leaving @4 :Bool;
+  servers @5 :List(ServerUse);
+  accounts @6 :List(AccountUse);
+}
+
 struct Frame {
   names @20 :List(Text);
   union {
@@ -220,5 +244,6 @@
     poisoned @17 :Poisoned;
     witness @18 :Witness;
     adopt @19 :Adopt;
+    loadView @21 :LoadView;
   }
 }
