--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -5,10 +5,11 @@
 import asyncio
 import json
 import random
+from typing import Any
 
 from attrs import define, field
 
-from cicadaledge.codes import Code, RunState, code_info
+from cicadaledge.codes import Code, code_info
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
@@ -19,7 +20,7 @@
 from cicadaledge.edge._retries import RetryBudget
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.errors import RefusalError
+from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import AccountShares, Chosen, LoadBook, Placer, Refused, ServerHealth
 from cicadaledge.routing import Account, Call, Limits, Route, RoutingTable, Service
@@ -114,7 +115,7 @@
         """Return headers and body of a refusal that needs no route."""
         self._metrics.refused(int(code))
         _log.info("Refused.", code=int(code), detail=detail, status=status)
-        body = _refusal_body(RefusalError(code, detail), None)
+        body = _json(refusal_body(RefusalError(code, detail), None))
         return self._dialect.refusal_headers(None), body
 
     async def _answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
@@ -183,13 +184,11 @@
         return account
 
     async def _serve(self, work: Work, writer: AnswerWriter) -> None:
-        attempt: Attempt | None = None
         left_ms = work.until_ms - clock_ms()
         try:
             async with asyncio.timeout(max(0.0, left_ms) / 1000):
                 await self._run_attempts(work, writer)
         except TimeoutError:
-            del attempt
             code = Code.TIMED_OUT if work.may_have_run else Code.QUEUE_TIMEOUT
             raise RefusalError(code, retry_after_ms=None) from None
 
@@ -339,7 +338,7 @@
             return
         status = code_info(refusal.code).http_status
         headers = self._dialect.refusal_headers(refusal.retry_after_ms)
-        await writer.whole(status, headers, _refusal_body(refusal, request_id))
+        await writer.whole(status, headers, _json(refusal_body(refusal, request_id)))
 
 
 def _allowed_regions(route: Route, account: Account | None) -> frozenset[str] | None:
@@ -353,12 +352,5 @@
     return allowed
 
 
-def _refusal_body(refusal: RefusalError, request_id: str | None) -> bytes:
-    plain = {
-        "code": int(refusal.code),
-        "name": refusal.code.name,
-        "detail": refusal.detail,
-        "run_state": RunState(refusal.run_state).value,
-        "request_id": request_id,
-    }
+def _json(plain: dict[str, Any]) -> bytes:
     return json.dumps(plain).encode()
--- a/src/cicadaledge/errors.py
+++ b/src/cicadaledge/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from cicadaledge.codes import Code, RunState, code_info
 
 __all__ = [
@@ -14,6 +16,7 @@
     "LogUnavailableError",
     "RefusalError",
     "SettingsError",
+    "refusal_body",
 ]
 
 
@@ -47,6 +50,20 @@
         super().__init__(f"{int(code)} {code.name}: {self.detail}")
 
 
+def refusal_body(refusal: RefusalError, request_id: str | None) -> dict[str, Any]:
+    """Return the JSON object of a refusal."""
+    return {
+        "error": {
+            "code": int(refusal.code),
+            "name": refusal.code.name.lower(),
+            "message": refusal.detail,
+            "run_state": refusal.run_state.value,
+            "retry_after_ms": refusal.retry_after_ms,
+            "request_id": request_id,
+        }
+    }
+
+
 class SettingsError(CicadaledgeError):
     """A settings file has mistakes.
 
--- a/src/cicadaledge/router/_callers.py
+++ b/src/cicadaledge/router/_callers.py
@@ -12,7 +12,7 @@
 
 from cicadaledge.claims import Answer
 from cicadaledge.codes import Code
-from cicadaledge.errors import CallerGoneError, RefusalError
+from cicadaledge.errors import CallerGoneError, RefusalError, refusal_body
 from cicadaledge.logs import PartLog
 from cicadaledge.router._admission import Admission
 from cicadaledge.router._context import RouterContext, monotonic_ms
@@ -23,7 +23,6 @@
     StartResponse,
     json_answer,
     refusal_answer,
-    refusal_body,
     status_line,
 )
 from cicadaledge.router._metrics import RouterMetrics
--- a/src/cicadaledge/router/_http.py
+++ b/src/cicadaledge/router/_http.py
@@ -14,7 +14,7 @@
 from cheroot.server import HTTPRequest
 
 from cicadaledge.codes import Code, code_info
-from cicadaledge.errors import RefusalError
+from cicadaledge.errors import RefusalError, refusal_body
 
 _SOCKET_KEY = "cicadaledge.socket"
 _REQUEST_KEY = "cicadaledge.request"
@@ -171,20 +171,6 @@
     return HttpAnswer(status, body, {"Content-Type": "application/json", **(headers or {})})
 
 
-def refusal_body(refusal: RefusalError, request_id: str) -> dict[str, Any]:
-    """Return the JSON object of a refusal."""
-    return {
-        "error": {
-            "code": int(refusal.code),
-            "name": refusal.code.name.lower(),
-            "message": refusal.detail,
-            "run_state": refusal.run_state.value,
-            "retry_after_ms": refusal.retry_after_ms,
-            "request_id": request_id,
-        }
-    }
-
-
 def refusal_answer(refusal: RefusalError, request_id: str) -> HttpAnswer:
     """Return the answer of a refusal."""
     headers = {"X-Request-Id": request_id}
