Test the edge over loopback against stand-ins of the store and of backend servers

Ruled out: a second HTTP stack for them; they reuse the edge's connection. Found on the way: two routers in one process could not register their metrics; each has its registry now. Each placing is logged with the inputs that decided it.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -1,6 +1,7 @@
 """The router process that carries calls transparently between callers and backend servers."""
 
-from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._caller import AnswerWriter, CallerConnection, RequestHead
+from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
 from cicadaledge.edge._dialect import AnswerSigns, Dialect, ServerLoad
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
@@ -23,10 +24,13 @@
 __all__ = [
     "AnswerHead",
     "AnswerSigns",
+    "AnswerWriter",
     "BoundSettings",
+    "CallerConnection",
     "Change",
     "ChangePage",
     "ChangeSource",
+    "Channel",
     "Dialect",
     "EdgeRouter",
     "EdgeSettings",
@@ -36,6 +40,7 @@
     "HistoryLostError",
     "HttpConnection",
     "MemberRegistry",
+    "RequestHead",
     "ServerChanged",
     "ServerLoad",
     "ServerRemoved",
--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -62,6 +62,14 @@
         """End the answer; it is complete."""
         self._connection.send_end()
 
+    def send_raw(self, data: bytes) -> None:
+        """Send bytes as they are; for stand-ins that misbehave."""
+        self._connection.channel.write(data)
+
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        self._connection.channel.close()
+
     def break_off(self) -> None:
         """End the connection so that the answer is visibly not complete."""
         self._connection.channel.abort()
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -123,11 +123,7 @@
         self._connections: set[CallerConnection] = set()
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        """Serve until `stop` is called."""
         await self._peers.listen()
         callers = await self._listen(self._settings.callers, self._desk)
         probes = await self._listen(self._settings.probes, self._probes)
@@ -146,6 +142,14 @@
         await self._peers.links.close()
         _log.info("Router has stopped.", router=self._settings.router, broken_off=self._desk.active)
 
+    def stop(self) -> None:
+        """Leave gracefully; `run` returns when it is done."""
+        self._stopping.set()
+
+    def reload(self) -> None:
+        """Note that the settings file has changed; only a restart takes it over."""
+        _log.info("Settings are kept; changes need a restart.", router=self._settings.router)
+
     def _parts(self) -> list[Coroutine[Any, Any, None]]:
         return [
             self._control.follow_control(),
@@ -161,9 +165,6 @@
             _log.warning("A part has failed; the router stops.", error=repr(error))
             self._stopping.set()
 
-    def _on_reload(self) -> None:
-        _log.info("Settings are kept; changes need a restart.", router=self._settings.router)
-
     def _is_ready(self) -> bool:
         return (
             not self._stopping.is_set()
@@ -239,6 +240,11 @@
 
     async def main() -> None:
         LineWriter(sys.stdout.fileno()).attach()
-        await EdgeRouter(settings, dialect, control, servers, registry).run()
+        router = EdgeRouter(settings, dialect, control, servers, registry)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, router.stop)
+        loop.add_signal_handler(signal.SIGHUP, router.reload)
+        await router.run()
 
     asyncio.run(main())
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -219,6 +219,7 @@
     async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
         now_ms = clock_ms()
         self._placer.note_sent(work.call, chosen, now_ms)
+        self._log_placed(work, chosen, now_ms)
         try:
             result = await attempt.run()
         finally:
@@ -233,6 +234,10 @@
         if result.cold_left_ms:
             self._beliefs.directory.note_cold(server, ended_ms + result.cold_left_ms)
         self._metrics.attempted(result.end.value)
+        if attempt.first_ms is not None:
+            self._metrics.first_byte((attempt.first_ms - now_ms) / 1000)
+        if result.end is AttemptEnd.ANSWERED:
+            self._metrics.answered((ended_ms - work.call.started_ms) / 1000)
         _log.info(
             "Attempt has ended.",
             request_id=work.call.request_id,
@@ -275,6 +280,26 @@
         capacity = work.table.limits.tokens_per_s
         return self._shares.use_of_share(work.account.name, capacity, now_ms)
 
+    def _log_placed(self, work: Work, chosen: Chosen, now_ms: float) -> None:
+        totals = self._load.totals(chosen.server.server, now_ms)
+        _log.info(
+            "Placed.",
+            request_id=work.call.request_id,
+            route=work.route.name,
+            account=work.account_name,
+            server=chosen.server.server,
+            attempt=work.attempts + 1,
+            use_of_share=round(self._use_of_share(work, now_ms), 2),
+            unread_tokens=chosen.placement.unread_tokens,
+            predicted_ms=round(chosen.predicted_ms),
+            running=totals.running,
+            running_unread_tokens=totals.unread_tokens,
+            peers=self._load.live_peers(now_ms),
+            waited_ms=round(now_ms - work.call.started_ms),
+            version=work.table.version,
+            proof_age_ms=round(self._beliefs.proof_age_ms(now_ms)),
+        )
+
     def _log_refused(self, work: Work, choice: Refused, use: float, now_ms: float) -> None:
         _log.info(
             "No server was chosen.",
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -14,22 +14,36 @@
     """Metrics of one process."""
 
     def __init__(self) -> None:
-        self._registry = aioprometheus.Registry()
-        self._refusals = aioprometheus.Counter("cicadaledge_refusals_total", "Refusals by code.")
+        registry = aioprometheus.Registry()
+        self._registry = registry
+        self._refusals = aioprometheus.Counter(
+            "cicadaledge_refusals_total", "Refusals by code.", registry=registry
+        )
         self._attempts = aioprometheus.Counter(
-            "cicadaledge_attempts_total", "Sendings to backend servers by how they ended."
+            "cicadaledge_attempts_total",
+            "Sendings to backend servers by how they ended.",
+            registry=registry,
         )
         self._left = aioprometheus.Counter(
-            "cicadaledge_callers_left_total", "Requests whose caller left before the answer."
+            "cicadaledge_callers_left_total",
+            "Requests whose caller left before the answer.",
+            registry=registry,
+        )
+        self._gauges = aioprometheus.Gauge(
+            "cicadaledge_state", "What the router believes.", registry=registry
         )
-        self._gauges = aioprometheus.Gauge("cicadaledge_state", "What the router believes.")
-        self._latency = aioprometheus.Histogram(
+        self._first = aioprometheus.Histogram(
+            "cicadaledge_first_byte_seconds",
+            "From sending a request to the first byte of its answer's body.",
+            registry=registry,
+            buckets=list(_BUCKETS_S),
+        )
+        self._answers = aioprometheus.Histogram(
             "cicadaledge_answer_seconds",
-            "From the request to the answer's end.",
+            "From a request's first byte to its answer's end.",
+            registry=registry,
             buckets=list(_BUCKETS_S),
         )
-        for one in (self._refusals, self._attempts, self._left, self._gauges, self._latency):
-            self._registry.register(one)
 
     def refused(self, code: int) -> None:
         """Count a refusal."""
@@ -43,9 +57,13 @@
         """Count a caller that left."""
         self._left.inc({})
 
+    def first_byte(self, seconds: float) -> None:
+        """Note the time to the first byte of a server's answer."""
+        self._first.add({}, seconds)
+
     def answered(self, seconds: float) -> None:
-        """Note the time of an answer."""
-        self._latency.add({}, seconds)
+        """Note the time of a whole answer."""
+        self._answers.add({}, seconds)
 
     def set_state(self, name: str, value: float) -> None:
         """Set one gauge of the router's state."""
--- a/src/cicadaledge/standins/__init__.py
+++ b/src/cicadaledge/standins/__init__.py
@@ -3,6 +3,8 @@
 from cicadaledge.standins._engine import EngineSettings, EngineStandIn, expected_text
 from cicadaledge.standins._old_system import OldBackend, OldSystemSettings, OldSystemStandIn
 from cicadaledge.standins._platform import PlatformSettings, PlatformStandIn
+from cicadaledge.standins._platform_runner import PlatformRunner, Run, RunnerFaults
+from cicadaledge.standins._platform_store import PlatformStore
 from cicadaledge.standins._service import ServiceSettings, ServiceStandIn
 
 __all__ = [
@@ -11,8 +13,12 @@
     "OldBackend",
     "OldSystemSettings",
     "OldSystemStandIn",
+    "PlatformRunner",
     "PlatformSettings",
     "PlatformStandIn",
+    "PlatformStore",
+    "Run",
+    "RunnerFaults",
     "ServiceSettings",
     "ServiceStandIn",
     "expected_text",
--- /dev/null
+++ b/src/cicadaledge/standins/_http_service.py
@@ -0,0 +1,61 @@
+"""A stand-in that is reached over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cicadaledge.codes import Code
+from cicadaledge.edge import AnswerWriter, CallerConnection, Channel, Headers, RequestHead
+from cicadaledge.routing import Limits
+
+_HOST = "127.0.0.1"
+
+
+class HttpService:
+    """Listens on a free port of the loopback address.
+
+    Attributes:
+        port: Set by `start`.
+        channels: Connections accepted so far.
+    """
+
+    limits = Limits()
+    closing = False
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.channels: list[Channel] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 takes a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Channel(self._accept), _HOST, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        for channel in self.channels:
+            channel.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+    def refuse(
+        self, writer: AnswerWriter, code: Code, detail: str, status: int
+    ) -> tuple[Headers, bytes]:
+        """Return the answer to something that is no request."""
+        return [], b""
+
+    def _accept(self, channel: Channel) -> None:
+        self.channels.append(channel)
+        task = asyncio.get_running_loop().create_task(CallerConnection(channel, self).run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -0,0 +1,162 @@
+"""Stand-in of a backend server on the users' platform, plain or with a model engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from attrs import define
+
+from cicadaledge.edge import AnswerWriter, Headers, RequestHead
+from cicadaledge.standins._http_service import HttpService
+
+_FOREVER_S = 3600.0
+
+
+@define
+class Run:
+    """One request that the server ran."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    finished: bool = False
+    gone: bool = False
+
+
+@define
+class RunnerFaults:
+    """What the next requests meet.
+
+    Args:
+        full: Refuse as not run.
+        error: Answer with status 500.
+        reset: Reset the connection after running.
+        stray: Send an answer to another request first.
+        silent: Never answer.
+        break_after: Reset the stream after so many events, in the middle of the next.
+        raw: Send these bytes in place of an answer.
+        trailing: Send these bytes behind the answer.
+    """
+
+    full: bool = False
+    error: bool = False
+    reset: bool = False
+    stray: bool = False
+    silent: bool = False
+    break_after: int | None = None
+    raw: bytes | None = None
+    trailing: bytes = b""
+
+
+class PlatformRunner(HttpService):
+    """Runs requests and notes each of them.
+
+    Args:
+        instance: Its id.
+        service: Service that it belongs to.
+        zone: Availability zone.
+        events: Length of its streams.
+        gap_s: Time between events, and that of a plain request.
+    """
+
+    def __init__(
+        self, instance: str, service: str, zone: str, *, events: int = 4, gap_s: float = 0.0
+    ) -> None:
+        super().__init__()
+        self.instance = instance
+        self.service = service
+        self.zone = zone
+        self.events = events
+        self.gap_s = gap_s
+        self.faults = RunnerFaults()
+        self.runs: list[Run] = []
+        self.refused = 0
+        self.born_ms = 1_000
+        self._sequence = 0
+
+    def heartbeat(self, state: str = "ready", cold_ms: int = 0) -> dict[str, Any]:
+        """Return its next entry in the store."""
+        self._sequence += 1
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": cold_ms,
+            "seqNo": self._sequence,
+            "born": self.born_ms,
+        }
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Run one request, or refuse it."""
+        headers = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
+        expected = headers.get("expect-instance", self.instance)
+        if expected != self.instance:
+            self.refused += 1
+            await writer.whole(421, [(b"Instance-Id", self.instance.encode())], b"")
+            return
+        if self.faults.full:
+            self.refused += 1
+            await writer.whole(503, [(b"Not-Executed", b"1")], b"full")
+            return
+        run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
+        self.runs.append(run)
+        try:
+            await self._run(run, writer)
+        except asyncio.CancelledError:
+            run.gone = True
+            raise
+
+    async def _run(self, run: Run, writer: AnswerWriter) -> None:
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(_FOREVER_S)
+        if faults.raw is not None:
+            writer.send_raw(faults.raw)
+            writer.close()
+            return
+        if faults.stray:
+            writer.send_raw(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: x\r\n"
+                b"Content-Length: 5\r\n\r\nother"
+            )
+        if "token-usage" in run.headers:
+            await self._stream(run, writer)
+        else:
+            await self._plain(run, writer)
+        if faults.trailing:
+            writer.send_raw(faults.trailing)
+
+    async def _plain(self, run: Run, writer: AnswerWriter) -> None:
+        await asyncio.sleep(self.gap_s)
+        if self.faults.reset:
+            writer.break_off()
+            return
+        run.finished = True
+        status = 500 if self.faults.error else 200
+        await writer.whole(status, self._headers(run), f"{self.instance} {run.target}".encode())
+
+    async def _stream(self, run: Run, writer: AnswerWriter) -> None:
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        writer.start(200, self._headers(run))
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            if self.faults.break_after is not None and number > self.faults.break_after:
+                await writer.piece(b"id: %d\nda" % number)
+                writer.break_off()
+                return
+            await writer.piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        run.finished = True
+        writer.end()
+
+    def _headers(self, run: Run) -> Headers:
+        return [
+            (b"Attempt-Id", run.request_id.encode()),
+            (b"Response-Seal", f"{self.instance}.{len(self.runs)}".encode()),
+            (b"Server-Load", b"1,0,8"),
+        ]
--- /dev/null
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -0,0 +1,143 @@
+"""Stand-in of the users' platform's store: keyed topics, long polls, faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+from cicadaledge.edge import AnswerWriter, RequestHead
+from cicadaledge.standins._http_service import HttpService
+
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+_POLL_STEP_S = 0.01
+_PREFIX = "/cicadaledge/log-"
+
+
+@define
+class _Topic:
+    first: int = 0
+    records: list[bytes] = field(factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class PlatformStore(HttpService):
+    """Keeps topics of one partition each.
+
+    Attributes:
+        fault: "" or "busy" (503), "silent" (no answer), "reset", "lost" (appends are done and
+            not answered).
+        calls: Calls by name, refused ones too.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fault = ""
+        self.calls: dict[str, int] = {}
+        self._topics: dict[str, _Topic] = {}
+        self._newest: dict[str, dict[str, tuple[bytes, int]]] = {}
+
+    def put(self, topic: str, key: str, value: Any) -> int:
+        """Write a record as its owner does; None removes the key. Return its offset."""
+        data = b"" if value is None else value if isinstance(value, bytes) else _json(value)
+        name = key.encode()
+        return self._append(topic, bytes([len(name)]) + name + data)
+
+    def forget_history(self, topic: str) -> None:
+        """Delete the records; the newest of each key are kept."""
+        kept = self._topic(topic)
+        kept.first = kept.end
+        kept.records.clear()
+
+    async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
+        """Answer one call."""
+        url = urlsplit(head.target)
+        call = url.path.removeprefix(_PREFIX)
+        self.calls[call] = self.calls.get(call, 0) + 1
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if await self._fail(writer):
+            return
+        match call:
+            case "append":
+                offset = self._append_call(query["topic"], body)
+                if self.fault == "lost":
+                    writer.break_off()
+                    return
+                end = self._topic(query["topic"]).end
+                await writer.whole(200, [], _json({"offset": offset, "endOffset": end}))
+            case "read":
+                await self._read(query, writer)
+            case "newest":
+                await writer.whole(200, [], self._newest_page(query["topic"]))
+            case _:
+                await writer.whole(404, [], b"")
+
+    async def _fail(self, writer: AnswerWriter) -> bool:
+        if self.fault == "busy":
+            await writer.whole(503, [], b"")
+        elif self.fault == "reset":
+            writer.break_off()
+        elif self.fault == "silent":
+            await asyncio.Event().wait()
+        return self.fault in ("busy", "reset", "silent")
+
+    async def _read(self, query: dict[str, str], writer: AnswerWriter) -> None:
+        topic = self._topic(query["topic"])
+        offset = int(query["from"])
+        if offset < topic.first:
+            await writer.whole(410, [], _json({"firstOffset": topic.first}))
+            return
+        left_s = int(query.get("waitMs", "0")) / 1000
+        while topic.end <= offset and left_s > 0:
+            await asyncio.sleep(_POLL_STEP_S)
+            left_s -= _POLL_STEP_S
+        if offset < topic.first:
+            await writer.whole(410, [], _json({"firstOffset": topic.first}))
+            return
+        numbers = (topic.end, topic.first)
+        data = b"".join(number.to_bytes(_OFFSET_BYTES, "big") for number in numbers)
+        for record in topic.records[offset - topic.first :]:
+            data += len(record).to_bytes(_LENGTH_BYTES, "big") + record
+        await writer.whole(200, [], data)
+
+    def _append_call(self, topic: str, body: bytes) -> int:
+        offset = -1
+        while body:
+            length = int.from_bytes(body[:_LENGTH_BYTES], "big")
+            offset = self._append(topic, body[_LENGTH_BYTES : _LENGTH_BYTES + length])
+            body = body[_LENGTH_BYTES + length :]
+        return offset
+
+    def _append(self, topic: str, record: bytes) -> int:
+        kept = self._topic(topic)
+        kept.records.append(record)
+        key = record[1 : 1 + record[0]].decode()
+        value = record[1 + record[0] :]
+        newest = self._newest.setdefault(topic, {})
+        if value:
+            newest[key] = (value, kept.end - 1)
+        else:
+            newest.pop(key, None)
+        return kept.end - 1
+
+    def _newest_page(self, topic: str) -> bytes:
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (value, offset) in self._newest.get(topic, {}).items()
+        ]
+        return _json({"items": items, "hasMore": False, "endOffset": self._topic(topic).end})
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+
+def _json(value: Any) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/edge/edge_world.py
@@ -0,0 +1,284 @@
+"""A store, backend servers and routers in one process, reached over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+from attrs import define, evolve, field
+
+from cicadaledge.edge import (
+    AnswerHead,
+    BoundSettings,
+    EdgeRouter,
+    EdgeSettings,
+    HttpConnection,
+    TimingSettings,
+)
+from cicadaledge.errors import BackendError
+from cicadaledge.platform import (
+    ControlTopic,
+    MemberTopic,
+    PlatformDialect,
+    ServerTopic,
+    StoreClient,
+)
+from cicadaledge.settings import Address
+from cicadaledge.standins import PlatformRunner, PlatformStore
+
+HOST = "127.0.0.1"
+KEY = "key-of-banksia"
+ZONES = {"zone-a": "north", "zone-b": "south"}
+FAST = TimingSettings(
+    control_wait_ms=150,
+    server_poll_ms=40,
+    member_poll_ms=200,
+    view_ms=20,
+    stop_accept_ms=150,
+    lapse_ms=300,
+)
+_ids = itertools.count(1)
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as one:
+        one.bind((HOST, 0))
+        return int(one.getsockname()[1])
+
+
+def route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    plain = {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        "authExempt": False,
+        "sessionAffinity": False,
+        "streamResume": False,
+        "allowedRegions": [],
+    }
+    return {**plain, **changes}
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    """Return a configuration with a desk and a model pool."""
+    plain: dict[str, Any] = {
+        "version": 1,
+        "routes": [
+            route("book", "desk", "unsafe"),
+            route("look", "desk", "safe", maxAttempts=2),
+            route("open", "desk", "safe", authExempt=True),
+            route("draft", "pool", "streaming"),
+            route("chat", "pool", "streaming", maxAttempts=2, streamResume=True),
+        ],
+        "services": [
+            {"name": "desk", "coldStartS": 0, "coldPerS": 0},
+            {
+                "name": "pool",
+                "coldStartS": 3,
+                "coldPerS": 11,
+                "engine": {"slots": 64, "kvCapacity": 578286},
+            },
+        ],
+        "limits": {"maxBodyBytes": 100_000, "tokensPerS": 225_000},
+        "tenants": [{"name": "banksia", "apiKeys": [KEY], "allowedRegions": []}],
+    }
+    return {**plain, **changes}
+
+
+@define
+class Answer:
+    """What a caller received."""
+
+    status: int
+    head: AnswerHead
+    body: bytes
+    complete: bool = True
+
+
+@define
+class World:
+    """The parts of one deployment."""
+
+    store: PlatformStore = field(factory=PlatformStore)
+    runners: list[PlatformRunner] = field(factory=list)
+    routers: list[EdgeRouter] = field(factory=list)
+    settings: list[EdgeSettings] = field(factory=list)
+    _tasks: list[asyncio.Task[None]] = field(factory=list)
+    _beats: set[str] = field(factory=set)
+
+    def configure(self, **changes: Any) -> None:
+        """Write a configuration."""
+        self.store.put("keyed.op", "config", configuration(**changes))
+
+    async def add_runner(
+        self, instance: str, service: str, zone: str = "zone-a", **how: Any
+    ) -> PlatformRunner:
+        """Start a backend server and write its entry."""
+        runner = PlatformRunner(instance, service, zone, **how)
+        await runner.start()
+        self.runners.append(runner)
+        self.beat(runner)
+        return runner
+
+    def beat(self, runner: PlatformRunner, **how: Any) -> None:
+        """Write a server's entry."""
+        self.store.put("keyed.servers", runner.instance, runner.heartbeat(**how))
+
+    async def add_router(
+        self,
+        name: str,
+        zone: str = "zone-a",
+        timing: TimingSettings = FAST,
+        bounds: BoundSettings | None = None,
+    ) -> EdgeRouter:
+        """Start a router and wait until it is ready, if the store serves it."""
+        settings = EdgeSettings(
+            router=name,
+            zone=zone,
+            region=ZONES[zone],
+            regions_by_zone=dict(ZONES),
+            callers=Address(HOST, free_port()),
+            probes=Address(HOST, free_port()),
+            peers=Address(HOST, free_port()),
+            metrics=Address(HOST, free_port()),
+            store=Address(HOST, self.store.port),
+            bounds=bounds or BoundSettings(grace_ms=3_000),
+            timing=timing,
+        )
+        client = StoreClient(HOST, self.store.port)
+        router = EdgeRouter(
+            settings,
+            PlatformDialect(),
+            ControlTopic(client),
+            ServerTopic(client),
+            MemberTopic(client),
+        )
+        self.routers.append(router)
+        self.settings.append(settings)
+        self._tasks.append(asyncio.create_task(router.run()))
+        await self.until(lambda: self.is_ready(len(self.routers) - 1))
+        return router
+
+    async def is_ready(self, place: int = 0) -> bool:
+        """Return what the balancer would be told."""
+        try:
+            answer = await self.get(self.settings[place].probes, "/cicadaledge/readyz")
+        except BackendError:
+            return False
+        return answer.status == 200
+
+    async def get(self, address: Address, target: str) -> Answer:
+        """Return the answer to a plain request."""
+        connection = await HttpConnection.open(address.host, address.port, "peer", 1000)
+        try:
+            connection.send("GET", target, [(b"Host", b"x")], b"")
+            head = await connection.head()
+            return Answer(head.status, head, await connection.body())
+        finally:
+            connection.abort()
+
+    async def connect(self, place: int = 0) -> HttpConnection:
+        """Return a caller's connection to a router."""
+        address = self.settings[place].callers
+        return await HttpConnection.open(address.host, address.port, "router", 1000)
+
+    async def call(
+        self,
+        target: str,
+        *,
+        place: int = 0,
+        method: str = "POST",
+        body: bytes = b"{}",
+        key: str | None = KEY,
+        headers: dict[str, str] | None = None,
+        model: bool = False,
+        connection: HttpConnection | None = None,
+    ) -> Answer:
+        """Send one request and return its answer, complete or not."""
+        own = connection or await self.connect(place)
+        sent = request_headers(key, model=model, **(headers or {}))
+        own.send(method, target, sent, body)
+        received = b""
+        head = await own.head()
+        try:
+            while (piece := await own.piece()) is not None:
+                received += piece
+        except BackendError:
+            return Answer(head.status, head, received, complete=False)
+        finally:
+            if connection is None:
+                own.abort()
+        return Answer(head.status, head, received)
+
+    async def until(self, condition: Any, within_s: float = 5.0) -> None:
+        """Wait until an asynchronous condition holds."""
+        async with asyncio.timeout(within_s):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self.runners:
+            await runner.stop()
+        await self.store.stop()
+
+
+def request_headers(
+    key: str | None = KEY, *, model: bool = False, **more: str
+) -> list[tuple[bytes, bytes]]:
+    """Return a caller's headers with a new request id."""
+    named = {"Host": "site.example", "Attempt-Id": f"request-{next(_ids)}", "Deadline-Ms": "2000"}
+    if key is not None:
+        named["Authorization"] = f"Token {key}"
+    if model:
+        named |= {"Model": "m", "Token-Usage": "300,40", "Prompt-Prefix": "aa:200,bb:100"}
+    named |= {name.replace("_", "-"): value for name, value in more.items()}
+    return [(name.encode(), value.encode()) for name, value in named.items()]
+
+
+@contextlib.asynccontextmanager
+async def small_world(
+    *, desks: int = 1, pools: int = 1, routers: int = 1, **how: Any
+) -> AsyncIterator[World]:
+    """Run a deployment with a few servers."""
+    world = World()
+    await world.store.start()
+    try:
+        world.configure()
+        for number in range(desks):
+            await world.add_runner(f"desk-{number}", "desk")
+        for number in range(pools):
+            await world.add_runner(f"pool-{number}", "pool")
+        for number in range(routers):
+            await world.add_router(f"router-{number}", **how)
+        yield world
+    finally:
+        await world.stop()
+
+
+__all__ = [
+    "FAST",
+    "KEY",
+    "Answer",
+    "World",
+    "configuration",
+    "evolve",
+    "request_headers",
+    "route",
+    "small_world",
+]
--- /dev/null
+++ b/tests/edge/test_bad_answers.py
@@ -0,0 +1,162 @@
+"""Backend servers that break off, spoil, lose or mix up their answers."""
+
+import asyncio
+
+import pytest
+from edge_world import small_world
+
+from cicadaledge.standins import RunnerFaults
+
+MODEL = {"model": True}
+
+
+def test_a_lost_answer_to_an_unsafe_request_is_no_promise():
+    async def play():
+        async with small_world(desks=2) as world:
+            for runner in world.runners[:2]:
+                runner.faults = RunnerFaults(reset=True)
+            answer = await world.call("/book/1")
+            assert answer.status == 502
+            assert sum(len(runner.runs) for runner in world.runners[:2]) == 1
+
+    asyncio.run(play())
+
+
+def test_a_lost_answer_to_a_safe_request_is_asked_for_again():
+    async def play():
+        async with small_world(desks=2) as world:
+            world.runners[0].faults = RunnerFaults(reset=True)
+            for number in range(4):
+                answer = await world.call(f"/look/{number}")
+                assert answer.body == f"desk-1 /look/{number}".encode()
+
+    asyncio.run(play())
+
+
+def test_a_full_server_has_not_run_the_request_and_another_gets_it():
+    async def play():
+        async with small_world(desks=2) as world:
+            world.runners[0].faults = RunnerFaults(full=True)
+            answers = [await world.call(f"/look/{number}") for number in range(6)]
+            assert {answer.status for answer in answers} == {200}
+            assert world.runners[0].runs == []
+
+    asyncio.run(play())
+
+
+def test_where_all_servers_are_full_the_refusal_is_a_promise():
+    async def play():
+        async with small_world() as world:
+            world.runners[0].faults = RunnerFaults(full=True)
+            answer = await world.call("/book/1")
+            assert answer.status == 503
+            assert float(answer.head.get(b"Retry-After")) > 0
+            assert world.runners[0].runs == []
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"not an answer at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut",
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: request-of-nobody\r\nContent-Length: 5\r\n\r\nother",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+    ],
+)
+def test_spoilt_bytes_never_reach_the_caller(raw):
+    async def play():
+        async with small_world() as world:
+            world.runners[0].faults = RunnerFaults(raw=raw)
+            answer = await world.call("/book/1")
+            assert answer.status == 502
+            assert b"code" in answer.body
+
+    asyncio.run(play())
+
+
+def test_a_late_answer_to_another_request_is_passed_over():
+    async def play():
+        async with small_world() as world:
+            world.runners[0].faults = RunnerFaults(stray=True)
+            answer = await world.call("/book/1")
+            assert (answer.status, answer.body) == (200, b"desk-0 /book/1")
+
+    asyncio.run(play())
+
+
+def test_bytes_behind_an_answer_belong_to_no_request():
+    async def play():
+        async with small_world() as world:
+            extra = b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 5\r\n\r\nextra"
+            world.runners[0].faults = RunnerFaults(trailing=extra)
+            for number in range(5):
+                answer = await world.call(f"/book/{number}")
+                assert answer.body == f"desk-0 /book/{number}".encode()
+
+    asyncio.run(play())
+
+
+def test_a_servers_own_failure_is_passed_on_with_its_seal():
+    async def play():
+        async with small_world() as world:
+            world.runners[0].faults = RunnerFaults(error=True)
+            answer = await world.call("/book/1")
+            assert answer.status == 500
+            assert answer.head.get(b"Response-Seal") == "desk-0.1"
+
+    asyncio.run(play())
+
+
+def test_a_stream_that_breaks_off_never_looks_complete():
+    async def play():
+        async with small_world() as world:
+            world.runners[1].faults = RunnerFaults(break_after=2)
+            answer = await world.call("/draft/1", **MODEL)
+            assert not answer.complete
+            assert answer.body.startswith(b"id: 1\ndata: piece 1\n\nid: 2\n")
+
+    asyncio.run(play())
+
+
+def test_a_resumable_stream_goes_on_at_another_server():
+    async def play():
+        async with small_world(pools=2) as world:
+            for number in range(4):
+                pools = world.runners[1:]
+                for runner in pools:
+                    runner.faults = RunnerFaults()
+                broken = pools[number % 2]
+                broken.faults = RunnerFaults(break_after=2)
+                answer = await world.call(f"/chat/{number}", **MODEL)
+                expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+                assert answer.complete
+                assert answer.body == expected
+
+    asyncio.run(play())
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    async def play():
+        async with small_world() as world:
+            runner = world.runners[0]
+            runner.faults = RunnerFaults(
+                raw=b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\n\r\nall of it"
+            )
+            answer = await world.call("/book/1", headers={"Attempt_Id": "mine"})
+            assert (answer.status, answer.body, answer.complete) == (200, b"all of it", True)
+
+    asyncio.run(play())
+
+
+def test_a_restarted_server_at_the_same_address_is_not_given_old_requests():
+    async def play():
+        async with small_world() as world:
+            assert (await world.call("/book/1")).status == 200
+            world.runners[0].instance = "someone-else"
+            answer = await world.call("/book/2")
+            assert answer.status == 503
+            assert len(world.runners[0].runs) == 1
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/edge/test_beliefs.py
@@ -0,0 +1,176 @@
+"""What routers do as the store tells of changes, lies or is away."""
+
+import asyncio
+
+from attrs import evolve
+from edge_world import FAST, KEY, configuration, route, small_world
+
+from cicadaledge.edge import BoundSettings
+
+STRICT = BoundSettings(grace_ms=3_000, revoke_ms=900)
+TIGHT = evolve(FAST, revoke_margin_ms=100)
+
+
+def test_a_revoked_key_stops_working():
+    async def play():
+        async with small_world() as world:
+            assert (await world.call("/book/1")).status == 200
+            world.configure(version=2, tenants=[{"name": "banksia", "apiKeys": ["new"]}])
+            await asyncio.sleep(0.3)
+            assert (await world.call("/book/1", key=KEY)).status == 401
+            assert (await world.call("/book/1", key="new")).status == 200
+
+    asyncio.run(play())
+
+
+def test_without_the_store_keys_are_refused_in_time_and_open_routes_go_on():
+    async def play():
+        async with small_world(timing=TIGHT, bounds=STRICT) as world:
+            world.store.fault = "silent"
+            for channel in world.store.channels:
+                channel.abort()
+            assert (await world.call("/book/1")).status == 200
+            await asyncio.sleep(0.9)
+            assert (await world.call("/book/1")).status == 503
+            assert (await world.call("/nowhere/1")).status == 503
+            assert (await world.call("/open/1", key=None)).status == 200
+            assert not await world.is_ready()
+            world.store.fault = ""
+            await world.until(world.is_ready)
+            assert (await world.call("/book/1")).status == 200
+
+    asyncio.run(play())
+
+
+def test_an_older_version_never_comes_back():
+    async def play():
+        async with small_world() as world:
+            moved = configuration(version=5)
+            moved["routes"] = [route("new", "desk", "unsafe")]
+            world.store.put("keyed.op", "config", moved)
+            await asyncio.sleep(0.3)
+            world.configure(version=1)
+            await asyncio.sleep(0.3)
+            assert (await world.call("/new/1")).status == 200
+            assert (await world.call("/book/1")).status == 404
+
+    asyncio.run(play())
+
+
+def test_a_draining_server_gets_nothing_even_if_an_old_heartbeat_comes_late():
+    async def play():
+        async with small_world(desks=2) as world:
+            first = world.runners[0]
+            late = first.heartbeat()
+            world.beat(first, state="draining")
+            world.store.put("keyed.servers", first.instance, late)
+            await asyncio.sleep(0.3)
+            for number in range(6):
+                await world.call(f"/book/{number}")
+            assert first.runs == []
+            assert len(world.runners[1].runs) == 6
+
+    asyncio.run(play())
+
+
+def test_a_removed_server_gets_nothing():
+    async def play():
+        async with small_world(desks=2) as world:
+            world.store.put("keyed.servers", "desk-0", None)
+            await asyncio.sleep(0.3)
+            for number in range(6):
+                await world.call(f"/book/{number}")
+            assert world.runners[0].runs == []
+
+    asyncio.run(play())
+
+
+def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back():
+    async def play():
+        async with small_world() as world:
+            await world.add_runner("desk-b", "desk", "zone-b")
+            world.store.put("keyed.op", "evacuate/zone-a", {})
+            await asyncio.sleep(0.3)
+            for number in range(4):
+                assert (await world.call(f"/book/{number}")).status == 200
+            assert world.runners[0].runs == []
+            world.store.put("keyed.op", "evacuate/zone-a", None)
+            await asyncio.sleep(0.3)
+            assert (await world.call("/book/5")).body == b"desk-0 /book/5"
+
+    asyncio.run(play())
+
+
+def test_entries_that_no_server_wrote_name_no_server():
+    async def play():
+        async with small_world() as world:
+            entry = world.runners[0].heartbeat()
+            for number, wrong in enumerate(
+                [
+                    b"\xff\xfe",
+                    {**entry, "state": "resting"},
+                    {**entry, "born": 1.5},
+                    {key: value for key, value in entry.items() if key != "address"},
+                    {**entry, "slots": "8"},
+                    [],
+                ]
+            ):
+                world.store.put("keyed.servers", f"foreign-{number}", wrong)
+            await asyncio.sleep(0.3)
+            for number in range(8):
+                assert (await world.call(f"/book/{number}")).status == 200
+            assert len(world.runners[0].runs) == 8
+
+    asyncio.run(play())
+
+
+def test_lost_history_is_read_anew():
+    async def play():
+        async with small_world() as world:
+            world.store.put("keyed.servers", "desk-0", None)
+            other = await world.add_runner("desk-9", "desk")
+            world.configure(version=7, tenants=[{"name": "banksia", "apiKeys": ["new"]}])
+            world.store.forget_history("keyed.servers")
+            world.store.forget_history("keyed.op")
+            await asyncio.sleep(0.5)
+            assert (await world.call("/book/1", key="new")).status == 200
+            assert (await world.call("/book/1")).status == 401
+            assert len(other.runs) == 1
+
+    asyncio.run(play())
+
+
+def test_requests_stay_in_the_regions_of_route_and_account():
+    async def play():
+        async with small_world() as world:
+            south = await world.add_runner("desk-b", "desk", "zone-b")
+            plain = configuration(version=2)
+            plain["routes"][0] = route("book", "desk", "unsafe", allowedRegions=["south"])
+            world.store.put("keyed.op", "config", plain)
+            await asyncio.sleep(0.3)
+            for number in range(4):
+                await world.call(f"/book/{number}")
+            assert len(south.runs) == 4
+            plain["version"] = 3
+            plain["tenants"][0]["allowedRegions"] = ["north"]
+            world.store.put("keyed.op", "config", plain)
+            await asyncio.sleep(0.3)
+            assert (await world.call("/book/9")).status == 503
+            assert len(south.runs) == 4
+
+    asyncio.run(play())
+
+
+def test_a_router_without_configuration_promises_nothing_but_later():
+    async def play():
+        async with small_world() as world:
+            world.store.fault = "busy"
+            add = asyncio.create_task(world.add_router("late"))
+            await asyncio.sleep(0.3)
+            answer = await world.call("/book/1", place=1)
+            assert answer.status == 503
+            world.store.fault = ""
+            await add
+            assert (await world.call("/book/1", place=1)).status == 200
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/edge/test_leaving.py
@@ -0,0 +1,80 @@
+"""Callers that leave, requests out of time, and routers that stop."""
+
+import asyncio
+
+from edge_world import configuration, request_headers, route, small_world
+
+from cicadaledge.edge import EdgeRouter
+from cicadaledge.standins import RunnerFaults
+
+
+def test_a_server_stops_working_when_the_caller_leaves():
+    async def play():
+        async with small_world() as world:
+            world.runners[0].gap_s = 5.0
+            connection = await world.connect()
+            connection.send("POST", "/book/1", request_headers(), b"{}")
+
+            async def running():
+                return len(world.runners[0].runs) == 1
+
+            async def gone():
+                return world.runners[0].runs[0].gone
+
+            await world.until(running)
+            connection.channel.close()
+            await world.until(gone, within_s=0.5)
+
+    asyncio.run(play())
+
+
+def test_a_waiting_request_gets_its_answer_when_its_route_runs_out():
+    async def play():
+        async with small_world() as world:
+            plain = configuration(version=2)
+            plain["routes"][0] = route("book", "desk", "unsafe", timeoutMs=300)
+            world.store.put("keyed.op", "config", plain)
+            world.runners[0].faults = RunnerFaults(silent=True)
+            await asyncio.sleep(0.4)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            answer = await world.call("/book/1")
+            assert answer.status == 504
+            assert 0.25 < loop.time() - started < 0.8
+            run = world.runners[0].runs[0]
+            assert int(run.headers["deadline-ms"]) <= 300
+            await asyncio.sleep(0.1)
+            assert run.gone
+
+    asyncio.run(play())
+
+
+def test_a_stop_cuts_no_request():
+    async def play():
+        async with small_world() as world:
+            world.runners[0].gap_s = 0.8
+            router: EdgeRouter = world.routers[0]
+            requests = [asyncio.create_task(world.call(f"/book/{n}")) for n in range(5)]
+            await asyncio.sleep(0.1)
+            router.stop()
+            assert not await world.is_ready()
+            late = await world.call("/book/9")
+            answers = await asyncio.gather(*requests)
+            assert [answer.status for answer in answers] == [200] * 5
+            assert late.status == 200
+            assert late.head.get(b"Connection") == "close"
+
+    asyncio.run(play())
+
+
+def test_a_stopping_router_closes_idle_connections_and_ends():
+    async def play():
+        async with small_world() as world:
+            connection = await world.connect()
+            assert (await world.call("/book/1", connection=connection)).status == 200
+            world.routers[0].stop()
+            await asyncio.wait_for(world._tasks[0], 2.0)
+            await asyncio.sleep(0.05)
+            assert connection.channel.gone
+
+    asyncio.run(play())
