--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -21,12 +21,13 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import ChangeSource, MemberRegistry
 from cicadaledge.logs import LineWriter, PartLog
-from cicadaledge.placing import AccountShares, LoadBook, Placer, ServerHealth
+from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
 from cicadaledge.routing import Limits
 
 _BACKLOG = 512  # connections that wait to be accepted; a burst of one zone's callers
 _UPKEEP_S = 1.0
 _CHECK_S = 0.05
+_PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
 _METRICS_PATH = "/metrics"
 _OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
 _log = PartLog("router")
@@ -90,11 +91,12 @@
         self._settings = settings
         self._beliefs = Beliefs(settings)
         self._metrics = EdgeMetrics()
-        self._load = LoadBook()
-        self._shares = AccountShares(settings.bounds.share_window_ms)
+        fleet = FleetLoad()
+        self._load = LoadBook(fleet)
+        self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
         self._pool = ServerPool(settings.timing)
         health = ServerHealth()
-        placer = Placer(
+        self._placer = Placer(
             settings.placing,
             self._beliefs.directory,
             self._load,
@@ -110,12 +112,12 @@
             self._load,
             self._shares,
             health,
-            placer,
+            self._placer,
             self._pool,
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
-        self._peers = PeerKeeper(settings, registry, self._beliefs, self._load, self._shares)
+        self._peers = PeerKeeper(settings, registry, fleet, self._load, self._shares)
         self._control = TopicFollower(control, self._beliefs, settings)
         self._servers = TopicFollower(servers, self._beliefs, settings)
         self._stopping = asyncio.Event()
@@ -128,14 +130,11 @@
         callers = await self._listen(self._settings.callers, self._desk)
         probes = await self._listen(self._settings.probes, self._probes)
         metrics = await self._listen(self._settings.metrics, self._probes)
-        parts = [asyncio.create_task(part) for part in self._parts()]
-        for part in parts:
-            part.add_done_callback(self._on_part_done)
+        parts = [asyncio.create_task(self._keep_running(part)) for part in self._parts()]
         _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
         await self._stopping.wait()
         await self._shut_down(callers)
         for part in parts:
-            part.remove_done_callback(self._on_part_done)
             part.cancel()
         for server in (probes, metrics):
             server.close()
@@ -150,20 +149,32 @@
         """Note that the settings file has changed; only a restart takes it over."""
         _log.info("Settings are kept; changes need a restart.", router=self._settings.router)
 
-    def _parts(self) -> list[Coroutine[Any, Any, None]]:
+    def fleet_size(self) -> int:
+        """Return how many routers are heard, this one included."""
+        return self._load.routers(clock_ms())
+
+    def running_on(self, server: str) -> int:
+        """Return how many requests the fleet runs on a server, as far as is known."""
+        return self._load.totals(server, clock_ms()).running
+
+    def _parts(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         return [
-            self._control.follow_control(),
-            self._servers.follow_servers(),
-            self._peers.keep_members(),
-            self._peers.keep_views(),
-            self._keep_up(),
+            self._control.follow_control,
+            self._servers.follow_servers,
+            self._peers.keep_announced,
+            self._peers.keep_members,
+            self._peers.keep_views,
+            self._keep_up,
         ]
 
-    def _on_part_done(self, part: asyncio.Task[None]) -> None:
-        error = None if part.cancelled() else part.exception()
-        if error is not None:
-            _log.warning("A part has failed; the router stops.", error=repr(error))
-            self._stopping.set()
+    async def _keep_running(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a part for ever; one that fails is logged and started again."""
+        while True:
+            try:
+                await part()
+            except Exception as error:  # noqa: BLE001 - requests go on without the part
+                _log.warning("A part has failed.", part=part.__name__, error=repr(error))
+            await asyncio.sleep(_PART_RESTART_S)
 
     def _is_ready(self) -> bool:
         return (
@@ -199,6 +210,7 @@
     async def _keep_up(self) -> None:
         while True:
             self._pool.close_idle()
+            self._placer.forget_servers(self._beliefs.directory.names())
             self._metrics.set_state("callers", len(self._connections))
             self._metrics.set_state("active", self._desk.active)
             self._metrics.set_state("peers", len(self._peers.links.peers()))
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -294,7 +294,7 @@
             predicted_ms=round(chosen.predicted_ms),
             running=totals.running,
             running_unread_tokens=totals.unread_tokens,
-            peers=self._load.live_peers(now_ms),
+            routers=self._load.routers(now_ms),
             waited_ms=round(now_ms - work.call.started_ms),
             version=work.table.version,
             proof_age_ms=round(self._beliefs.proof_age_ms(now_ms)),
@@ -332,7 +332,7 @@
             return False
         if writer.started and not work.route.resumable:
             return False
-        routers = self._load.live_peers(clock_ms()) + 1
+        routers = self._load.routers(clock_ms())
         return self._retries.take(work.service.name, routers, clock_ms())
 
     async def _give_up(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> None:
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -42,7 +42,11 @@
         server_poll_ms: Between reads of the servers' heartbeats.
         member_poll_ms: Between reads of the list of routers.
         view_ms: Between load views to peers; half of a request's way across regions.
-        peer_silence_ms: Silence after which a link is set up again.
+        idle_view_ms: Between signs of life on links that carry no load.
+        peer_silence_ms: Silence after which a link is set up again; three signs of life.
+        relay_silence_ms: Silence after which a zone has another relay; two signs of life.
+        announce_ms: Between entries of this process in the list of routers.
+        member_life_ms: Age of an unchanged entry of a router that is not heard.
         connect_ms: Time for a connection to a server; a round trip across regions takes 60.
         revoke_margin_ms: Left of the time to revoke for requests on their way.
         stop_accept_ms: How long a leaving router takes new connections; the balancer needs
@@ -56,7 +60,11 @@
     server_poll_ms: int = field(default=800, validator=gt(0))
     member_poll_ms: int = field(default=4_000, validator=gt(0))
     view_ms: int = field(default=50, validator=gt(0))
+    idle_view_ms: int = field(default=500, validator=gt(0))
     peer_silence_ms: int = field(default=1_500, validator=gt(0))
+    relay_silence_ms: int = field(default=1_000, validator=gt(0))
+    announce_ms: int = field(default=10_000, validator=gt(0))
+    member_life_ms: int = field(default=35_000, validator=gt(0))
     connect_ms: float = field(default=500.0, validator=gt(0))
     revoke_margin_ms: float = field(default=500.0, validator=ge(0))
     stop_accept_ms: float = field(default=2_600.0, validator=ge(0))
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -96,12 +96,19 @@
 
 @frozen
 class FleetMember:
-    """A router process of the fleet."""
+    """A router process of the fleet.
+
+    Args:
+        zone: Its availability zone.
+        announced: Grows each time the process announces itself.
+    """
 
     router: str
     host: str
     peer_port: int
-    started_ms: int = field(default=0)
+    zone: str
+    started_ms: int
+    announced: int = field(default=0)
 
 
 class MemberRegistry(Protocol):
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from cicadaledge.placing._engine import EngineModel, EngineSettings
+from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement, ServerTotals
 from cicadaledge.placing._placer import Chosen, Placer, PlacingSettings, Refused
@@ -15,6 +16,7 @@
     "Chosen",
     "EngineModel",
     "EngineSettings",
+    "FleetLoad",
     "LoadBook",
     "Placement",
     "Placer",
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from attrs import define, field, frozen
 
+from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.wire import ServerUse
 
-_VIEW_LIFE_MS = 2_000.0  # a peer that is silent for longer is cut off or gone
 _SECOND_MS = 1_000.0
 
 
@@ -38,6 +36,26 @@
     context_tokens: int = 0
     sent_last_s: int = 0
 
+    def plus(self, use: ServerUse | None) -> ServerTotals:
+        """Return the sum with other routers' use."""
+        if use is None:
+            return self
+        return ServerTotals(
+            self.running + use.running,
+            self.unread_tokens + use.unread_tokens,
+            self.context_tokens + use.context_tokens,
+            self.sent_last_s + use.sent_last_s,
+        )
+
+    def times(self, factor: int) -> ServerTotals:
+        """Return the load as if *factor* routers placed as much."""
+        return ServerTotals(
+            self.running * factor,
+            self.unread_tokens * factor,
+            self.context_tokens * factor,
+            self.sent_last_s * factor,
+        )
+
 
 @define
 class _OwnUse:
@@ -47,18 +65,16 @@
     sent: RateWindow = field(factory=lambda: RateWindow(_SECOND_MS))
 
 
-@define
-class _PeerView:
-    received_ms: float
-    servers: dict[str, ServerUse]
-
-
 class LoadBook:
-    """Sums what runs on each server from own placements and the peers' views."""
+    """Sums what runs on each server from own placements and those of the other routers.
 
-    def __init__(self) -> None:
+    Args:
+        others: The other routers' load.
+    """
+
+    def __init__(self, others: FleetLoad) -> None:
         self._own: dict[str, _OwnUse] = {}
-        self._peers: dict[str, _PeerView] = {}
+        self._others = others
 
     def start(self, placement: Placement, now_ms: float) -> None:
         """Count a request that is about to be sent."""
@@ -90,21 +106,25 @@
         return own.sent.count(now_ms) if own else 0
 
     def totals(self, server: str, now_ms: float) -> ServerTotals:
-        """Return the load of a server."""
+        """Return the load of a server.
+
+        While the others cannot be heard, each of them is taken to place as much as this one.
+        """
+        own = self._own_totals(server, now_ms)
+        if not self._others.is_current(now_ms):
+            return own.times(self._others.routers(now_ms))
+        return own.plus(self._others.use_of(server, now_ms))
+
+    def _own_totals(self, server: str, now_ms: float) -> ServerTotals:
         own = self._own.get(server)
-        running = own.running if own else 0
-        unread_tokens = own.unread_tokens if own else 0
-        context_tokens = own.context_tokens if own else 0
-        sent = own.sent.count(now_ms) if own else 0
-        for view in self._peers.values():
-            use = view.servers.get(server)
-            if use is None or now_ms - view.received_ms > _VIEW_LIFE_MS:
-                continue
-            running += use.running
-            unread_tokens += use.unread_tokens
-            context_tokens += use.context_tokens
-            sent += use.sent_last_s
-        return ServerTotals(running, unread_tokens, context_tokens, sent)
+        if own is None:
+            return ServerTotals()
+        return ServerTotals(
+            own.running,
+            own.unread_tokens,
+            own.context_tokens,
+            own.sent.count(now_ms),
+        )
 
     def own_uses(self, now_ms: float) -> list[ServerUse]:
         """Return this router's part, for its peers."""
@@ -113,16 +133,18 @@
             sent = own.sent.count(now_ms)
             if own.running or sent:
                 uses.append(
-                    ServerUse(server, own.running, own.unread_tokens, own.context_tokens, sent)
+                    ServerUse(
+                        server,
+                        own.running,
+                        own.unread_tokens,
+                        own.context_tokens,
+                        sent,
+                    )
                 )
             else:
                 del self._own[server]
         return uses
 
-    def take_view(self, peer: str, uses: Iterable[ServerUse], now_ms: float) -> None:
-        """Take over a peer's part."""
-        self._peers[peer] = _PeerView(now_ms, {use.server: use for use in uses})
-
-    def live_peers(self, now_ms: float) -> int:
-        """Return how many peers were heard lately."""
-        return sum(1 for view in self._peers.values() if now_ms - view.received_ms <= _VIEW_LIFE_MS)
+    def routers(self, now_ms: float) -> int:
+        """Return how many routers place requests, this one included."""
+        return self._others.routers(now_ms)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -26,8 +26,8 @@
         affine_tokens: Shared tokens from which a request goes only where they are kept.
         region_crossing_ms: Added to the predicted time for a server of another region.
         fair_low: Use of share up to which an account is not held back.
-        fair_high: Use of share from which it gets only `beyond_share` of the bounds.
-        beyond_share: Part of the bounds open to accounts beyond their share.
+        fair_high: Use of share from which the part of the bounds falls in inverse proportion.
+        beyond_share: Part of the bounds open to an account at `fair_high`.
         cold_part: Part of the rate that a cold server bears that the fleet uses.
         warm_rate_per_s: Requests a second to one server that may turn cold unnoticed.
         settle_ms: Age from which a server is believed to keep the parts it is first for.
@@ -232,8 +232,7 @@
             return (
                 self._load.totals(entry.server, now_ms).sent_last_s < self._settings.warm_rate_per_s
             )
-        routers = self._load.live_peers(now_ms) + 1
-        part = service.cold_per_s * self._settings.cold_part / routers
+        part = service.cold_per_s * self._settings.cold_part / self._load.routers(now_ms)
         return self._load.own_sent_last_s(entry.server, now_ms) < max(1.0, part)
 
     def _openness(self, use_of_share: float) -> float:
@@ -242,7 +241,7 @@
         if use_of_share <= settings.fair_low:
             return 1.0
         if use_of_share >= settings.fair_high:
-            return settings.beyond_share
+            return settings.beyond_share * settings.fair_high / use_of_share
         along = (use_of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
         return 1.0 - along * (1.0 - settings.beyond_share)
 
@@ -254,6 +253,11 @@
     def _is_near(self, entry: ServerEntry) -> bool:
         return self._region_of(entry.zone) == self._own_region
 
+    def forget_servers(self, known: set[str]) -> None:
+        """Drop what was believed of servers that are gone."""
+        for server in self._engines.keys() - known:
+            del self._engines[server]
+
     def _engine(self, server: str) -> EngineModel:
         engine = self._engines.get(server)
         if engine is None:
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -7,9 +7,9 @@
 
 from attrs import define
 
+from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.wire import AccountUse
 
-_VIEW_LIFE_MS = 2_000.0  # a peer that is silent for longer is cut off or gone
 _LEVEL_PERIOD_MS = 100.0  # a tenth of the time in which a share can change visibly
 _LEAST_RATE_PER_S = 1.0  # below one token a second an account counts as silent
 
@@ -38,12 +38,13 @@
 
     Args:
         window_ms: Time constant of the rates.
+        others: The other routers' rates.
     """
 
-    def __init__(self, window_ms: float) -> None:
+    def __init__(self, window_ms: float, others: FleetLoad) -> None:
         self._window_ms = window_ms
+        self._others = others
         self._own: dict[str, _Rate] = {}
-        self._peers: dict[str, tuple[float, dict[str, AccountUse]]] = {}
         self._level_per_s = math.inf
         self._admitted_per_s: dict[str, float] = {}
         self._level_ms = -math.inf
@@ -56,10 +57,6 @@
         """Count a request that was sent to a server."""
         self._rate(account, now_ms).admitted_per_s += tokens * 1000.0 / self._window_ms
 
-    def take_view(self, peer: str, uses: Iterable[AccountUse], now_ms: float) -> None:
-        """Take over a peer's rates."""
-        self._peers[peer] = (now_ms, {use.account: use for use in uses})
-
     def own_uses(self, now_ms: float) -> list[AccountUse]:
         """Return this router's rates, for its peers."""
         uses = []
@@ -92,11 +89,7 @@
         self._level_ms = now_ms
 
     def _all_uses(self, now_ms: float) -> list[AccountUse]:
-        uses = self.own_uses(now_ms)
-        for received_ms, peer_uses in self._peers.values():
-            if now_ms - received_ms <= _VIEW_LIFE_MS:
-                uses += peer_uses.values()
-        return uses
+        return self.own_uses(now_ms) + self._others.account_uses(now_ms)
 
     def _rate(self, account: str, now_ms: float) -> _Rate:
         rate = self._own.get(account)
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -219,17 +219,31 @@
 
     async def announce(self, member: FleetMember) -> None:
         """Write a process's entry."""
-        plain = {"host": member.host, "port": member.peer_port, "started": member.started_ms}
+        plain = {
+            "host": member.host,
+            "port": member.peer_port,
+            "zone": member.zone,
+            "started": member.started_ms,
+            "announced": member.announced,
+        }
         await self._client.append(_MEMBER_TOPIC, member.router, json.dumps(plain).encode())
 
     async def members(self) -> list[FleetMember]:
         """Return all entries."""
         page = await self._client.newest(_MEMBER_TOPIC)
-        members = []
-        for record in page.records:
-            plain = json.loads(record.value)
-            members.append(FleetMember(record.key, plain["host"], plain["port"], plain["started"]))
-        return members
+        return [_member(record) for record in page.records]
+
+
+def _member(record: _KeyedRecord) -> FleetMember:
+    plain = json.loads(record.value)
+    return FleetMember(
+        router=record.key,
+        host=plain["host"],
+        peer_port=plain["port"],
+        zone=plain["zone"],
+        started_ms=plain["started"],
+        announced=plain["announced"],
+    )
 
 
 def _server_change(server: str, value: bytes) -> Change:
--- a/src/cicadaledge/wire/__init__.py
+++ b/src/cicadaledge/wire/__init__.py
@@ -33,6 +33,7 @@
     TransferItem,
     TransferReply,
     TransferRequest,
+    ViewScope,
     Withdraw,
     Witness,
 )
@@ -72,6 +73,7 @@
     "TransferItem",
     "TransferReply",
     "TransferRequest",
+    "ViewScope",
     "Withdraw",
     "Witness",
     "decode_message",
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -342,22 +342,29 @@
     admitted_per_s: float
 
 
+class ViewScope(enum.IntEnum):
+    """Whose load a view sums."""
+
+    NOBODY = 0
+    SENDER = 1
+    ZONE = 2
+    ALL_BUT_RECEIVER = 3
+
+
 @frozen
 class LoadView:
-    """One router's part of the fleet's load, sent to every other router.
+    """A part of the fleet's load.
 
     Args:
         sent_ms: Sender's clock.
-        echo_ms: Receiver's clock: the newest `sent_ms` heard from it, -1 if none.
-        proof_age_ms: Age of the sender's newest proof that its configuration is current,
-            -1 if it has none.
-        configuration_offset: Offset up to which the sender has read the configuration.
+        scope: Whose load it sums, a `ViewScope`.
+        routers: How many routers it sums.
+        accounts: Empty in most views; rates change more slowly than loads.
     """
 
     sent_ms: int
-    echo_ms: int
-    proof_age_ms: int
-    configuration_offset: int
+    scope: int
+    routers: int
     leaving: bool
     servers: list[ServerUse]
     accounts: list[AccountUse]
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -213,12 +213,11 @@
 
 struct LoadView {
   sentMs @0 :Int64;          # sender's clock
-  echoMs @1 :Int64;          # receiver's clock: newest sentMs heard from it, -1 if none
-  proofAgeMs @2 :Int64;      # -1 if none
-  configurationOffset @3 :Int64;
-  leaving @4 :Bool;
-  servers @5 :List(ServerUse);
-  accounts @6 :List(AccountUse);
+  scope @1 :UInt8;           # ViewScope
+  routers @2 :UInt32;
+  leaving @3 :Bool;
+  servers @4 :List(ServerUse);
+  accounts @5 :List(AccountUse);
 }
 
 struct Frame {
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
@@ -41,14 +42,24 @@
     stop_accept_ms=150,
     lapse_ms=300,
 )
+FIRST_PORT = 21_000
+PORTS_PER_WORKER = 1_000
+_ports = itertools.count(os.getpid() % PORTS_PER_WORKER)
 _ids = itertools.count(1)
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as one:
-        one.bind((HOST, 0))
-        return int(one.getsockname()[1])
+    """Return a port that nothing listens on.
+
+    The ports lie below those that the kernel gives to outgoing connections, and each test
+    worker has its own range, so that no other process takes one before it is used.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    while True:
+        port = FIRST_PORT + worker * PORTS_PER_WORKER + next(_ports) % PORTS_PER_WORKER
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind((HOST, port))
+            return port
 
 
 def route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
--- /dev/null
+++ b/tests/placing/test_fleet_load.py
@@ -0,0 +1,107 @@
+"""Views of the fleet's load: nobody is counted twice, nobody is forgotten."""
+
+from cicadaledge.placing import FleetLoad, LoadBook, Placement
+from cicadaledge.wire import (
+    AccountUse,
+    LoadView,
+    NameTable,
+    ServerUse,
+    ViewScope,
+    decode_message,
+    encode_message,
+)
+
+SERVER = "server-1"
+
+
+def view_of(running: int, *, rate: float = 0.0) -> LoadView:
+    accounts = [AccountUse("banksia", rate, rate)] if rate else []
+    uses = [ServerUse(SERVER, running, running * 100, running * 1000, 1)]
+    return LoadView(1, int(ViewScope.SENDER), 1, False, uses, accounts)
+
+
+def carry(view: LoadView) -> LoadView:
+    """Return the view as the other side of a link decodes it."""
+    return decode_message(encode_message(view, NameTable()), NameTable())
+
+
+class Zone:
+    """The routers of one zone; the first is their relay."""
+
+    def __init__(self, name: str, loads: list[int]) -> None:
+        self.name = name
+        self.loads = loads
+        self.fleets = [FleetLoad() for _ in loads]
+        for place, fleet in enumerate(self.fleets):
+            fleet.set_roles(f"{name}-0", is_relay=place == 0, members=6)
+
+    def own(self, place: int) -> LoadView:
+        return view_of(self.loads[place], rate=10.0 * self.loads[place])
+
+
+def exchange(zones: list[Zone], now_ms: float) -> None:
+    """Send each kind of view once, in the order of the tree."""
+    for zone in zones:
+        for place in range(1, len(zone.loads)):
+            zone.fleets[0].take(f"{zone.name}-{place}", carry(zone.own(place)), now_ms)
+    for zone in zones:
+        summed = carry(zone.fleets[0].zone_view(zone.own(0), now_ms))
+        for other in zones:
+            if other is not zone:
+                other.fleets[0].take(f"{zone.name}-0", summed, now_ms)
+    for zone in zones:
+        for place in range(1, len(zone.loads)):
+            rest = zone.fleets[0].rest_view(zone.own(0), f"{zone.name}-{place}", now_ms)
+            zone.fleets[place].take(f"{zone.name}-0", carry(rest), now_ms)
+
+
+def test_every_router_sees_the_load_of_all_others_once():
+    zones = [Zone("a", [1, 2, 3]), Zone("b", [10, 20]), Zone("c", [100])]
+    exchange(zones, 0.0)
+    for zone in zones:
+        for place, fleet in enumerate(zone.fleets):
+            use = fleet.use_of(SERVER, 100.0)
+            assert use is not None
+            assert use.running == 136 - zone.loads[place]
+            assert use.unread_tokens == 100 * (136 - zone.loads[place])
+            assert fleet.routers(100.0) == 6
+            rates = sum(one.asked_per_s for one in fleet.account_uses(100.0))
+            assert rates == 10.0 * (136 - zone.loads[place])
+
+
+def test_views_without_rates_keep_the_rates_before():
+    fleet = FleetLoad()
+    fleet.set_roles("a-0", is_relay=True, members=2)
+    fleet.take("a-1", view_of(1, rate=50.0), 0.0)
+    fleet.take("a-1", view_of(2), 500.0)
+    assert fleet.use_of(SERVER, 500.0).running == 2
+    assert [one.asked_per_s for one in fleet.account_uses(500.0)] == [50.0]
+    assert fleet.account_uses(3_000.0) == []
+
+
+def test_a_view_of_a_router_that_is_no_longer_relay_is_not_used():
+    fleet = FleetLoad()
+    fleet.set_roles("a-0", is_relay=False, members=3)
+    rest = LoadView(
+        1, int(ViewScope.ALL_BUT_RECEIVER), 2, False, [ServerUse(SERVER, 5, 0, 0, 0)], []
+    )
+    fleet.take("a-9", rest, 0.0)
+    assert fleet.use_of(SERVER, 0.0) is None
+    fleet.take("a-0", rest, 0.0)
+    assert fleet.use_of(SERVER, 0.0).running == 5
+
+
+def test_a_router_that_hears_nobody_takes_the_others_to_place_as_much():
+    fleet = FleetLoad()
+    fleet.set_roles("a-0", is_relay=False, members=4)
+    load = LoadBook(fleet)
+    load.start(Placement(SERVER, 100, 1000), 0.0)
+    assert load.totals(SERVER, 0.0).running == 4
+    assert load.routers(0.0) == 4
+
+
+def test_a_single_router_counts_itself_only():
+    load = LoadBook(FleetLoad())
+    load.start(Placement(SERVER, 100, 1000), 0.0)
+    totals = load.totals(SERVER, 0.0)
+    assert (totals.running, totals.unread_tokens, totals.sent_last_s) == (1, 100, 1)
--- /dev/null
+++ b/tests/placing/test_placer.py
@@ -0,0 +1,259 @@
+"""Placing on full engines: shares, prefixes, cold servers, regions."""
+
+import pytest
+
+from cicadaledge.placing import (
+    AccountShares,
+    Chosen,
+    FleetLoad,
+    LoadBook,
+    Placer,
+    PlacingSettings,
+    Refused,
+    ServerHealth,
+    fair_level,
+)
+from cicadaledge.routing import (
+    Call,
+    Engine,
+    PromptPart,
+    Route,
+    RouteKind,
+    ServerDirectory,
+    ServerEntry,
+    ServerState,
+    Service,
+    ServiceWeight,
+)
+
+POOL = Service("pool", cold_s=3.0, cold_per_s=11.0, engine=Engine(64, 578_286))
+DESK = Service("desk")
+REGIONS = {"zone-a": "north", "zone-b": "south"}
+SETTLED_MS = 100_000.0
+
+
+def entry(
+    name: str, *, service: str = "pool", zone: str = "zone-a", cold_ms: float = 0.0
+) -> ServerEntry:
+    return ServerEntry(name, service, "host", 1, zone, ServerState.READY, 6, cold_ms, 1, 1)
+
+
+def route(aim_ms: float = 1000.0) -> Route:
+    return Route("r", "h", "/r/", RouteKind.STREAM, 15_000, aim_ms, 1, (ServiceWeight("pool", 1),))
+
+
+def call(number: int, *, subject: str = "s", shared: int = 5_000, own: int = 6_000) -> Call:
+    parts = (PromptPart(subject, shared), PromptPart(f"own-{number}", own))
+    return Call(
+        f"request-{number}",
+        "POST",
+        "h",
+        "/r/1",
+        [],
+        b"",
+        0.0,
+        prompt_tokens=shared + own,
+        output_tokens=64,
+        parts=parts,
+    )
+
+
+class Pool:
+    """A placer over some servers, seen by one router."""
+
+    def __init__(self, *entries: ServerEntry, settings: PlacingSettings | None = None) -> None:
+        self.fleet = FleetLoad()
+        self.load = LoadBook(self.fleet)
+        self.directory = ServerDirectory()
+        self.health = ServerHealth()
+        self.shares = AccountShares(4_000, self.fleet)
+        for one in entries:
+            self.directory.apply(one, 0.0)
+        self.placer = Placer(
+            settings or PlacingSettings(),
+            self.directory,
+            self.load,
+            self.shares,
+            self.health,
+            lambda zone: REGIONS[zone],
+            "north",
+        )
+
+    def place(
+        self,
+        request: Call,
+        *,
+        service: Service = POOL,
+        use: float = 0.0,
+        aim_ms: float = 1000.0,
+        regions: frozenset[str] | None = None,
+        now_ms: float = SETTLED_MS,
+    ) -> Chosen | Refused:
+        choice = self.placer.choose(request, route(aim_ms), service, regions, set(), use, now_ms)
+        if isinstance(choice, Chosen):
+            self.placer.note_sent(request, choice, now_ms)
+        return choice
+
+    def fill(self, use: float, *, spread_ms: float = 100.0) -> int:
+        """Place requests until one is refused; return how many were taken."""
+        for number in range(1_000):
+            now_ms = SETTLED_MS + number * spread_ms
+            choice = self.place(
+                call(number, subject=f"s{number}", shared=200, own=300), use=use, now_ms=now_ms
+            )
+            if isinstance(choice, Refused):
+                return number
+            self.load.first_token(choice.placement)
+        raise AssertionError("nothing was refused")
+
+
+def test_the_max_min_share_leaves_small_accounts_what_they_ask():
+    assert fair_level([10.0, 100.0, 100.0], 110.0) == pytest.approx(50.0)
+    assert fair_level([10.0, 20.0], 100.0) == float("inf")
+    assert fair_level([], 100.0) == float("inf")
+
+
+def test_an_engine_takes_requests_up_to_its_limit():
+    assert Pool(entry("a")).fill(0.0) == PlacingSettings().running_limit
+
+
+def test_an_account_far_beyond_its_share_leaves_most_of_an_engine_to_others():
+    """One account asks five times its share; the rest must find room beside it."""
+    taken = Pool(entry("a")).fill(5.0)
+    assert taken <= PlacingSettings().running_limit * 0.15
+    pool = Pool(entry("a"))
+    pool.fill(5.0)
+    assert isinstance(pool.place(call(5_000, subject="other", own=500)), Chosen)
+
+
+def test_the_further_beyond_its_share_the_less_an_account_gets():
+    taken = [Pool(entry("a")).fill(use) for use in (0.5, 1.2, 1.5, 3.0, 6.0)]
+    assert taken == sorted(taken, reverse=True)
+    assert taken[0] > taken[2] > taken[4]
+
+
+def test_accounts_in_a_flood_converge_to_equal_rates():
+    """One account floods, one asks a little more than its share; each call costs the same."""
+    fleet = FleetLoad()
+    shares = AccountShares(4_000, fleet)
+    pool = Pool(entry("a"), entry("b"))
+    got = {"flood": 0, "plain": 0}
+    ends: list[tuple[float, object]] = []
+    capacity_per_s = 40_000.0
+    for step in range(6_000):
+        now_ms = SETTLED_MS + step * 5.0
+        for end_ms, placement in list(ends):
+            if end_ms <= now_ms:
+                pool.load.end(placement)
+                ends.remove((end_ms, placement))
+        account = "plain" if step % 10 == 0 else "flood"
+        request = call(step, subject=f"s{step % 40}", shared=200, own=1_000)
+        shares.note_asked(account, request.cost_tokens, now_ms)
+        use = shares.use_of_share(account, capacity_per_s, now_ms)
+        choice = pool.place(request, use=use, now_ms=now_ms)
+        if isinstance(choice, Chosen):
+            pool.load.first_token(choice.placement)
+            shares.note_admitted(account, request.cost_tokens, now_ms)
+            got[account] += 1
+            ends.append((now_ms + 1_500.0, choice.placement))
+    assert got["plain"] * 2 >= got["flood"]
+
+
+def test_a_long_shared_prefix_stays_at_one_server():
+    pool = Pool(*(entry(name) for name in "abcdef"))
+    servers = set()
+    for number in range(10):
+        choice = pool.place(call(number), now_ms=SETTLED_MS + number * 5_000)
+        servers.add(choice.server.server)
+        pool.load.end(choice.placement)
+    assert len(servers) == 1
+
+
+def test_a_full_home_of_a_long_prefix_refuses_rather_than_spills():
+    """Spilling evicts what others share, and everything is read again."""
+    pool = Pool(*(entry(name) for name in "abc"))
+    results = [pool.place(call(n)) for n in range(40)]
+    servers = {one.server.server for one in results if isinstance(one, Chosen)}
+    refused = [one for one in results if isinstance(one, Refused)]
+    assert len(servers) == 1
+    assert refused
+    assert all(one.retry_after_ms >= PlacingSettings().short_retry_ms for one in refused)
+
+
+def test_short_prompts_go_where_they_are_read_soonest():
+    pool = Pool(*(entry(name) for name in "abc"))
+    for number in range(30):
+        pool.place(call(number, subject=f"s{number}", shared=100, own=700), aim_ms=600.0)
+    running = [pool.load.totals(name, SETTLED_MS).unread_tokens for name in "abc"]
+    assert max(running) < 2 * min(running)
+
+
+def test_a_prompt_larger_than_the_bound_is_taken_by_an_idle_engine():
+    pool = Pool(entry("a"))
+    assert isinstance(pool.place(call(1, shared=5_000, own=50_000)), Chosen)
+    assert isinstance(pool.place(call(2, shared=5_000, own=50_000)), Refused)
+
+
+def test_a_cold_server_gets_less_than_it_bears():
+    pool = Pool(entry("a", cold_ms=5_000.0))
+    pool.fleet.set_roles("r", is_relay=True, members=1)
+    taken = 0
+    for number in range(100):
+        choice = pool.place(
+            call(number, subject=f"s{number}", shared=10, own=50), now_ms=number * 9.9
+        )
+        taken += isinstance(choice, Chosen)
+    assert 1 <= taken <= POOL.cold_per_s
+
+
+def test_a_warm_server_is_never_sent_more_than_a_sudden_cold_start_bears():
+    pool = Pool(entry("a"))
+    taken = 0
+    for number in range(200):
+        choice = pool.place(
+            call(number, subject=f"s{number}", shared=10, own=50), now_ms=SETTLED_MS + number
+        )
+        if isinstance(choice, Chosen):
+            pool.load.end(choice.placement)
+            taken += 1
+    assert taken <= POOL.cold_per_s * 1.5 + 5
+
+
+def test_plain_requests_stay_in_the_region_while_it_has_room():
+    pool = Pool(entry("near", service="desk"), entry("far", service="desk", zone="zone-b"))
+    servers = [pool.place(call(n), service=DESK).server.server for n in range(6)]
+    assert set(servers) == {"near"}
+    more = [pool.place(call(n), service=DESK).server.server for n in range(6, 14)]
+    assert "far" in more
+
+
+def test_regions_bind_even_if_nothing_is_left():
+    pool = Pool(entry("near"), entry("far", zone="zone-b"))
+    for number in range(5):
+        choice = pool.place(
+            call(number, subject=f"s{number}", own=100), regions=frozenset({"south"})
+        )
+        assert choice.server.server == "far"
+    assert isinstance(pool.place(call(9), regions=frozenset({"west"})), Refused)
+
+
+def test_a_server_that_fails_more_than_its_peers_is_left_out():
+    pool = Pool(*(entry(name) for name in "abc"))
+    names = list("abc")
+    for number in range(10):
+        now_ms = SETTLED_MS + number
+        pool.health.note_answer("a", True, names, now_ms)
+        pool.health.note_answer("b", False, names, now_ms)
+        pool.health.note_answer("c", False, names, now_ms)
+    for number in range(20):
+        choice = pool.place(call(number, subject=f"s{number}", own=100), now_ms=SETTLED_MS + 20)
+        assert choice.server.server != "a"
+
+
+def test_where_all_servers_fail_none_is_left_out():
+    health = ServerHealth()
+    for number in range(40):
+        for name in "abc":
+            health.note_answer(name, True, list("abc"), float(number))
+    ejected = [name for name in "abc" if health.is_ejected(name, 40.0)]
+    assert len(ejected) < 3
