--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,162 @@
+"""The adapter decodes the platform's names once; nothing outside it knows them."""
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadaledge.edge import AnswerHead
+from cicadaledge.errors import SettingsError
+from cicadaledge.platform import (
+    PlatformDialect,
+    decode_server,
+    decode_table,
+    load_edge_settings,
+)
+from cicadaledge.routing import PromptPart, RouteKind, ServerEntry, ServerState
+
+SOURCE = Path(__file__).parent.parent.parent / "src" / "cicadaledge"
+WORDS = re.compile(
+    r"(?<![\w-])(?:Attempt-Id|Response-Seal|Expect-Instance|Tenant-Id|Deadline-Ms|Token-Usage|Prompt-Prefix"
+    r"|Not-Executed|Server-Load|keyed\.|coldRemainingMs|log-append|log-read|log-newest"
+    r"|trafficSplit|routeType|allowedRegions|CICADALEDGE_NODE_FILE)"
+)
+
+NODE = """
+nodeName = "front-a-1"
+ip = "10.1.0.33"
+zone = "brisbane-a"
+region = "brisbane"
+internalPortRange = [7400,7415]
+unknownField = 1
+[zones]
+brisbane-a = "brisbane"
+[listenAddrs]
+front = "10.1.0.33:8783"
+ready = "10.1.0.33:8780"
+[bounds]
+graceS = 8
+revokeMs = 5000
+strictRevoke = true
+retryBudgetRatio = 0.2
+retryBudgetSlack = 58
+budgetWindowS = 10
+[platform]
+address = "10.200.1.7:8781"
+"""
+
+
+def test_nothing_outside_the_adapter_knows_the_platforms_names():
+    found = [
+        f"{path.relative_to(SOURCE)}: {match.group()}"
+        for path in SOURCE.rglob("*.py")
+        if path.relative_to(SOURCE).parts[0] not in ("platform", "standins")
+        for match in WORDS.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def test_settings_are_read_from_the_platforms_file(tmp_path, monkeypatch):
+    file = tmp_path / "node.toml"
+    file.write_text(NODE)
+    monkeypatch.setenv("CICADALEDGE_NODE_FILE", str(file))
+    settings = load_edge_settings()
+    assert (settings.router, settings.region, settings.callers.port) == (
+        "front-a-1",
+        "brisbane",
+        8783,
+    )
+    assert settings.bounds.grace_ms == 8_000
+    assert settings.region_of("brisbane-a") == "brisbane"
+
+
+@pytest.mark.parametrize(
+    "broken", ["not toml [", NODE.replace("ip =", "other ="), NODE.replace("8783", "x")]
+)
+def test_broken_settings_name_the_file(tmp_path, monkeypatch, broken):
+    file = tmp_path / "node.toml"
+    file.write_text(broken)
+    monkeypatch.setenv("CICADALEDGE_NODE_FILE", str(file))
+    with pytest.raises(SettingsError, match=r"node\.toml"):
+        load_edge_settings()
+
+
+def test_a_configuration_is_decoded():
+    table = decode_table(
+        b'{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","routeType":"streaming",'
+        b'"timeoutMs":15000,"targetLatencyMs":1000,"trafficSplit":[{"service":"a","weight":90},'
+        b'{"service":"b","weight":10}],"maxAttempts":2,"authExempt":false,"streamResume":true,'
+        b'"allowedRegions":["north"]}],"services":[{"name":"a","coldStartS":3.0,"coldPerS":11.0,'
+        b'"engine":{"slots":64,"kvCapacity":578286}}],"limits":{"tokensPerS":225000},'
+        b'"tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":[]}]}'
+    )
+    (route,) = table.routes
+    assert (route.kind, route.resumable, route.regions) == (RouteKind.STREAM, True, {"north"})
+    assert [one.weight for one in route.split] == [90, 10]
+    assert table.services["a"].engine.memory_tokens == 578_286
+    assert table.account_of_key("k").name == "t"
+    assert table.limits.tokens_per_s == 225_000
+
+
+@given(st.binary(max_size=200) | st.text(max_size=100).map(str.encode))
+def test_any_bytes_are_decoded_or_named_as_foreign(data):
+    for decode in (decode_table, lambda one: decode_server("i", one)):
+        try:
+            decode(data)
+        except ValueError:
+            pass
+
+
+def server() -> ServerEntry:
+    return ServerEntry("i-1", "s", "h", 1, "z", ServerState.READY, 1, 0.0, 1, 1)
+
+
+def test_a_request_is_parsed_and_its_prompt_known():
+    headers = [
+        (b"Attempt-Id", b"a1"),
+        (b"Host", b"h"),
+        (b"Token-Usage", b"1460,80"),
+        (b"Prompt-Prefix", b"5c:800, 91:410,e4:250"),
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"dropped"),
+    ]
+    call = PlatformDialect().parse("POST", "/p/1?q", headers, b"", 0.0)
+    assert (call.prompt_tokens, call.output_tokens, call.cost_tokens) == (1460, 80, 1620)
+    assert call.shared_parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    sent = dict(PlatformDialect().server_headers(call, server(), None, 1234.9))
+    assert sent[b"Deadline-Ms"] == b"1234"
+    assert b"X-Hop" not in sent
+    assert b"Connection" not in sent
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        [(b"Attempt-Id", b"a"), (b"attempt-id", b"b")],
+        [(b"Attempt-Id", b"a"), (b"Deadline-Ms", b"soon")],
+        [(b"Attempt-Id", b"a"), (b"Deadline-Ms", b"-5")],
+        [(b"Attempt-Id", b"a"), (b"Token-Usage", b"x,y")],
+        [(b"Attempt-Id", b"a"), (b"Prompt-Prefix", b"aa:,bb")],
+    ],
+)
+def test_headers_without_a_valid_value_are_refused(headers):
+    with pytest.raises(ValueError):
+        PlatformDialect().parse("GET", "/", headers, b"", 0.0)
+
+
+def test_signs_of_an_answer_are_read():
+    head = AnswerHead(
+        503, [(b"not-executed", b"1"), (b"Server-Load", b"3,0,8"), (b"Cold-Ms", b"40")]
+    )
+    signs = PlatformDialect().read_signs(head)
+    assert (signs.not_run, signs.wrong_server, signs.load.running, signs.cold_left_ms) == (
+        True,
+        False,
+        3,
+        40,
+    )
+    assert PlatformDialect().read_signs(AnswerHead(421, [])).not_run
+    assert not PlatformDialect().read_signs(AnswerHead(503, [])).not_run
