--- a/src/cicadaledge/cli/_app.py
+++ b/src/cicadaledge/cli/_app.py
@@ -11,6 +11,7 @@
 
 from cicadaledge.cli._exit import EXIT_CUT_REQUESTS, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE
 from cicadaledge.cli._load import load_app
+from cicadaledge.cli._logs import logs_app
 from cicadaledge.cli._operator import JsonOption, audit, confirm, plan_app, status
 from cicadaledge.errors import ConfigurationError, LogError, SettingsError
 from cicadaledge.settings import load_router_settings, load_yaml, structure_settings
@@ -20,6 +21,7 @@
 app.add_typer(standin_app, name="standin")
 settings_app = typer.Typer(no_args_is_help=True, help="Check files before they are used.")
 app.add_typer(load_app, name="load")
+app.add_typer(logs_app, name="logs")
 app.add_typer(plan_app, name="plan")
 app.add_typer(settings_app, name="settings")
 app.command()(confirm)
