--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -118,6 +118,23 @@
     typer.echo(f"tokens per second      {result.tokens_per_s}")
 
 
+@load_app.command()
+def replay(
+    factor: Annotated[float, typer.Option(help="Requests over those of the heavy day.")] = 1.0,
+    seconds: Annotated[float, typer.Option(help="Length of the day.")] = 15.0,
+    seed: Annotated[int, typer.Option(help="Seed of the traffic.")] = 1,
+) -> None:
+    """Replay a heavy day against the placing code in simulated time, beside baselines."""
+    import attrs
+
+    from cicadaledge.loadtool import HEAVY_DAY, REPLAY_HEADER, replay_modes, scaled
+
+    day = attrs.evolve(scaled(HEAVY_DAY, factor), seconds=seconds, seed=seed)
+    typer.echo(REPLAY_HEADER)
+    for result in replay_modes(day):
+        typer.echo(result.row())
+
+
 @load_app.command()
 def soak(
     deployment: Annotated[Path, typer.Argument(help="Deployment file.")],
--- a/src/cicadaledge/loadtool/__init__.py
+++ b/src/cicadaledge/loadtool/__init__.py
@@ -20,6 +20,17 @@
 )
 from cicadaledge.loadtool._fault_line import FaultLine
 from cicadaledge.loadtool._launcher import Launcher, LaunchError
+from cicadaledge.loadtool._replay import (
+    HEAVY_DAY,
+    MODES,
+    REPLAY_HEADER,
+    Mode,
+    Replay,
+    ReplayDay,
+    ReplayResult,
+    replay_modes,
+    scaled,
+)
 from cicadaledge.loadtool._report import compare, load_summary, mode_table, plot, table
 from cicadaledge.loadtool._run import ExperimentResult, run_experiment
 from cicadaledge.loadtool._traffic import RequestRecord, Traffic
@@ -35,9 +46,16 @@
     "ExperimentSpec",
     "FaultEvent",
     "FaultLine",
+    "HEAVY_DAY",
     "LaunchError",
     "Launcher",
+    "MODES",
+    "Mode",
     "PoolSpec",
+    "REPLAY_HEADER",
+    "Replay",
+    "ReplayDay",
+    "ReplayResult",
     "RequestRecord",
     "ServiceSpec",
     "Traffic",
@@ -50,6 +68,8 @@
     "mode_table",
     "operator_key",
     "plot",
+    "replay_modes",
     "run_experiment",
+    "scaled",
     "table",
 ]
--- a/src/cicadaledge/standins/__init__.py
+++ b/src/cicadaledge/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the platform, backend servers and the old system."""
 
 from cicadaledge.standins._engine import EngineSettings, EngineStandIn, expected_text
+from cicadaledge.standins._engine_emulator import EngineEmulator, EngineFigures, EngineRun
 from cicadaledge.standins._old_system import OldBackend, OldSystemSettings, OldSystemStandIn
 from cicadaledge.standins._platform import PlatformSettings, PlatformStandIn
 from cicadaledge.standins._platform_runner import PlatformRunner, Run, RunnerFaults
@@ -8,6 +9,9 @@
 from cicadaledge.standins._service import ServiceSettings, ServiceStandIn
 
 __all__ = [
+    "EngineEmulator",
+    "EngineFigures",
+    "EngineRun",
     "EngineSettings",
     "EngineStandIn",
     "OldBackend",
--- /dev/null
+++ b/src/cicadaledge/standins/_engine_emulator.py
@@ -0,0 +1,164 @@
+"""A model engine in simulated time: batches, chunks of prompts, memory with shared parts."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from cicadaledge.routing import PromptPart
+
+_PAIRS_PER_STEP = 1_000_000.0
+
+
+@frozen
+class EngineFigures:
+    """Speed and memory of an engine, after the users' sheet."""
+
+    slots: int = 64
+    memory_tokens: int = 578_286
+    step_ms: float = 3.88
+    step_ms_per_request: float = 0.0276
+    step_ms_per_k_context: float = 0.00365
+    read_tokens_per_ms: float = 66.2
+    read_ms_per_m_pairs: float = 0.276
+    first_ms: float = 12.0
+    tokens_per_event: int = 6
+    chunk_tokens: int = 4096
+
+
+@define(eq=False)
+class EngineRun:
+    """One request in an engine.
+
+    Args:
+        on_event: Called with the time of each event of the stream.
+        on_end: Called with the time of the last one.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    on_event: Callable[[float], None]
+    on_end: Callable[[float], None]
+    unread_tokens: int = 0
+    made_tokens: int = 0
+    cancelled: bool = False
+
+    @property
+    def context_tokens(self) -> int:
+        """Tokens that the run keeps in memory."""
+        return self.prompt_tokens - self.unread_tokens + self.made_tokens
+
+
+@define
+class EngineEmulator:
+    """Runs requests step by step; requests are admitted in order of arrival."""
+
+    figures: EngineFigures = field(factory=EngineFigures)
+    waiting: list[EngineRun] = field(factory=list)
+    running: list[EngineRun] = field(factory=list)
+    read_tokens: int = 0
+    read_again_tokens: int = 0
+    _parts: OrderedDict[str, int] = field(factory=OrderedDict)
+    _part_tokens: int = 0
+    _ever_read: set[str] = field(factory=set)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits or runs."""
+        return not self.waiting and not self.running
+
+    def submit(self, run: EngineRun) -> None:
+        """Take a request in."""
+        self.waiting.append(run)
+
+    def step(self, now_ms: float) -> float:
+        """Carry one step out; return when it ends."""
+        self.running = [run for run in self.running if not run.cancelled]
+        self.waiting = [run for run in self.waiting if not run.cancelled]
+        self._admit()
+        self._make_room()
+        read_ms = self._read_chunk()
+        figures = self.figures
+        context_k = sum(run.context_tokens for run in self.running) / 1000
+        end_ms = now_ms + figures.step_ms + read_ms
+        end_ms += figures.step_ms_per_request * len(self.running)
+        end_ms += figures.step_ms_per_k_context * context_k
+        self._decode(end_ms)
+        return end_ms
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < self.figures.slots:
+            run = self.waiting[0]
+            used = sum(one.prompt_tokens + one.made_tokens for one in self.running)
+            if self.running and used + run.prompt_tokens > self.figures.memory_tokens:
+                return
+            self.waiting.pop(0)
+            run.unread_tokens = run.prompt_tokens + run.made_tokens - self._kept_tokens(run)
+            run.made_tokens = 0
+            self.running.append(run)
+
+    def _kept_tokens(self, run: EngineRun) -> int:
+        kept = 0
+        for part in run.parts:
+            if part.digest not in self._parts:
+                break
+            self._parts.move_to_end(part.digest)
+            kept += part.tokens
+        return min(kept, run.prompt_tokens - 1)
+
+    def _make_room(self) -> None:
+        """Evict parts, then put the newest request back."""
+        while self._used_tokens() > self.figures.memory_tokens:
+            if self._parts:
+                _, tokens = self._parts.popitem(last=False)
+                self._part_tokens -= tokens
+            elif len(self.running) > 1:
+                self.waiting.insert(0, self.running.pop())
+            else:
+                return
+
+    def _used_tokens(self) -> int:
+        return self._part_tokens + sum(run.context_tokens for run in self.running)
+
+    def _read_chunk(self) -> float:
+        """Read prompts in order up to a chunk; return the time it takes."""
+        left = self.figures.chunk_tokens
+        read_ms = 0.0
+        for run in self.running:
+            if run.unread_tokens <= 0 or left <= 0:
+                continue
+            tokens = min(left, run.unread_tokens)
+            before = run.prompt_tokens - run.unread_tokens
+            pairs = tokens * (before + tokens / 2) / _PAIRS_PER_STEP
+            read_ms += tokens / self.figures.read_tokens_per_ms
+            read_ms += pairs * self.figures.read_ms_per_m_pairs
+            run.unread_tokens -= tokens
+            left -= tokens
+            self.read_tokens += tokens
+            if run.unread_tokens == 0:
+                self._keep_parts(run)
+        return read_ms
+
+    def _keep_parts(self, run: EngineRun) -> None:
+        for part in run.parts:
+            if part.digest in self._parts:
+                continue
+            if part.digest in self._ever_read:
+                self.read_again_tokens += part.tokens
+            self._ever_read.add(part.digest)
+            self._parts[part.digest] = part.tokens
+            self._part_tokens += part.tokens
+
+    def _decode(self, end_ms: float) -> None:
+        for run in list(self.running):
+            if run.unread_tokens > 0:
+                continue
+            run.made_tokens += 1
+            if run.made_tokens == 1 or run.made_tokens % self.figures.tokens_per_event == 0:
+                run.on_event(end_ms + (self.figures.first_ms if run.made_tokens == 1 else 0.0))
+            if run.made_tokens >= run.output_tokens:
+                self.running.remove(run)
+                run.on_end(end_ms)
--- /dev/null
+++ b/tests/loadtool/test_replay.py
@@ -0,0 +1,31 @@
+"""A heavy day played against the placing code: what callers and accounts get."""
+
+from attrs import evolve
+
+from cicadaledge.loadtool import HEAVY_DAY, MODES, Replay, ReplayResult, scaled
+
+# A third of the heavy day before a third of its engines; queues need seconds to build up.
+DAY = evolve(scaled(HEAVY_DAY, 1 / 3), seconds=18.0, engines=3, routers=3, tokens_per_s=75_000.0)
+
+
+def play(name: str) -> ReplayResult:
+    (mode,) = [mode for mode in MODES if mode.name == name]
+    return Replay(DAY, mode).run()
+
+
+def test_on_a_heavy_day_placing_earns_more_than_what_it_replaces():
+    """Three accounts flood while connections come unevenly to the routers."""
+    placed = play("placed")
+    for baseline in (play("static_split"), play("uncoordinated")):
+        assert placed.worth > baseline.worth
+        assert placed.worst_tenth > baseline.worst_tenth
+        assert placed.read_again <= baseline.read_again
+
+
+def test_shares_keep_the_worst_served_accounts_up():
+    assert play("placed").worst_tenth > play("no_shares").worst_tenth
+
+
+def test_a_replay_repeats():
+    day = evolve(DAY, seconds=2.0)
+    assert Replay(day, MODES[0]).run() == Replay(day, MODES[0]).run()
