Walk from a request's id to its cause on real logs; log what a refused request met

Cause: the walk of a refused request ended at 'engines are full' without the server or its load, and a time-out of the store was logged without a reason. Ruled out: a change of decisions; only log fields and the text of an error differ.

--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -66,10 +66,14 @@
     Args:
         reason: What was short.
         retry_after_ms: When it has a chance.
+        server: The server that it would have gone to first; empty if there is none.
+        totals: Load of that server.
     """
 
     reason: str
     retry_after_ms: float
+    server: str = ""
+    totals: ServerTotals = ServerTotals()
 
 
 class Placer:
@@ -181,7 +185,9 @@
             if best is None or cost_ms < best[0]:
                 best = (cost_ms, chosen)
         if best is None:
-            return Refused("engines are full", self._retry_after_ms(ranked[0], now_ms))
+            totals = self._load.totals(ranked[0].server, now_ms)
+            retry_after_ms = self._retry_after_ms(totals)
+            return Refused("engines are full", retry_after_ms, ranked[0].server, totals)
         return best[1]
 
     def _weigh(
@@ -245,8 +251,8 @@
         along = (use_of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
         return 1.0 - along * (1.0 - settings.beyond_share)
 
-    def _retry_after_ms(self, entry: ServerEntry, now_ms: float) -> float:
-        totals = self._load.totals(entry.server, now_ms)
+    def _retry_after_ms(self, totals: ServerTotals) -> float:
+        """Return when half of the prompts that wait at an engine will have been read."""
         wait_ms = totals.unread_tokens / self._settings.engine.read_tokens_per_ms / 2
         return min(max(wait_ms, self._settings.short_retry_ms), self._settings.long_retry_ms)
 
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -139,7 +139,7 @@
         except (BackendError, TimeoutError) as error:
             if connection is not None:
                 connection.abort()
-            raise StoreError(f"{call} was not answered: {error or 'time-out'}") from error
+            raise StoreError(f"{call} was not answered: {str(error) or 'time-out'}") from error
         except asyncio.CancelledError:
             if connection is not None:
                 connection.abort()
