Drop what the edge decodes and does not use

The load header, the model's name and the length of a cold start were decoded and used nowhere; a refusal took a writer that it did not write to; a delay in the replay was named after something else.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -3,7 +3,7 @@
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, RequestHead
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
-from cicadaledge.edge._dialect import AnswerSigns, Dialect, ServerLoad
+from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
 from cicadaledge.edge._settings import BoundSettings, EdgeSettings, TimingSettings
 from cicadaledge.edge._source import (
@@ -42,7 +42,6 @@
     "MemberRegistry",
     "RequestHead",
     "ServerChanged",
-    "ServerLoad",
     "ServerRemoved",
     "StoreError",
     "TableChanged",
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -133,10 +133,9 @@
         self._work.may_have_run = True
         head, signs = await self._own_head(connection)
         if signs.not_run:
-            body = await connection.body()
+            await connection.body()
             self._work.may_have_run = ran_before
             reason = "another server has the address" if signs.wrong_server else "server is full"
-            del body
             return AttemptResult(
                 AttemptEnd.NOT_RUN, reason, head.status, cold_left_ms=signs.cold_left_ms
             )
--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -89,9 +89,7 @@
     async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         """Answer one request that was read whole."""
 
-    def refuse(
-        self, writer: AnswerWriter, code: Code, detail: str, status: int
-    ) -> tuple[Headers, bytes]:
+    def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return headers and body of a refusal that needs no route."""
 
 
@@ -235,7 +233,7 @@
             self.channel.abort()
             return
         writer = AnswerWriter(self)
-        headers, body = self._service.refuse(writer, Code.BAD_REQUEST, str(error), error.status)
+        headers, body = self._service.refuse(Code.BAD_REQUEST, str(error), error.status)
         await writer.whole(error.status, [*headers, (b"Connection", b"close")], body)
         await asyncio.sleep(_LINGER_S)
 
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from cicadaledge.codes import Code
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
 from cicadaledge.edge._channel import Channel, clock_ms
@@ -62,9 +63,7 @@
         else:
             await writer.whole(_NOT_FOUND, [], b"")
 
-    def refuse(
-        self, writer: AnswerWriter, code: int, detail: str, status: int
-    ) -> tuple[Headers, bytes]:
+    def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return the answer to a malformed probe."""
         return [], b""
 
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -109,9 +109,7 @@
         finally:
             self.active -= 1
 
-    def refuse(
-        self, writer: AnswerWriter, code: Code, detail: str, status: int
-    ) -> tuple[Headers, bytes]:
+    def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return headers and body of a refusal that needs no route."""
         self._metrics.refused(int(code))
         _log.info("Refused.", code=int(code), detail=detail, status=status)
--- a/src/cicadaledge/edge/_dialect.py
+++ b/src/cicadaledge/edge/_dialect.py
@@ -10,14 +10,6 @@
 from cicadaledge.routing import Call, ServerEntry
 
 
-@frozen
-class ServerLoad:
-    """Requests that a server says it runs and keeps waiting."""
-
-    running: int
-    waiting: int
-
-
 @frozen
 class AnswerSigns:
     """What the head of a server's answer says beside its status.
@@ -26,14 +18,12 @@
         request_id: Id of the request that it answers, or None.
         not_run: Whether the server states that it did not run the request.
         wrong_server: Whether another server has the address now.
-        load: None if the answer does not tell.
         cold_left_ms: How long the server stays cold, or None.
     """
 
     request_id: str | None
     not_run: bool
     wrong_server: bool
-    load: ServerLoad | None
     cold_left_ms: float | None
 
 
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -43,7 +43,8 @@
 _HOLD_PART = 0.11
 _HOLD_STEP_MS = 15.0
 _RETRY_PART = 1 / 3
-_NO_LIMIT = 10_000
+_SEND_MS = 1.0  # from a router to an engine
+_NO_LIMIT_TOKENS = 100_000
 _PAUSE_AIM_MS = 500.0
 _WINDOW_MS = 4_000.0  # windows in which an account is owed its max-min share
 
@@ -126,7 +127,7 @@
     Mode("placed"),
     Mode("static_split", shared_views=False, split=True),
     Mode("uncoordinated", shared_views=False),
-    Mode("least_loaded", PlacingSettings(affine_tokens=_NO_LIMIT * 10)),
+    Mode("least_loaded", PlacingSettings(affine_tokens=_NO_LIMIT_TOKENS)),
     Mode("no_shares", shares=False),
 )
 
@@ -348,7 +349,6 @@
         router.placer.note_sent(request.call, chosen, now_ms)
         router.shares.note_admitted(request.account, request.call.cost_tokens, now_ms)
         request.admitted_ms = now_ms
-        far_ms = 0.0 if chosen.predicted_ms < 0 else 1.0
         engine = self._engines[chosen.server.server]
 
         def on_event(at_ms: float) -> None:
@@ -378,7 +378,7 @@
                 router.load.end(chosen.placement)
 
         self._at(request.first_ms + request.kind.deadline_ms, expire)
-        self._at(now_ms + far_ms, lambda at: self._submit(chosen.server.server, engine, run, at))
+        self._at(now_ms + _SEND_MS, lambda at: self._submit(chosen.server.server, engine, run, at))
 
     def _submit(self, name: str, engine: EngineEmulator, run: EngineRun, now_ms: float) -> None:
         engine.submit(run)
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -91,7 +91,6 @@
     engine = plain.get("engine")
     return Service(
         name=plain["name"],
-        cold_s=float(plain.get("coldStartS") or 0),
         cold_per_s=float(plain.get("coldPerS") or 0),
         engine=Engine(int(engine["slots"]), int(engine["kvCapacity"])) if engine else None,
     )
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cicadaledge.edge import AnswerHead, AnswerSigns, Headers, ServerLoad
+from cicadaledge.edge import AnswerHead, AnswerSigns, Headers
 from cicadaledge.routing import Call, PromptPart, ServerEntry
 
 _KEY_SCHEME = "Token "
@@ -64,7 +64,6 @@
             started_ms=started_ms,
             deadline_ms=_milliseconds(named.get(b"deadline-ms")),
             key=_key(named.get(b"authorization")),
-            model=named.get(b"model", ""),
             prompt_tokens=tokens_in,
             output_tokens=tokens_out,
             parts=_prompt_parts(named.get(b"prompt-prefix")),
@@ -93,7 +92,6 @@
             request_id=head.get(b"Attempt-Id"),
             not_run=wrong_server or head.get(b"Not-Executed") is not None,
             wrong_server=wrong_server,
-            load=_server_load(head.get(b"Server-Load")),
             cold_left_ms=_milliseconds(head.get(b"Cold-Ms")),
         )
 
@@ -147,11 +145,3 @@
         digest, _, tokens = item.strip().partition(":")
         parts.append(PromptPart(digest, int(tokens)))
     return tuple(parts)
-
-
-def _server_load(value: str | None) -> ServerLoad | None:
-    """Return running and waiting requests; the third number repeats the slots."""
-    numbers = (value or "").split(",")
-    if len(numbers) < 2 or not all(number.strip().isdigit() for number in numbers[:2]):
-        return None
-    return ServerLoad(int(numbers[0]), int(numbers[1]))
--- a/src/cicadaledge/routing/_call.py
+++ b/src/cicadaledge/routing/_call.py
@@ -36,7 +36,6 @@
     started_ms: float
     deadline_ms: float | None = None
     key: str | None = field(default=None, repr=False)
-    model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -85,7 +85,6 @@
     """
 
     name: str
-    cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: Engine | None = None
 
