Go on behind the last event passed on where the caller itself had resumed a stream

The caller's own Last-Event-Id was forwarded beside the router's when the stream broke off once more, and the server took the first of the two. Figures: the new test fails before (events 2 and 3 twice) and passes after; 57 tests of edge and adapter pass.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -124,10 +124,8 @@
         call = self._work.call
         left_ms = self._work.until_ms - clock_ms()
         headers = self._dialect.server_headers(
-            call, self._chosen.server, self._work.account_name, left_ms
+            call, self._chosen.server, self._work.account_name, left_ms, self.resume_after
         )
-        if self.resume_after is not None and self.resume_after != call.resume_after:
-            headers += self._dialect.resume_headers(self.resume_after)
         connection.send(call.method, call.target, headers, call.body)
         ran_before = self._work.may_have_run
         self._work.may_have_run = True
--- a/src/cicadaledge/edge/_dialect.py
+++ b/src/cicadaledge/edge/_dialect.py
@@ -42,12 +42,19 @@
         """
 
     def server_headers(
-        self, call: Call, server: ServerEntry, account: str | None, left_ms: float
+        self,
+        call: Call,
+        server: ServerEntry,
+        account: str | None,
+        left_ms: float,
+        resume_after: str | None,
     ) -> Headers:
-        """Return the headers of a request to a backend server."""
+        """Return the headers of a request to a backend server.
 
-    def resume_headers(self, last_event: str) -> Headers:
-        """Return the headers that ask for the events after one."""
+        Args:
+            resume_after: Id of the event behind which a stream goes on, in place of the one
+                that the caller named.
+        """
 
     def read_signs(self, head: AnswerHead) -> AnswerSigns:
         """Return what an answer's head says."""
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -36,6 +36,7 @@
         b"kv-backup",
         b"kv-from",
         b"kv-fetch",
+        b"last-event-id",
     }
 )
 
@@ -71,7 +72,12 @@
         )
 
     def server_headers(
-        self, call: Call, server: ServerEntry, account: str | None, left_ms: float
+        self,
+        call: Call,
+        server: ServerEntry,
+        account: str | None,
+        left_ms: float,
+        resume_after: str | None,
     ) -> Headers:
         """Return the headers of a request to a backend server."""
         headers = [item for item in call.headers if item[0].lower() not in _OWN_HEADERS]
@@ -79,12 +85,10 @@
         headers.append((b"Expect-Instance", server.server.encode("latin-1")))
         if account is not None:
             headers.append((b"Tenant-Id", account.encode("latin-1")))
+        if resume_after is not None:
+            headers.append((b"Last-Event-Id", resume_after.encode("latin-1")))
         return headers
 
-    def resume_headers(self, last_event: str) -> Headers:
-        """Return the headers that ask for the events after one."""
-        return [(b"Last-Event-Id", last_event.encode("latin-1"))]
-
     def read_signs(self, head: AnswerHead) -> AnswerSigns:
         """Return what an answer's head says."""
         wrong_server = head.status == _MISDIRECTED
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -94,7 +94,9 @@
 
     async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         """Run one request, or refuse it."""
-        headers = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
+        headers: dict[str, str] = {}
+        for name, value in head.headers:
+            headers.setdefault(name.decode().lower(), value.decode("latin-1"))
         expected = headers.get("expect-instance", self.instance)
         if expected != self.instance:
             self.refused += 1
--- a/tests/edge/test_bad_answers.py
+++ b/tests/edge/test_bad_answers.py
@@ -137,6 +137,23 @@
     asyncio.run(play())
 
 
+def test_a_stream_that_the_caller_resumed_goes_on_behind_what_was_passed_on():
+    """No event comes twice if the server breaks off once more."""
+
+    async def play():
+        async with small_world(pools=2) as world:
+            for broken in world.runners[1:]:
+                for runner in world.runners[1:]:
+                    runner.faults = RunnerFaults()
+                broken.faults = RunnerFaults(break_after=3)
+                answer = await world.call("/chat/1", headers={"Last_Event_Id": "1"}, **MODEL)
+                expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(2, 5))
+                assert answer.complete
+                assert answer.body == expected
+
+    asyncio.run(play())
+
+
 def test_an_answer_without_length_ends_with_its_connection():
     async def play():
         async with small_world() as world:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -125,7 +125,7 @@
     call = PlatformDialect().parse("POST", "/p/1?q", headers, b"", 0.0)
     assert (call.prompt_tokens, call.output_tokens, call.cost_tokens) == (1460, 80, 1620)
     assert call.shared_parts == (PromptPart("5c", 800), PromptPart("91", 410))
-    sent = dict(PlatformDialect().server_headers(call, server(), None, 1234.9))
+    sent = dict(PlatformDialect().server_headers(call, server(), None, 1234.9, None))
     assert sent[b"Deadline-Ms"] == b"1234"
     assert b"X-Hop" not in sent
     assert b"Connection" not in sent
