--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -27,7 +27,6 @@
     def __init__(self, settings: EdgeSettings) -> None:
         self.table: RoutingTable | None = None
         self.directory = ServerDirectory()
-        self.control_offset = -1
         self.servers_known = False
         self._settings = settings
         self._proof_ms = float("-inf")
@@ -65,9 +64,8 @@
         for server in self.directory.names() - servers:
             self._remove(server, now_ms)
 
-    def note_proof(self, proof_ms: float, offset: int) -> None:
-        """Note that the configuration read up to *offset* was the newest at *proof_ms*."""
-        self.control_offset = max(self.control_offset, offset)
+    def note_proof(self, proof_ms: float) -> None:
+        """Note that the configuration read so far was the newest at *proof_ms*."""
         self._proof_ms = max(self._proof_ms, proof_ms)
 
     def note_store_back(self, now_ms: float) -> None:
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -147,7 +147,7 @@
         if table is None or not self._beliefs.servers_known:
             raise RefusalError(Code.NOT_READY, retry_after_ms=int(_STALE_RETRY_MS))
         current = self._beliefs.may_use_keys(clock_ms())
-        route = table.match(call.host.split(":", 1)[0], call.path)
+        route = table.match(call.host, call.path)
         if route is None:
             if not current:
                 raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
@@ -322,7 +322,7 @@
         assert table is not None
         if work.account is None and not work.route.needs_key and table is work.table:
             return
-        route = table.match(work.call.host.split(":", 1)[0], work.call.path)
+        route = table.match(work.call.host, work.call.path)
         if route is None:
             raise RefusalError(Code.NOT_FOUND, "the route was removed")
         self._account(work.call, route, table, self._beliefs.may_use_keys(clock_ms()))
--- a/src/cicadaledge/edge/_events.py
+++ b/src/cicadaledge/edge/_events.py
@@ -33,10 +33,6 @@
         rest, self._rest = self._rest, b""
         return rest
 
-    def drop_rest(self) -> None:
-        """Forget the beginning of an event that broke off."""
-        self._rest = b""
-
     def _note_last_id(self, events: bytes) -> None:
         start = events.rfind(b"\n" + _ID_FIELD)
         if start < 0 and not events.startswith(_ID_FIELD):
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -44,7 +44,7 @@
             page = await self._read(self._settings.timing.control_wait_ms)
             if page is not None:
                 self._apply(page)
-                self._beliefs.note_proof(page.proof_ms, page.next_offset)
+                self._beliefs.note_proof(page.proof_ms)
 
     async def follow_servers(self) -> None:
         """Follow the heartbeats, read once in a period."""
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -66,7 +66,6 @@
     """
 
     def __init__(self, host: str, port: int) -> None:
-        self.calls = 0
         self._host = host
         self._port = port
         self._idle: list[HttpConnection] = []
@@ -126,7 +125,6 @@
     async def _call(
         self, method: str, call: str, query: dict[str, Any], body: bytes, wait_ms: int
     ) -> bytes:
-        self.calls += 1
         target = f"{_PATH}{call}?{urlencode(query)}"
         connection = None
         try:
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -123,11 +123,6 @@
         self._evacuated.discard(zone)
         return True
 
-    @property
-    def evacuated(self) -> frozenset[str]:
-        """The zones that get nothing."""
-        return frozenset(self._evacuated)
-
     def usable(self, service: str) -> Iterator[ServerEntry]:
         """Yield the servers of a service that may get requests."""
         for known in self._known.values():
@@ -164,6 +159,3 @@
         for name, known in list(self._known.items()):
             if known.removed_ms is not None and now_ms - known.removed_ms > _TOMBSTONE_MS:
                 del self._known[name]
-
-    def __len__(self) -> int:
-        return sum(1 for known in self._known.values() if known.removed_ms is None)
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -142,8 +142,12 @@
         return bool(self.accounts)
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that begins *path*, or None."""
-        for route in self._by_host.get(host, ()):
+        """Return the route with the longest prefix that begins *path*, or None.
+
+        Args:
+            host: As the caller named it; a port is passed over.
+        """
+        for route in self._by_host.get(host.split(":", 1)[0], ()):
             if path.startswith(route.prefix):
                 return route
         return None
