Take zones back after lost history, keep a server's own failure, follow moved routes

Cause, found by reading: (1) a new reading of the operator's topic after lost history brought evacuations only, never their end; (2) a safe request whose first server answered 500 got the router's 502 if no other server took it; (3) a request that waited for a place went to the service of the version it arrived with. Ruled out: the servers' topic already drops what a complete reading does not show. Each has a test that failed before. Conclusion: the newest complete reading decides, and a server's own answer comes before ours.

--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -64,6 +64,11 @@
         for server in self.directory.names() - servers:
             self._remove(server, now_ms)
 
+    def keep_evacuated(self, zones: set[str]) -> None:
+        """Take back the zones that a complete reading did not show as evacuated."""
+        for zone in self.directory.evacuated() - zones:
+            self._apply_zone(zone, evacuated=False)
+
     def note_proof(self, proof_ms: float) -> None:
         """Note that the configuration read so far was the newest at *proof_ms*."""
         self._proof_ms = max(self._proof_ms, proof_ms)
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from cicadaledge.codes import Code, code_info
-from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
+from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult, WholeAnswer
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
 from cicadaledge.edge._channel import clock_ms
@@ -23,7 +23,7 @@
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import AccountShares, Chosen, LoadBook, Placer, Refused, ServerHealth
-from cicadaledge.routing import Account, Call, Limits, Route, RoutingTable, Service
+from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable, Service
 
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
 _HOLD_STEP_S = 0.015  # a tenth of the shortest hold
@@ -42,6 +42,7 @@
         account: The account that it belongs to, or None where none is needed.
         regions: Regions that may run it, or None for all.
         until_ms: When its time runs out.
+        failure: The newest failure that a server itself answered with.
     """
 
     call: Call
@@ -54,6 +55,7 @@
     tried: set[str] = field(factory=set)
     attempts: int = 0
     may_have_run: bool = False
+    failure: WholeAnswer | None = None
 
     @property
     def account_name(self) -> str | None:
@@ -118,11 +120,15 @@
 
     async def _answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         call = None
+        work = None
         try:
             call = self._parse(head, body)
             work = self._admit(call)
             await self._serve(work, writer)
         except RefusalError as refusal:
+            if work is not None and work.failure is not None and not writer.started:
+                await work.failure.send(writer)
+                return
             await self._send_refusal(refusal, call, writer)
         except asyncio.CancelledError:
             waited_ms = round(clock_ms() - head.started_ms)
@@ -196,7 +202,6 @@
         unreached = 0
         while True:
             chosen = await self._place(work)
-            self._recheck(work)
             attempt = Attempt(work, chosen, writer, self._dialect, self._pool, self._load)
             attempt.resume_after = resume_after
             result = await self._run_attempt(work, chosen, attempt)
@@ -209,10 +214,10 @@
                     continue
                 raise RefusalError(Code.BACKEND_UNREACHABLE, retry_after_ms=int(_BUSY_RETRY_MS))
             work.attempts += 1
+            work.failure = result.answer or work.failure
             resume_after = attempt.resume_after
             if not self._may_repeat(work, result, writer):
-                await self._give_up(work, result, writer)
-                return
+                raise self._loss(work, result)
 
     async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
         now_ms = clock_ms()
@@ -258,6 +263,7 @@
         hold_until_ms = work.call.started_ms + work.route.aim_ms * _HOLD_PART
         while True:
             now_ms = clock_ms()
+            self._recheck(work)
             use = self._use_of_share(work, now_ms)
             choice = self._placer.choose(
                 work.call, work.route, work.service, work.regions, work.tried, use, now_ms
@@ -317,15 +323,32 @@
         )
 
     def _recheck(self, work: Work) -> None:
-        """Refuse a request that a newer configuration, read meanwhile, does not allow."""
+        """Follow a newer configuration, read meanwhile.
+
+        Raises:
+            RefusalError: It does not allow the request, or keys can no longer be trusted.
+        """
         table = self._beliefs.table
         assert table is not None
-        if work.account is None and not work.route.needs_key and table is work.table:
+        route = work.route
+        if table is not work.table:
+            found = table.match(work.call.host, work.call.path)
+            if found is None:
+                raise RefusalError(Code.NOT_FOUND, "the route was removed")
+            route = found
+        current = self._beliefs.may_use_keys(clock_ms())
+        work.account = self._account(work.call, route, table, current)
+        if table is work.table:
             return
-        route = table.match(work.call.host, work.call.path)
-        if route is None:
-            raise RefusalError(Code.NOT_FOUND, "the route was removed")
-        self._account(work.call, route, table, self._beliefs.may_use_keys(clock_ms()))
+        work.table = table
+        work.regions = _allowed_regions(route, work.account)
+        name = work.service.name
+        if name not in {one.service for one in route.split}:
+            if work.attempts and route.kind is RouteKind.STREAM:
+                raise RefusalError(Code.BACKEND_LOST, "the route was moved")
+            name = route.choose_service(self._chance)
+        work.service = table.services[name]
+        work.route = route
 
     def _may_repeat(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> bool:
         """Return whether another server may have the request."""
@@ -338,14 +361,12 @@
         routers = self._load.routers(clock_ms())
         return self._retries.take(work.service.name, routers, clock_ms())
 
-    async def _give_up(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> None:
-        """End a request that no other server may have."""
-        if result.answer is not None and not writer.started:
-            await result.answer.send(writer)
-            return
+    @staticmethod
+    def _loss(work: Work, result: AttemptResult) -> RefusalError:
+        """Return the refusal of a request that no other server may have."""
         if result.end is AttemptEnd.NOT_RUN and not work.may_have_run:
-            raise RefusalError(Code.NO_CAPACITY, result.reason, retry_after_ms=int(_BUSY_RETRY_MS))
-        raise RefusalError(Code.BACKEND_LOST, result.reason)
+            return RefusalError(Code.NO_CAPACITY, result.reason, retry_after_ms=int(_BUSY_RETRY_MS))
+        return RefusalError(Code.BACKEND_LOST, result.reason)
 
     async def _send_refusal(
         self, refusal: RefusalError, call: Call | None, writer: AnswerWriter
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -14,6 +14,7 @@
     HistoryLostError,
     ServerChanged,
     StoreError,
+    ZoneChanged,
 )
 from cicadaledge.logs import PartLog
 
@@ -41,10 +42,14 @@
     async def follow_control(self) -> None:
         """Follow the configuration: each read waits at the store for the next change."""
         while True:
+            fresh = self._offset is None
             page = await self._read(self._settings.timing.control_wait_ms)
-            if page is not None:
-                self._apply(page)
-                self._beliefs.note_proof(page.proof_ms)
+            if page is None:
+                continue
+            self._apply(page)
+            if fresh:
+                self._restore_missing(page)
+            self._beliefs.note_proof(page.proof_ms)
 
     async def follow_servers(self) -> None:
         """Follow the heartbeats, read once in a period."""
@@ -97,6 +102,10 @@
         for change in page.changes:
             self._beliefs.apply(change, now_ms)
 
+    def _restore_missing(self, page: ChangePage) -> None:
+        changes = [one for one in page.changes if isinstance(one, ZoneChanged)]
+        self._beliefs.keep_evacuated({one.zone for one in changes if one.evacuated})
+
     def _drop_missing(self, page: ChangePage) -> None:
         seen = {one.entry.server for one in page.changes if isinstance(one, ServerChanged)}
         seen |= {one.server for one in page.changes if isinstance(one, ForeignEntry)}
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -123,6 +123,10 @@
         self._evacuated.discard(zone)
         return True
 
+    def evacuated(self) -> set[str]:
+        """Return the zones that get nothing."""
+        return set(self._evacuated)
+
     def usable(self, service: str) -> Iterator[ServerEntry]:
         """Yield the servers of a service that may get requests."""
         for known in self._known.values():
--- a/tests/edge/test_bad_answers.py
+++ b/tests/edge/test_bad_answers.py
@@ -109,6 +109,22 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("others", [0, 1])
+def test_a_servers_own_failure_is_passed_on_where_no_other_server_answers(others):
+    async def play():
+        async with small_world(desks=1) as world:
+            world.runners[0].faults = RunnerFaults(error=True)
+            for number in range(others):
+                full = await world.add_runner(f"desk-x{number}", "desk", "zone-b")
+                full.faults = RunnerFaults(full=True)
+            await asyncio.sleep(0.2)
+            answer = await world.call("/look/1")
+            assert answer.status == 500
+            assert answer.head.get(b"Response-Seal") == "desk-0.1"
+
+    asyncio.run(play())
+
+
 def test_a_stream_that_breaks_off_never_looks_complete():
     async def play():
         async with small_world() as world:
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -140,6 +140,41 @@
     asyncio.run(play())
 
 
+def test_a_zone_that_was_taken_back_in_lost_history_gets_requests_again():
+    async def play():
+        async with small_world() as world:
+            world.store.put("keyed.op", "evacuate/zone-a", {})
+            await asyncio.sleep(0.3)
+            assert (await world.call("/book/1")).status == 503
+            world.store.fault = "busy"
+            await asyncio.sleep(0.3)
+            world.store.put("keyed.op", "evacuate/zone-a", None)
+            world.store.forget_history("keyed.op")
+            world.store.fault = ""
+            await asyncio.sleep(1.0)
+            assert (await world.call("/book/2")).status == 200
+
+    asyncio.run(play())
+
+
+def test_a_request_that_waits_follows_a_route_that_is_moved_meanwhile():
+    async def play():
+        async with small_world(desks=0, pools=0) as world:
+            other = await world.add_runner("till-0", "till")
+            slow = route("book", "desk", "unsafe", targetLatencyMs=9_000, timeoutMs=9_000)
+            services = [*configuration()["services"], {"name": "till"}]
+            world.configure(version=2, routes=[slow], services=services)
+            await asyncio.sleep(0.3)
+            waiting = asyncio.create_task(world.call("/book/1"))
+            await asyncio.sleep(0.2)
+            moved = {**slow, "service": "till"}
+            world.configure(version=3, routes=[moved], services=services)
+            assert (await waiting).body == b"till-0 /book/1"
+            assert len(other.runs) == 1
+
+    asyncio.run(play())
+
+
 def test_requests_stay_in_the_regions_of_route_and_account():
     async def play():
         async with small_world() as world:
