Correct the sum of the fleet's load with each view in place of summing anew

Cause: measured on 12 routers and 5 zones with 45 servers each, a relay summed all parts anew for each receiver: 12 x 388 us a turn, 9% of a core at 20 turns a second; a look-up at a relay took 8 us a server. Ruled out: the codec (79 us to encode 51 servers). Now each view corrects the sum and one sum serves all receivers: 512 us a turn for 12 receivers, 2 us a look-up. Conclusion: decoding a view (292 us for 51 servers) is now the larger part.

--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -195,10 +195,16 @@
         for zone, name in self._relays.items():
             if zone != self._settings.zone:
                 self.links.send(name, zone_view)
-        for peer in self.links.peers():
-            known = self._known.get(peer)
-            if known is not None and known.member.zone == self._settings.zone:
-                self.links.send(peer, self._fleet.rest_view(own, peer, now_ms))
+        for peer, view in self._fleet.rest_views(own, self._zone_peers(), now_ms):
+            self.links.send(peer, view)
+
+    def _zone_peers(self) -> list[str]:
+        zone = self._settings.zone
+        linked = self.links.peers()
+        return [name for name in linked if name in self._known and self._zone_of(name) == zone]
+
+    def _zone_of(self, name: str) -> str:
+        return self._known[name].member.zone
 
     def _own_view(self, now_ms: float, *, with_accounts: bool) -> LoadView:
         return LoadView(
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -6,10 +6,11 @@
 from cicadaledge.placing._engine import EngineModel, EngineSettings
 from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._health import ServerHealth
-from cicadaledge.placing._load import LoadBook, Placement, ServerTotals
+from cicadaledge.placing._load import LoadBook, Placement
 from cicadaledge.placing._placer import Chosen, Placer, PlacingSettings, Refused
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._shares import AccountShares, fair_level
+from cicadaledge.placing._totals import ServerTotals
 
 __all__ = [
     "AccountShares",
--- a/src/cicadaledge/placing/_engine.py
+++ b/src/cicadaledge/placing/_engine.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from cicadaledge.placing._load import ServerTotals
+from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.routing import PromptPart
 
 _PARTS_REMEMBERED = 4_096  # parts of one server; at 512 tokens each more than a memory holds
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -8,14 +8,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Iterator
 
 from attrs import define, evolve
 
+from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
 
-_VIEW_LIFE_MS = 1_000.0  # twenty views; a part that is older says nothing of today's load
+_VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
 _ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each tenth view
+_NOTHING = ServerTotals()
 
 
 @define
@@ -33,13 +36,74 @@
     accounts_ms: float
 
 
+@define
+class _Total:
+    running: int = 0
+    unread_tokens: int = 0
+    context_tokens: int = 0
+    sent_last_s: int = 0
+
+    def add(self, use: ServerUse, sign: int) -> None:
+        self.running += sign * use.running
+        self.unread_tokens += sign * use.unread_tokens
+        self.context_tokens += sign * use.context_tokens
+        self.sent_last_s += sign * use.sent_last_s
+
+
+class _PartSum:
+    """Sum of several parts, corrected with each part that changes."""
+
+    def __init__(self) -> None:
+        self.parts: dict[str, LoadPart] = {}
+        self.servers: dict[str, _Total] = {}
+        self.routers = 0
+        self._oldest_ms = math.inf
+
+    def put(self, peer: str, view: LoadView, now_ms: float) -> None:
+        """Replace the part of a peer by a newer view."""
+        part = _merge(self.parts.get(peer), view, now_ms)
+        self.drop(peer)
+        self.parts[peer] = part
+        self.routers += part.routers
+        self._oldest_ms = min(self._oldest_ms, now_ms)
+        for name, use in part.servers.items():
+            self.servers.setdefault(name, _Total()).add(use, 1)
+
+    def drop(self, peer: str) -> None:
+        """Take the part of a peer out of the sum."""
+        part = self.parts.pop(peer, None)
+        if part is None:
+            return
+        self.routers -= part.routers
+        for name, use in part.servers.items():
+            self.servers[name].add(use, -1)
+
+    def expire(self, now_ms: float) -> None:
+        """Drop the parts that have not been renewed."""
+        if now_ms - self._oldest_ms <= _VIEW_LIFE_MS:
+            return
+        for peer, part in list(self.parts.items()):
+            if now_ms - part.received_ms > _VIEW_LIFE_MS:
+                self.drop(peer)
+        if not self.parts:
+            self.servers.clear()
+        ages = [part.received_ms for part in self.parts.values()]
+        self._oldest_ms = min(ages, default=math.inf)
+
+    def account_uses(self, now_ms: float) -> Iterator[AccountUse]:
+        """Yield the rates of all parts; accounts may come several times."""
+        for part in self.parts.values():
+            if now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
+                yield from part.accounts.values()
+
+
 class FleetLoad:
     """Parts of the fleet's load that this router has heard."""
 
     def __init__(self) -> None:
-        self._routers: dict[str, LoadPart] = {}
-        self._zones: dict[str, LoadPart] = {}
-        self._rest: tuple[str, LoadPart] | None = None
+        self._zone = _PartSum()
+        self._far = _PartSum()
+        self._rest = _PartSum()
         self._is_relay = True
         self._relay = ""
         self._members = 1
@@ -54,69 +118,69 @@
         """Take over a view."""
         match view.scope:
             case ViewScope.SENDER:
-                self._routers[peer] = _merge(self._routers.get(peer), view, now_ms)
-                self._zones.pop(peer, None)
+                self._zone.put(peer, view, now_ms)
+                self._far.drop(peer)
             case ViewScope.ZONE:
-                self._zones[peer] = _merge(self._zones.get(peer), view, now_ms)
-                self._routers.pop(peer, None)
+                self._far.put(peer, view, now_ms)
+                self._zone.drop(peer)
             case ViewScope.ALL_BUT_RECEIVER:
-                former = self._rest[1] if self._rest and self._rest[0] == peer else None
                 if peer == self._relay:
-                    self._rest = (peer, _merge(former, view, now_ms))
+                    for former in self._rest.parts.keys() - {peer}:
+                        self._rest.drop(former)
+                    self._rest.put(peer, view, now_ms)
 
     def forget(self, peer: str) -> None:
         """Drop what a peer has sent."""
-        self._routers.pop(peer, None)
-        self._zones.pop(peer, None)
-        if self._rest is not None and self._rest[0] == peer:
-            self._rest = None
+        for one in (self._zone, self._far, self._rest):
+            one.drop(peer)
 
     def is_current(self, now_ms: float) -> bool:
         """Return whether the other routers' load is known."""
-        if self._members == 1:
-            return True
-        return any(True for _ in self._parts(now_ms))
+        return self._members == 1 or any(one.parts for one in self._sums(now_ms))
 
-    def use_of(self, server: str, now_ms: float) -> ServerUse | None:
+    def use_of(self, server: str, now_ms: float) -> ServerTotals:
         """Return what the others have placed on a server."""
-        total: ServerUse | None = None
-        for part in self._parts(now_ms):
-            use = part.servers.get(server)
-            if use is not None:
-                total = use if total is None else _add(total, use)
-        return total
+        totals = _NOTHING
+        for one in self._sums(now_ms):
+            total = one.servers.get(server)
+            if total is not None:
+                totals = totals.plus(_frozen(total))
+        return totals
 
     def account_uses(self, now_ms: float) -> list[AccountUse]:
         """Return the others' rates; accounts may be named several times."""
-        uses: list[AccountUse] = []
-        for part in self._parts(now_ms):
-            if now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
-                uses += part.accounts.values()
-        return uses
+        return [use for one in self._sums(now_ms) for use in one.account_uses(now_ms)]
 
     def routers(self, now_ms: float) -> int:
         """Return how many routers the fleet has, this one included."""
-        heard = 1 + sum(part.routers for part in self._parts(now_ms))
+        heard = 1 + sum(one.routers for one in self._sums(now_ms))
         return heard if self.is_current(now_ms) else max(heard, self._members)
 
     def zone_view(self, own: LoadView, now_ms: float) -> LoadView:
         """Return the sum of this zone, for other relays."""
-        return _sum(own, _live(self._routers.values(), now_ms), ViewScope.ZONE, now_ms)
+        self._zone.expire(now_ms)
+        return _sum_view(own, [self._zone], ViewScope.ZONE, now_ms)
 
-    def rest_view(self, own: LoadView, receiver: str, now_ms: float) -> LoadView:
-        """Return the sum of all routers but one of this zone, for that one."""
-        parts = [part for peer, part in self._routers.items() if peer != receiver]
-        parts += self._zones.values()
-        return _sum(own, _live(parts, now_ms), ViewScope.ALL_BUT_RECEIVER, now_ms)
+    def rest_views(
+        self, own: LoadView, receivers: Iterable[str], now_ms: float
+    ) -> Iterator[tuple[str, LoadView]]:
+        """Yield for each receiver of this zone the sum of all routers but itself."""
+        for one in (self._zone, self._far):
+            one.expire(now_ms)
+        whole = _sum_view(own, [self._zone, self._far], ViewScope.ALL_BUT_RECEIVER, now_ms)
+        for receiver in receivers:
+            part = self._zone.parts.get(receiver)
+            yield receiver, whole if part is None else _without(whole, part, now_ms)
 
-    def _parts(self, now_ms: float) -> list[LoadPart]:
-        if self._is_relay:
-            return _live([*self._routers.values(), *self._zones.values()], now_ms)
-        return _live([self._rest[1]], now_ms) if self._rest else []
+    def _sums(self, now_ms: float) -> tuple[_PartSum, ...]:
+        sums = (self._zone, self._far) if self._is_relay else (self._rest,)
+        for one in sums:
+            one.expire(now_ms)
+        return sums
 
 
-def _live(parts: Iterable[LoadPart], now_ms: float) -> list[LoadPart]:
-    return [part for part in parts if now_ms - part.received_ms <= _VIEW_LIFE_MS]
+def _frozen(total: _Total) -> ServerTotals:
+    return ServerTotals(total.running, total.unread_tokens, total.context_tokens, total.sent_last_s)
 
 
 def _merge(former: LoadPart | None, view: LoadView, now_ms: float) -> LoadPart:
@@ -127,42 +191,61 @@
     return LoadPart(now_ms, view.routers, servers, former.accounts, former.accounts_ms)
 
 
-def _add(one: ServerUse, other: ServerUse) -> ServerUse:
-    return ServerUse(
-        one.server,
-        one.running + other.running,
-        one.unread_tokens + other.unread_tokens,
-        one.context_tokens + other.context_tokens,
-        one.sent_last_s + other.sent_last_s,
-    )
-
-
-def _sum(own: LoadView, parts: list[LoadPart], scope: ViewScope, now_ms: float) -> LoadView:
-    servers = {use.server: use for use in own.servers}
+def _sum_view(own: LoadView, sums: Iterable[_PartSum], scope: ViewScope, now_ms: float) -> LoadView:
+    totals: dict[str, _Total] = {}
     accounts = {use.account: use for use in own.accounts}
     routers = own.routers
-    for part in parts:
-        routers += part.routers
-        for name, use in part.servers.items():
-            servers[name] = _add(servers[name], use) if name in servers else use
-        if own.accounts and now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
-            _add_accounts(accounts, part.accounts.values())
+    for use in own.servers:
+        totals.setdefault(use.server, _Total()).add(use, 1)
+    for one in sums:
+        routers += one.routers
+        for name, total in one.servers.items():
+            if total.running or total.sent_last_s:
+                totals.setdefault(name, _Total()).add(_use(name, total), 1)
+        if own.accounts:
+            for rate in one.account_uses(now_ms):
+                accounts[rate.account] = _add_rate(accounts.get(rate.account), rate, 1)
     return evolve(
         own,
         scope=int(scope),
         routers=routers,
-        servers=list(servers.values()),
+        servers=[_use(name, total) for name, total in totals.items()],
         accounts=list(accounts.values()),
     )
 
 
-def _add_accounts(sums: dict[str, AccountUse], uses: Iterable[AccountUse]) -> None:
-    for use in uses:
-        former = sums.get(use.account)
-        if former is not None:
-            use = AccountUse(
-                use.account,
-                use.asked_per_s + former.asked_per_s,
-                use.admitted_per_s + former.admitted_per_s,
-            )
-        sums[use.account] = use
+def _without(whole: LoadView, part: LoadPart, now_ms: float) -> LoadView:
+    """Return a view less the part of one router that it sums."""
+    servers = {use.server: use for use in whole.servers}
+    for name, use in part.servers.items():
+        if name in servers:
+            total = _Total()
+            total.add(servers[name], 1)
+            total.add(use, -1)
+            servers[name] = _use(name, total)
+    accounts = {use.account: use for use in whole.accounts}
+    if accounts and now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
+        for rate in part.accounts.values():
+            accounts[rate.account] = _add_rate(accounts.get(rate.account), rate, -1)
+    return evolve(
+        whole,
+        routers=whole.routers - part.routers,
+        servers=[use for use in servers.values() if use.running or use.sent_last_s],
+        accounts=list(accounts.values()),
+    )
+
+
+def _use(name: str, total: _Total) -> ServerUse:
+    return ServerUse(
+        name, total.running, total.unread_tokens, total.context_tokens, total.sent_last_s
+    )
+
+
+def _add_rate(former: AccountUse | None, rate: AccountUse, sign: int) -> AccountUse:
+    asked_per_s = former.asked_per_s if former else 0.0
+    admitted_per_s = former.admitted_per_s if former else 0.0
+    return AccountUse(
+        rate.account,
+        max(0.0, asked_per_s + sign * rate.asked_per_s),
+        max(0.0, admitted_per_s + sign * rate.admitted_per_s),
+    )
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._rates import RateWindow
+from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.wire import ServerUse
 
 _SECOND_MS = 1_000.0
@@ -27,36 +28,6 @@
     ended: bool = False
 
 
-@frozen
-class ServerTotals:
-    """Load of one server, of all routers together."""
-
-    running: int = 0
-    unread_tokens: int = 0
-    context_tokens: int = 0
-    sent_last_s: int = 0
-
-    def plus(self, use: ServerUse | None) -> ServerTotals:
-        """Return the sum with other routers' use."""
-        if use is None:
-            return self
-        return ServerTotals(
-            self.running + use.running,
-            self.unread_tokens + use.unread_tokens,
-            self.context_tokens + use.context_tokens,
-            self.sent_last_s + use.sent_last_s,
-        )
-
-    def times(self, factor: int) -> ServerTotals:
-        """Return the load as if *factor* routers placed as much."""
-        return ServerTotals(
-            self.running * factor,
-            self.unread_tokens * factor,
-            self.context_tokens * factor,
-            self.sent_last_s * factor,
-        )
-
-
 @define
 class _OwnUse:
     running: int = 0
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -9,8 +9,9 @@
 
 from cicadaledge.placing._engine import EngineModel, EngineSettings
 from cicadaledge.placing._health import ServerHealth
-from cicadaledge.placing._load import LoadBook, Placement, ServerTotals
+from cicadaledge.placing._load import LoadBook, Placement
 from cicadaledge.placing._shares import AccountShares
+from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
 
 
--- /dev/null
+++ b/src/cicadaledge/placing/_totals.py
@@ -0,0 +1,38 @@
+"""Load of one backend server."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen
+class ServerTotals:
+    """Load of one server, of several routers together.
+
+    Args:
+        unread_tokens: Prompt tokens of requests without a first token.
+        context_tokens: Tokens that the running requests keep in memory.
+    """
+
+    running: int = 0
+    unread_tokens: int = 0
+    context_tokens: int = 0
+    sent_last_s: int = 0
+
+    def plus(self, other: ServerTotals) -> ServerTotals:
+        """Return the sum with other routers' load."""
+        return ServerTotals(
+            self.running + other.running,
+            self.unread_tokens + other.unread_tokens,
+            self.context_tokens + other.context_tokens,
+            self.sent_last_s + other.sent_last_s,
+        )
+
+    def times(self, factor: int) -> ServerTotals:
+        """Return the load as if *factor* routers placed as much."""
+        return ServerTotals(
+            self.running * factor,
+            self.unread_tokens * factor,
+            self.context_tokens * factor,
+            self.sent_last_s * factor,
+        )
