Let one router of a zone read the store for the others, and link to candidates only

Ruled out: longer poll periods alone (configurations must apply within 3 s). Now the relay of a zone reads and passes pages on; the others take them by offset, and read for themselves while the relay is silent for 1.6 s or a page is missing. Proofs of the configuration come on the receiver's own clock: the relay returns the newest stamp it had heard before the read. Links go to three candidates of a zone; views come less often beyond 38 routers.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -4,7 +4,9 @@
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
+from cicadaledge.edge._follow import FollowTimes, TopicFollower, TopicSink
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
+from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._settings import BoundSettings, EdgeSettings, TimingSettings
 from cicadaledge.edge._source import (
     Change,
@@ -14,9 +16,11 @@
     ForeignEntry,
     HistoryLostError,
     MemberRegistry,
+    MemberSeen,
     ServerChanged,
     ServerRemoved,
     StoreError,
+    StoreTopics,
     TableChanged,
     ZoneChanged,
 )
@@ -35,18 +39,24 @@
     "EdgeRouter",
     "EdgeSettings",
     "FleetMember",
+    "FollowTimes",
     "ForeignEntry",
     "Headers",
     "HistoryLostError",
     "HttpConnection",
     "MemberRegistry",
+    "MemberSeen",
     "RequestHead",
     "ServerChanged",
     "ServerRemoved",
     "StoreError",
+    "StoreTopics",
     "TableChanged",
     "TimingSettings",
+    "TopicFollower",
+    "TopicSink",
     "ZoneChanged",
+    "ZoneNews",
     "clock_ms",
     "run_edge_router",
 ]
--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -6,6 +6,7 @@
 from cicadaledge.edge._source import (
     Change,
     ForeignEntry,
+    MemberSeen,
     ServerChanged,
     ServerRemoved,
     TableChanged,
@@ -58,6 +59,8 @@
             case ForeignEntry(server, reason):
                 if self.directory.note_foreign(server):
                     _log.warning("Server entry is foreign.", server=server, reason=reason)
+            case MemberSeen():
+                pass
 
     def keep_only(self, servers: set[str], now_ms: float) -> None:
         """Remove the servers that a complete reading of the entries did not show."""
@@ -123,3 +126,61 @@
     def _remove_now(self, server: str, now_ms: float) -> None:
         if self.directory.remove(server, now_ms):
             _log.info("Server is gone.", server=server)
+
+
+class ControlSink:
+    """Takes what the operators write.
+
+    Args:
+        beliefs: What the router believes.
+    """
+
+    def __init__(self, beliefs: Beliefs) -> None:
+        self._beliefs = beliefs
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over one change."""
+        self._beliefs.apply(change, now_ms)
+
+    def complete(self, changes: list[Change], now_ms: float) -> None:
+        """Take back the zones that are no longer evacuated."""
+        zones = [one for one in changes if isinstance(one, ZoneChanged)]
+        self._beliefs.keep_evacuated({one.zone for one in zones if one.evacuated})
+
+    def note_read(self, proof_ms: float, now_ms: float) -> None:
+        """Note how fresh the configuration is."""
+        self._beliefs.note_proof(proof_ms)
+
+    def note_store_back(self, now_ms: float) -> None:
+        """Do nothing: the configuration does not lapse."""
+
+
+class ServerSink:
+    """Takes the heartbeats of backend servers.
+
+    Args:
+        beliefs: What the router believes.
+    """
+
+    def __init__(self, beliefs: Beliefs) -> None:
+        self._beliefs = beliefs
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over one change."""
+        self._beliefs.apply(change, now_ms)
+
+    def complete(self, changes: list[Change], now_ms: float) -> None:
+        """Remove the servers that have no entry."""
+        seen = {one.entry.server for one in changes if isinstance(one, ServerChanged)}
+        seen |= {one.server for one in changes if isinstance(one, ForeignEntry)}
+        self._beliefs.keep_only(seen, now_ms)
+
+    def note_read(self, proof_ms: float, now_ms: float) -> None:
+        """Carry out removals that were put off."""
+        self._beliefs.servers_known = True
+        self._beliefs.settle_removals(now_ms)
+        self._beliefs.directory.forget_old(now_ms)
+
+    def note_store_back(self, now_ms: float) -> None:
+        """Put removals off: entries may have lapsed meanwhile."""
+        self._beliefs.note_store_back(now_ms)
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -9,18 +9,18 @@
 from typing import Any
 
 from cicadaledge.codes import Code
-from cicadaledge.edge._beliefs import Beliefs
+from cicadaledge.edge._beliefs import Beliefs, ControlSink, ServerSink
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
-from cicadaledge.edge._follow import TopicFollower
+from cicadaledge.edge._follow import FollowTimes, TopicFollower
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._peers import PeerKeeper
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import ChangeSource, MemberRegistry
+from cicadaledge.edge._source import StoreTopics
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
 from cicadaledge.routing import Limits
@@ -74,19 +74,10 @@
     Args:
         settings: Settings of this process.
         dialect: Names of headers.
-        control: Topic of the configuration.
-        servers: Topic of the servers' heartbeats.
-        registry: Where router processes find each other.
+        topics: The store's topics.
     """
 
-    def __init__(
-        self,
-        settings: EdgeSettings,
-        dialect: Dialect,
-        control: ChangeSource,
-        servers: ChangeSource,
-        registry: MemberRegistry,
-    ) -> None:
+    def __init__(self, settings: EdgeSettings, dialect: Dialect, topics: StoreTopics) -> None:
         self._settings = settings
         self._beliefs = Beliefs(settings)
         self._metrics = EdgeMetrics()
@@ -116,9 +107,8 @@
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
-        self._peers = PeerKeeper(settings, registry, fleet, self._load, self._shares)
-        self._control = TopicFollower(control, self._beliefs, settings)
-        self._servers = TopicFollower(servers, self._beliefs, settings)
+        self._peers = PeerKeeper(settings, topics.registry, fleet, self._load, self._shares)
+        self._followers = self._follow(topics)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._connections: set[CallerConnection] = set()
@@ -158,14 +148,29 @@
 
     def _parts(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         return [
-            self._control.follow_control,
-            self._servers.follow_servers,
+            *[follower.follow for follower in self._followers],
             self._peers.keep_announced,
-            self._peers.keep_members,
             self._peers.keep_views,
             self._keep_up,
         ]
 
+    def _follow(self, topics: StoreTopics) -> list[TopicFollower]:
+        timing = self._settings.timing
+        news = self._peers.news
+        control = FollowTimes(timing.control_wait_ms, 0.0, timing.news_silence_ms)
+        servers = FollowTimes(0, timing.server_poll_ms, timing.news_silence_ms)
+        members = FollowTimes(
+            0,
+            timing.member_poll_ms,
+            timing.member_poll_ms + timing.news_silence_ms,
+            timing.first_member_pauses_ms,
+        )
+        return [
+            TopicFollower(topics.control, ControlSink(self._beliefs), control, news),
+            TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news),
+            TopicFollower(topics.members, self._peers, members, news),
+        ]
+
     async def _keep_running(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a part for ever; one that fails is logged and started again."""
         while True:
@@ -240,18 +245,12 @@
                 connection.channel.close()
 
 
-def run_edge_router(
-    settings: EdgeSettings,
-    dialect: Dialect,
-    control: ChangeSource,
-    servers: ChangeSource,
-    registry: MemberRegistry,
-) -> None:
+def run_edge_router(settings: EdgeSettings, dialect: Dialect, topics: StoreTopics) -> None:
     """Run a router until it is told to stop."""
 
     async def main() -> None:
         LineWriter(sys.stdout.fileno()).attach()
-        router = EdgeRouter(settings, dialect, control, servers, registry)
+        router = EdgeRouter(settings, dialect, topics)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, router.stop)
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -1,22 +1,23 @@
-"""Keeps the beliefs current from the topics of the store."""
+"""Keeps what a router believes current from the topics of the store."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
+
+from attrs import frozen
 
-from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._source import (
+    Change,
     ChangePage,
     ChangeSource,
-    ForeignEntry,
     HistoryLostError,
-    ServerChanged,
     StoreError,
-    ZoneChanged,
 )
 from cicadaledge.logs import PartLog
+from cicadaledge.wire import StoreNews
 
 _RETRY_S = 0.15  # a call that failed at once may be made again within the bounds of the rates
 _LONG_RETRY_S = 0.5  # after several failures the store is away
@@ -24,89 +25,156 @@
 _log = PartLog("store")
 
 
+@frozen
+class FollowTimes:
+    """When a topic is read.
+
+    Args:
+        wait_ms: How long the store keeps a read waiting for the next change.
+        pause_ms: Between reads.
+        silence_ms: Silence of the zone's relay after which this router reads for itself.
+        first_pauses_ms: Pauses after the first reads, in place of `pause_ms`.
+    """
+
+    wait_ms: int
+    pause_ms: float
+    silence_ms: float
+    first_pauses_ms: tuple[float, ...] = ()
+
+
+class TopicSink(Protocol):
+    """Takes what a topic tells."""
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over one change."""
+
+    def complete(self, changes: list[Change], now_ms: float) -> None:
+        """Drop what a complete reading, already applied, did not show."""
+
+    def note_read(self, proof_ms: float, now_ms: float) -> None:
+        """Note that nothing newer was in the store at *proof_ms*."""
+
+    def note_store_back(self, now_ms: float) -> None:
+        """Note that the store was away until now."""
+
+
 class TopicFollower:
-    """Reads one topic for ever: its newest records first, then what is added.
+    """Follows one topic for ever: its newest records first, then what is added.
 
     Args:
         source: The topic.
-        beliefs: Takes the changes.
+        sink: Takes the changes.
+        times: When the topic is read.
+        news: What the zone's relay reads.
     """
 
-    def __init__(self, source: ChangeSource, beliefs: Beliefs, settings: EdgeSettings) -> None:
+    def __init__(
+        self, source: ChangeSource, sink: TopicSink, times: FollowTimes, news: ZoneNews
+    ) -> None:
         self._source = source
-        self._beliefs = beliefs
-        self._settings = settings
+        self._sink = sink
+        self._times = times
+        self._news = news
         self._offset: int | None = None
         self._failures = 0
+        self._reads = 0
+        news.add(self)
 
-    async def follow_control(self) -> None:
-        """Follow the configuration: each read waits at the store for the next change."""
-        while True:
-            fresh = self._offset is None
-            page = await self._read(self._settings.timing.control_wait_ms)
-            if page is None:
-                continue
-            self._apply(page)
-            if fresh:
-                self._restore_missing(page)
-            self._beliefs.note_proof(page.proof_ms)
+    @property
+    def topic(self) -> str:
+        """Name of the topic."""
+        return self._source.name
 
-    async def follow_servers(self) -> None:
-        """Follow the heartbeats, read once in a period."""
+    @property
+    def silence_ms(self) -> float:
+        """Silence of the relay after which this router reads for itself."""
+        return self._times.silence_ms
+
+    async def follow(self) -> None:
+        """Read, or let the relay read, for ever."""
         while True:
-            fresh = self._offset is None
-            page = await self._read(0)
-            if page is None:
+            if self._offset is not None and self._news.feeds(self.topic):
+                await self._news.until_silent(self.topic)
                 continue
-            self._apply(page)
-            if fresh:
-                self._drop_missing(page)
-            self._beliefs.servers_known = True
-            self._beliefs.settle_removals(clock_ms())
-            self._beliefs.directory.forget_old(clock_ms())
-            await asyncio.sleep(self._settings.timing.server_poll_ms / 1000)
-
-    async def _read(self, wait_ms: int) -> ChangePage | None:
+            if await self._read_once():
+                await asyncio.sleep(self._pause_ms() / 1000)
+
+    def take_news(self, news: StoreNews, proof_ms: float) -> bool:
+        """Take over a page of the relay; return False if one before it is missing."""
+        if self._offset is None:
+            return True
+        if news.first_offset <= self._offset < news.next_offset:
+            if news.first_offset != self._offset:
+                return False
+            page = self._source.decode(news.records, news.first_offset, proof_ms)
+            if page.next_offset != news.next_offset:
+                return False
+            self._note_success(after_outage=news.after_outage)
+            self._take(page)
+            return True
+        if news.next_offset < self._offset:
+            return True
+        if news.first_offset > self._offset:
+            return False
+        self._note_success(after_outage=news.after_outage)
+        self._sink.note_read(proof_ms, clock_ms())
+        return True
+
+    async def _read_once(self) -> bool:
+        """Read a page and pass it on; return False after a failure and a pause."""
+        offset = self._offset
+        page = await self._read(offset)
+        if page is None:
+            return False
+        self._reads += 1
+        after_outage = self._failures >= _FAILURES_TO_SLOW
+        self._note_success(after_outage=False)
+        if offset is None:
+            self._take(page)
+            self._sink.complete(page.changes, clock_ms())
+            return True
+        self._news.pass_on(self.topic, page, after_outage=after_outage)
+        if offset == self._offset:
+            self._take(page)
+        elif page.next_offset == self._offset:
+            self._sink.note_read(page.proof_ms, clock_ms())
+        return True
+
+    async def _read(self, offset: int | None) -> ChangePage | None:
         """Return the next page, or None after a failure and a pause."""
         try:
-            if self._offset is None:
-                page = await self._source.newest()
-            else:
-                page = await self._source.since(self._offset, wait_ms)
+            if offset is None:
+                return await self._source.newest()
+            return await self._source.since(offset, self._times.wait_ms)
         except HistoryLostError as error:
-            _log.warning(
-                "History is gone; reading anew.", topic=self._source.name, error=str(error)
-            )
-            self._offset = None
-            return None
+            _log.warning("History is gone; reading anew.", topic=self.topic, error=str(error))
+            if offset == self._offset:
+                self._offset = None
         except (StoreError, ValueError) as error:
             await self._note_failure(error)
-            return None
-        if self._failures:
-            _log.info("Store is back.", topic=self._source.name, failures=self._failures)
-            if self._failures >= _FAILURES_TO_SLOW:
-                self._beliefs.note_store_back(clock_ms())
-            self._failures = 0
+        return None
+
+    def _take(self, page: ChangePage) -> None:
+        now_ms = clock_ms()
+        for change in page.changes:
+            self._sink.apply(change, now_ms)
         self._offset = page.next_offset
-        return page
+        self._sink.note_read(page.proof_ms, now_ms)
+
+    def _note_success(self, *, after_outage: bool) -> None:
+        if self._failures:
+            _log.info("Store is back.", topic=self.topic, failures=self._failures)
+        if after_outage or self._failures >= _FAILURES_TO_SLOW:
+            self._sink.note_store_back(clock_ms())
+        self._failures = 0
 
     async def _note_failure(self, error: Exception) -> None:
         self._failures += 1
         if self._failures in (1, _FAILURES_TO_SLOW):
-            _log.warning("Store is away.", topic=self._source.name, error=str(error))
+            _log.warning("Store is away.", topic=self.topic, error=str(error))
         slow = self._failures >= _FAILURES_TO_SLOW
         await asyncio.sleep(_LONG_RETRY_S if slow else _RETRY_S)
 
-    def _apply(self, page: ChangePage) -> None:
-        now_ms = clock_ms()
-        for change in page.changes:
-            self._beliefs.apply(change, now_ms)
-
-    def _restore_missing(self, page: ChangePage) -> None:
-        changes = [one for one in page.changes if isinstance(one, ZoneChanged)]
-        self._beliefs.keep_evacuated({one.zone for one in changes if one.evacuated})
-
-    def _drop_missing(self, page: ChangePage) -> None:
-        seen = {one.entry.server for one in page.changes if isinstance(one, ServerChanged)}
-        seen |= {one.server for one in page.changes if isinstance(one, ForeignEntry)}
-        self._beliefs.keep_only(seen, clock_ms())
+    def _pause_ms(self) -> float:
+        first = self._times.first_pauses_ms
+        return first[self._reads - 1] if self._reads <= len(first) else self._times.pause_ms
--- /dev/null
+++ b/src/cicadaledge/edge/_news.py
@@ -0,0 +1,127 @@
+"""What one router of a zone reads from the store, passed on to the others.
+
+The zone's relay reads; the others follow its news and read for themselves only while the relay
+is silent or a page is missing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._source import ChangePage
+from cicadaledge.logs import PartLog
+from cicadaledge.wire import StoreNews
+
+_STAMPS = 64  # stamps kept of a peer: more than come within a read that waits at the store
+_NO_STAMP = -1
+_log = PartLog("news")
+
+
+class NewsReader(Protocol):
+    """Follows one topic of the store."""
+
+    @property
+    def topic(self) -> str:
+        """Name of the topic."""
+
+    @property
+    def silence_ms(self) -> float:
+        """Silence of the relay after which this router reads for itself."""
+
+    def take_news(self, news: StoreNews, proof_ms: float) -> bool:
+        """Take over a page; return False if one before it is missing.
+
+        Args:
+            proof_ms: When the page was the newest, on this router's clock.
+        """
+
+
+class ZoneNews:
+    """The news of one zone, for its relay and for the routers that follow it.
+
+    Args:
+        send: Sends a message to a linked peer.
+    """
+
+    def __init__(self, send: Callable[[str, StoreNews], bool]) -> None:
+        self._send = send
+        self._is_relay = True
+        self._receivers: list[str] = []
+        self._readers: dict[str, NewsReader] = {}
+        self._fed_until_ms: dict[str, float] = {}
+        self._wakers: dict[str, asyncio.Event] = {}
+        self._stamps: dict[str, deque[tuple[float, int]]] = {}
+
+    def add(self, reader: NewsReader) -> None:
+        """Let a reader follow the relay."""
+        self._readers[reader.topic] = reader
+        self._wakers[reader.topic] = asyncio.Event()
+
+    def set_role(self, receivers: list[str], *, is_relay: bool) -> None:
+        """Note whether this router relays for its zone, and to whom."""
+        self._receivers = receivers if is_relay else []
+        if is_relay and not self._is_relay:
+            for waker in self._wakers.values():
+                waker.set()
+        self._is_relay = is_relay
+
+    def note_stamp(self, peer: str, heard_ms: float, sent_ms: int) -> None:
+        """Keep when a peer's clock was heard; it is returned to prove how old news are."""
+        stamps = self._stamps.setdefault(peer, deque(maxlen=_STAMPS))
+        stamps.append((heard_ms, sent_ms))
+
+    def forget(self, peer: str) -> None:
+        """Drop what is known of a peer."""
+        self._stamps.pop(peer, None)
+
+    def pass_on(self, topic: str, page: ChangePage, *, after_outage: bool) -> None:
+        """Send a page that was read to the routers of the zone, if this one is their relay."""
+        for peer in self._receivers:
+            news = StoreNews(
+                topic,
+                page.first_offset,
+                page.next_offset,
+                page.records,
+                self._stamp_before(peer, page.proof_ms),
+                after_outage,
+            )
+            self._send(peer, news)
+
+    def take(self, news: StoreNews) -> None:
+        """Hand news to their reader."""
+        reader = self._readers.get(news.topic)
+        if reader is None:
+            return
+        proof_ms = float(news.echo_ms) if news.echo_ms != _NO_STAMP else float("-inf")
+        if reader.take_news(news, proof_ms):
+            self._fed_until_ms[news.topic] = clock_ms() + reader.silence_ms
+            return
+        _log.info("Relayed page does not fit; reading.", topic=news.topic, offset=news.first_offset)
+        self._fed_until_ms[news.topic] = 0.0
+        self._wakers[news.topic].set()
+
+    def feeds(self, topic: str) -> bool:
+        """Return whether the relay's news of a topic are fresh."""
+        return not self._is_relay and clock_ms() < self._fed_until_ms.get(topic, 0.0)
+
+    async def until_silent(self, topic: str) -> None:
+        """Wait while the relay's news may still be fresh."""
+        waker = self._wakers[topic]
+        waker.clear()
+        left_ms = self._fed_until_ms.get(topic, 0.0) - clock_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / 1000):
+                await waker.wait()
+        except TimeoutError:
+            return
+
+    def _stamp_before(self, peer: str, proof_ms: float) -> int:
+        """Return the newest stamp of a peer that was heard before a time."""
+        for heard_ms, sent_ms in reversed(self._stamps.get(peer, ())):
+            if heard_ms <= proof_ms:
+                return sent_ms
+        return _NO_STAMP
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -8,18 +8,28 @@
 from attrs import define, evolve
 
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import FleetMember, MemberRegistry, StoreError
+from cicadaledge.edge._source import (
+    Change,
+    FleetMember,
+    ForeignEntry,
+    MemberRegistry,
+    MemberSeen,
+    StoreError,
+)
 from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook
-from cicadaledge.wire import LoadView, PeerLinks, ViewScope
+from cicadaledge.wire import LoadView, PeerLinks, StoreNews, ViewScope
 
 _FLEET_KEY = "cicadaledge-edge"
-_RETRY_S = 0.3  # the store may just be starting, too
-_EAGER_READS = 8  # readings of the member list in quick succession after the start
+_RETRY_S = 1.0  # entries matter to routers that start; the store may be away for long
 _ACCOUNTS_EVERY = 10  # views with account rates: rates change within seconds, loads at once
-_FAR_LINKS = 3  # routers of another zone that are dialed; the relay is among them
+_CANDIDATES = 3  # routers of a zone that may become its relay; two may fail at once
+_DIAL_BACK_MS = 1_000.0  # a dial and its handshake across regions take a tenth of it
+_ABSENT_MS = 2_000.0  # a process that was restarted is linked again before
+_FULL_RATE_ROUTERS = 38  # larger fleets send views less often, so that a relay's work is bounded
 _log = PartLog("peers")
 
 
@@ -30,11 +40,15 @@
 
 
 class PeerKeeper:
-    """Keeps links to the routers of the own zone and to the first ones of the others.
+    """Keeps links to the routers that this one shares its load with; a sink of the members.
 
     Args:
         registry: Where processes find each other.
         fleet: Takes the views of the others.
+
+    Attributes:
+        links: Links to the peers.
+        news: What the zone's relay reads from the store.
     """
 
     def __init__(
@@ -55,6 +69,8 @@
         self._heard_ms: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._relays: dict[str, str] = {}
+        self._ranked: dict[str, list[str]] = {}
+        self._missing_ms: dict[str, float] = {}
         self._self = FleetMember(
             settings.router,
             settings.peers.host,
@@ -62,6 +78,7 @@
             settings.zone,
             time.time_ns() // 1_000_000,
         )
+        self._rank_zones()
         self.links = PeerLinks(
             settings.router,
             self._self.started_ms,
@@ -70,6 +87,7 @@
             self._on_up,
             self._on_down,
         )
+        self.news = ZoneNews(self.links.send)
 
     async def listen(self) -> None:
         """Accept links."""
@@ -87,77 +105,104 @@
             self._self = evolve(self._self, announced=self._self.announced + 1)
             await asyncio.sleep(self._settings.timing.announce_ms / 1000)
 
-    async def keep_members(self) -> None:
-        """Read who else is there and dial them, for ever."""
-        reads = 0
-        while True:
-            try:
-                self._note_members(await self._registry.members())
-            except (StoreError, ValueError, KeyError, TypeError) as error:
-                _log.info("Members could not be read.", error=str(error))
-                await asyncio.sleep(_RETRY_S)
-                continue
-            reads += 1
-            eager = reads < _EAGER_READS
-            await asyncio.sleep(_RETRY_S if eager else self._settings.timing.member_poll_ms / 1000)
-
     async def keep_views(self) -> None:
         """Send load views, for ever."""
         turn = 0
         timing = self._settings.timing
-        idle_every = max(1, timing.idle_view_ms // timing.view_ms)
+        idle_ms = clock_ms()
         while True:
             turn += 1
             self._choose_relays()
-            self._send_views(with_accounts=turn % _ACCOUNTS_EVERY == 0)
-            if turn % idle_every == 0:
-                self._send_idle_views()
+            served = self._send_views(with_accounts=turn % _ACCOUNTS_EVERY == 0)
+            now_ms = clock_ms()
+            if now_ms - idle_ms >= timing.idle_view_ms:
+                idle_ms = now_ms
+                self._send_idle_views(served)
                 self._drop_silent()
-                self._dial()
-            await asyncio.sleep(timing.view_ms / 1000)
+                self._dial(now_ms)
+            await asyncio.sleep(self._turn_ms() / 1000)
 
-    def _note_members(self, members: list[FleetMember]) -> None:
-        now_ms = clock_ms()
-        for member in members:
-            known = self._known.get(member.router)
-            if known is None or known.member != member:
-                self._known[member.router] = _Known(member, now_ms)
+    def _turn_ms(self) -> float:
+        """Return the time between views."""
+        routers = self._fleet.routers(clock_ms())
+        return self._settings.timing.view_ms * max(1.0, routers / _FULL_RATE_ROUTERS)
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over an entry of the list of routers."""
+        if isinstance(change, ForeignEntry):
+            _log.warning("Router entry is foreign.", router=change.server, reason=change.reason)
+        if not isinstance(change, MemberSeen):
+            return
+        member = change.member
+        known = self._known.get(member.router)
+        if known is None or known.member != member:
+            self._known[member.router] = _Known(member, now_ms)
+
+    def complete(self, changes: list[Change], now_ms: float) -> None:
+        """Do nothing: entries are never removed, they grow old."""
+
+    def note_read(self, proof_ms: float, now_ms: float) -> None:
+        """Drop routers that are gone, and dial the others."""
         life_ms = self._settings.timing.member_life_ms
         for name, known in list(self._known.items()):
             if now_ms - known.changed_ms > life_ms and name not in self._heard_ms:
                 del self._known[name]
-        self._dial()
-
-    def _dial(self) -> None:
-        """Dial the wanted members that are not linked; links that are up stay."""
-        linked = set(self.links.peers())
-        wanted = {
-            (one.host, one.peer_port) for one in self._wanted_members() if one.router not in linked
-        }
+        self._rank_zones()
+        self._dial(now_ms)
+
+    def note_store_back(self, now_ms: float) -> None:
+        """Do nothing: entries do not lapse."""
+
+    def _rank_zones(self) -> None:
+        zones: dict[str, set[str]] = {zone: set() for zone in self._settings.regions_by_zone}
+        for name, known in self._known.items():
+            zones.setdefault(known.member.zone, set()).add(name)
+        zones[self._settings.zone].add(self._settings.router)
+        self._ranked = {zone: rank(f"relay/{zone}", names) for zone, names in zones.items()}
+
+    def _dial(self, now_ms: float) -> None:
+        """Dial the wanted members that are not linked; links that are up stay.
+
+        Of two that want each other the lesser name dials, and the other one only if no link
+        comes about: it may not be wanted by the other side.
+        """
+        missing = self._wanted() - set(self.links.peers())
+        self._missing_ms = {name: self._missing_ms.get(name, now_ms) for name in missing}
+        wanted = set()
+        for name, since_ms in self._missing_ms.items():
+            if name > self._settings.router or now_ms - since_ms > _DIAL_BACK_MS:
+                member = self._known[name].member
+                wanted.add((member.host, member.peer_port))
         for address in wanted - self.links.dialed():
             self.links.dial(*address)
         for address in self.links.dialed() - wanted:
             self.links.undial(*address)
 
-    def _wanted_members(self) -> list[FleetMember]:
-        """Return whom this router dials: of two that want each other, the lesser name dials."""
+    def _wanted(self) -> set[str]:
+        """Return whom this router keeps links to.
+
+        All routers of a zone are linked to its candidates, and candidates of all zones to each
+        other.
+        """
         own = self._settings
-        is_far_linked = own.router in self._ranked(own.zone)[:_FAR_LINKS]
-        names: list[str] = []
-        for zone in own.regions_by_zone:
-            ranked = self._ranked(zone)
-            if zone == own.zone:
-                names += [name for name in ranked if name > own.router]
-            else:
-                far = ranked[:_FAR_LINKS]
-                names += [name for name in far if name > own.router or not is_far_linked]
-        return [self._known[name].member for name in names]
-
-    def _ranked(self, zone: str) -> list[str]:
-        names = {name for name, known in self._known.items() if known.member.zone == zone}
-        if zone == self._settings.zone:
-            names.add(self._settings.router)
-        return rank(f"relay/{zone}", names)
+        wanted = set(self._candidates(own.zone))
+        if own.router in wanted:
+            wanted |= set(self._ranked[own.zone])
+            for zone in self._ranked:
+                wanted |= set(self._candidates(zone))
+        return wanted & self._known.keys() - {own.router}
+
+    def _candidates(self, zone: str) -> list[str]:
+        """Return the routers of a zone that may become its relay; absent ones come on top."""
+        present = 0
+        found = []
+        now_ms = clock_ms()
+        for name in self._ranked.get(zone, ()):
+            found.append(name)
+            present += now_ms - self._missing_ms.get(name, now_ms) <= _ABSENT_MS
+            if present >= _CANDIDATES:
+                break
+        return found
 
     def _choose_relays(self) -> None:
         """Name the first router of each zone that is heard and not leaving."""
@@ -165,7 +210,7 @@
         own = self._settings
         relays = {}
         for zone in own.regions_by_zone:
-            for name in self._ranked(zone):
+            for name in self._ranked.get(zone, ()):
                 if name == own.router or self._is_heard(name, now_ms):
                     relays[zone] = name
                     break
@@ -173,30 +218,32 @@
         if relays != self._relays:
             _log.info("Relays have changed.", relays=relays)
             self._relays = relays
-        self._fleet.set_roles(
-            relays[own.zone],
-            is_relay=relays[own.zone] == own.router,
-            members=len(self._known.keys() | {own.router}),
-        )
+        is_relay = relays[own.zone] == own.router
+        members = len(self._known.keys() | {own.router})
+        self._fleet.set_roles(relays[own.zone], is_relay=is_relay, members=members)
+        self.news.set_role(self._zone_peers(), is_relay=is_relay)
 
     def _is_heard(self, name: str, now_ms: float) -> bool:
         limit_ms = self._settings.timing.relay_silence_ms
         heard_ms = self._heard_ms.get(name)
         return heard_ms is not None and now_ms - heard_ms < limit_ms and name not in self._leaving
 
-    def _send_views(self, *, with_accounts: bool) -> None:
+    def _send_views(self, *, with_accounts: bool) -> set[str]:
+        """Send the load to whom it concerns, and return them."""
         now_ms = clock_ms()
         own = self._own_view(now_ms, with_accounts=with_accounts)
         relay = self._relays[self._settings.zone]
         if relay != self._settings.router:
             self.links.send(relay, own)
-            return
+            return {relay}
         zone_view = self._fleet.zone_view(own, now_ms)
         for zone, name in self._relays.items():
             if zone != self._settings.zone:
                 self.links.send(name, zone_view)
-        for peer, view in self._fleet.rest_views(own, self._zone_peers(), now_ms):
+        peers = self._zone_peers()
+        for peer, view in self._fleet.rest_views(own, peers, now_ms):
             self.links.send(peer, view)
+        return {*peers, *self._relays.values()}
 
     def _zone_peers(self) -> list[str]:
         zone = self._settings.zone
@@ -216,11 +263,12 @@
             accounts=self._shares.own_uses(now_ms) if with_accounts else [],
         )
 
-    def _send_idle_views(self) -> None:
+    def _send_idle_views(self, served: set[str]) -> None:
         """Show peers that get no load that this router lives."""
         view = LoadView(int(clock_ms()), int(ViewScope.NOBODY), 0, self.leaving, [], [])
         for peer in self.links.peers():
-            self.links.send(peer, view)
+            if peer not in served:
+                self.links.send(peer, view)
 
     def _drop_silent(self) -> None:
         now_ms = clock_ms()
@@ -232,8 +280,11 @@
     def _on_message(self, peer: str, message: object) -> None:
         now_ms = clock_ms()
         self._heard_ms[peer] = now_ms
+        if isinstance(message, StoreNews):
+            self.news.take(message)
         if not isinstance(message, LoadView):
             return
+        self.news.note_stamp(peer, now_ms, message.sent_ms)
         if message.leaving:
             self._leaving.add(peer)
         else:
@@ -248,4 +299,5 @@
     def _on_down(self, peer: str) -> None:
         self._heard_ms.pop(peer, None)
         self._fleet.forget(peer)
+        self.news.forget(peer)
         _log.info("Peer is not linked.", peer=peer)
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -41,6 +41,10 @@
             that fits into the time in which a configuration must apply.
         server_poll_ms: Between reads of the servers' heartbeats.
         member_poll_ms: Between reads of the list of routers.
+        first_member_pauses_ms: Pauses after the first of these reads: routers that start
+            together announce themselves within a second.
+        news_silence_ms: Silence of the zone's relay after which a router reads the store
+            itself; a little over the longest pause between two pages of the relay.
         view_ms: Between load views to peers; half of a request's way across regions.
         idle_view_ms: Between signs of life on links that carry no load.
         peer_silence_ms: Silence after which a link is set up again; three signs of life.
@@ -59,12 +63,14 @@
     control_wait_ms: int = field(default=1_200, validator=ge(0))
     server_poll_ms: int = field(default=800, validator=gt(0))
     member_poll_ms: int = field(default=4_000, validator=gt(0))
+    first_member_pauses_ms: tuple[float, ...] = (500.0, 1_500.0)
+    news_silence_ms: float = field(default=1_600.0, validator=gt(0))
     view_ms: int = field(default=50, validator=gt(0))
     idle_view_ms: int = field(default=500, validator=gt(0))
     peer_silence_ms: int = field(default=1_500, validator=gt(0))
     relay_silence_ms: int = field(default=1_000, validator=gt(0))
-    announce_ms: int = field(default=10_000, validator=gt(0))
-    member_life_ms: int = field(default=35_000, validator=gt(0))
+    announce_ms: int = field(default=30_000, validator=gt(0))
+    member_life_ms: int = field(default=100_000, validator=gt(0))
     connect_ms: float = field(default=500.0, validator=gt(0))
     revoke_margin_ms: float = field(default=500.0, validator=ge(0))
     stop_accept_ms: float = field(default=2_600.0, validator=ge(0))
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -55,7 +55,31 @@
     reason: str
 
 
-Change = TableChanged | ZoneChanged | ServerChanged | ServerRemoved | ForeignEntry
+@frozen
+class FleetMember:
+    """A router process of the fleet.
+
+    Args:
+        zone: Its availability zone.
+        announced: Grows each time the process announces itself.
+    """
+
+    router: str
+    host: str
+    peer_port: int
+    zone: str
+    started_ms: int
+    announced: int = field(default=0)
+
+
+@frozen
+class MemberSeen:
+    """A router process announced itself."""
+
+    member: FleetMember
+
+
+Change = TableChanged | ZoneChanged | ServerChanged | ServerRemoved | ForeignEntry | MemberSeen
 
 
 @frozen
@@ -63,20 +87,26 @@
     """Changes in the order of their offsets.
 
     Args:
+        first_offset: Offset of the first change; of no meaning in a complete reading.
         next_offset: Where to read on.
         proof_ms: Time at which the store had nothing newer than `next_offset`, on the clock
             that counts suspension.
+        records: The changes as the store sent them; empty in a complete reading.
     """
 
     changes: list[Change]
+    first_offset: int
     next_offset: int
     proof_ms: float
+    records: bytes = b""
 
 
 class ChangeSource(Protocol):
-    """A topic of the store that others write."""
+    """A topic of the store."""
 
-    name: str
+    @property
+    def name(self) -> str:
+        """What the product calls it."""
 
     async def newest(self) -> ChangePage:
         """Return the newest change of each subject.
@@ -93,26 +123,16 @@
             StoreError: The store did not answer.
         """
 
+    def decode(self, records: bytes, first_offset: int, proof_ms: float) -> ChangePage:
+        """Return the page whose records another router has read.
 
-@frozen
-class FleetMember:
-    """A router process of the fleet.
-
-    Args:
-        zone: Its availability zone.
-        announced: Grows each time the process announces itself.
-    """
-
-    router: str
-    host: str
-    peer_port: int
-    zone: str
-    started_ms: int
-    announced: int = field(default=0)
+        Raises:
+            ValueError: They are malformed.
+        """
 
 
 class MemberRegistry(Protocol):
-    """Where router processes find each other."""
+    """Where router processes announce themselves."""
 
     async def announce(self, member: FleetMember) -> None:
         """Write this process's entry.
@@ -121,9 +141,19 @@
             StoreError: The store did not answer; the entry may be written.
         """
 
-    async def members(self) -> list[FleetMember]:
-        """Return all entries, old ones too.
 
-        Raises:
-            StoreError: The store did not answer.
-        """
+@frozen
+class StoreTopics:
+    """The topics of the store that a router uses.
+
+    Args:
+        control: What the operators write.
+        servers: Heartbeats of backend servers.
+        members: Router processes.
+        registry: Where this process announces itself.
+    """
+
+    control: ChangeSource
+    servers: ChangeSource
+    members: ChangeSource
+    registry: MemberRegistry
--- a/src/cicadaledge/platform/_main.py
+++ b/src/cicadaledge/platform/_main.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cicadaledge.edge import run_edge_router
+from cicadaledge.edge import StoreTopics, run_edge_router
 from cicadaledge.platform._dialect import PlatformDialect
 from cicadaledge.platform._node import load_edge_settings
 from cicadaledge.platform._store import ControlTopic, MemberTopic, ServerTopic, StoreClient
@@ -12,6 +12,6 @@
     """Run a router with the settings that the platform wrote."""
     settings = load_edge_settings()
     client = StoreClient(settings.store.host, settings.store.port)
-    run_edge_router(
-        settings, PlatformDialect(), ControlTopic(client), ServerTopic(client), MemberTopic(client)
-    )
+    members = MemberTopic(client)
+    topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, registry=members)
+    run_edge_router(settings, PlatformDialect(), topics)
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -5,10 +5,10 @@
 import asyncio
 import base64
 import json
-from typing import Any
+from typing import Any, ClassVar
 from urllib.parse import urlencode
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from cicadaledge.edge import (
     Change,
@@ -17,6 +17,7 @@
     ForeignEntry,
     HistoryLostError,
     HttpConnection,
+    MemberSeen,
     ServerChanged,
     ServerRemoved,
     StoreError,
@@ -34,9 +35,6 @@
 _IDLE_MS = 10_000.0  # the store closes idle connections after a longer time
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
-_OPERATOR_TOPIC = "keyed.op"
-_SERVER_TOPIC = "keyed.servers"
-_MEMBER_TOPIC = "keyed.routers"
 _TABLE_KEY = "config"
 _EVACUATION_PREFIX = "evacuate/"
 _PATH = "/cicadaledge/"
@@ -53,8 +51,10 @@
 @frozen
 class _Page:
     records: list[_KeyedRecord]
+    first_offset: int
     next_offset: int
     proof_ms: float
+    data: bytes = b""
 
 
 class StoreClient:
@@ -83,11 +83,11 @@
         sent_ms = clock_ms()
         data = await self._call("GET", "log-read", query, b"", wait_ms)
         end = int.from_bytes(data[:_OFFSET_BYTES], "big")
-        records = _decode_records(data[2 * _OFFSET_BYTES :])
-        waited_out = not records and clock_ms() - sent_ms >= wait_ms
-        proof_ms = sent_ms + wait_ms if waited_out else sent_ms
-        next_offset = offset + len(records)
-        return _Page(records, next_offset, proof_ms if next_offset >= end else float("-inf"))
+        page = _read_page(data[2 * _OFFSET_BYTES :], offset, sent_ms)
+        if page.next_offset < end:
+            return evolve(page, proof_ms=float("-inf"))
+        waited_out = not page.records and clock_ms() - sent_ms >= wait_ms
+        return evolve(page, proof_ms=sent_ms + wait_ms) if waited_out else page
 
     async def newest(self, topic: str) -> _Page:
         """Return the newest record of each key of a topic.
@@ -108,7 +108,7 @@
             for item in page["items"]:
                 records.append(_KeyedRecord(item["key"], base64.b64decode(item["value"])))
             if not page.get("hasMore") or not page["items"]:
-                return _Page(records, int(end), sent_ms)
+                return _Page(records, 0, int(end), sent_ms)
             query["after"] = page["items"][-1]["key"]
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
@@ -161,59 +161,76 @@
         return await HttpConnection.open(self._host, self._port, "the store", _CONNECT_TIMEOUT_MS)
 
 
-class ControlTopic:
-    """What the operator writes: the configuration and evacuated zones."""
+class _KeyedTopic:
+    """A keyed topic, with its records in the product's terms.
 
-    name = "control"
+    Attributes:
+        name: What the product calls it.
+        topic: What the store calls it.
+    """
+
+    name: ClassVar[str]
+    topic: ClassVar[str]
 
     def __init__(self, client: StoreClient) -> None:
         self._client = client
 
     async def newest(self) -> ChangePage:
-        """Return the configuration and the evacuated zones."""
-        return self._decode(await self._client.newest(_OPERATOR_TOPIC))
+        """Return the newest change of each subject."""
+        return self._page(await self._client.newest(self.topic))
 
     async def since(self, offset: int, wait_ms: int) -> ChangePage:
-        """Return what the operator wrote from an offset on."""
-        return self._decode(await self._client.read(_OPERATOR_TOPIC, offset, wait_ms))
+        """Return changes from an offset on."""
+        return self._page(await self._client.read(self.topic, offset, wait_ms))
 
-    def _decode(self, page: _Page) -> ChangePage:
-        changes: list[Change] = []
-        for record in page.records:
-            if record.key == _TABLE_KEY and record.value:
-                changes.append(TableChanged(decode_table(record.value)))
-            elif record.key.startswith(_EVACUATION_PREFIX):
-                zone = record.key.removeprefix(_EVACUATION_PREFIX)
-                changes.append(ZoneChanged(zone, bool(record.value)))
-        return ChangePage(changes, page.next_offset, page.proof_ms)
+    def decode(self, records: bytes, first_offset: int, proof_ms: float) -> ChangePage:
+        """Return the page whose records another router has read."""
+        return self._page(_read_page(records, first_offset, proof_ms))
 
+    def _page(self, page: _Page) -> ChangePage:
+        found = [self._change(record) for record in page.records]
+        changes = [change for change in found if change is not None]
+        return ChangePage(changes, page.first_offset, page.next_offset, page.proof_ms, page.data)
 
-class ServerTopic:
-    """Heartbeats of backend servers."""
+    def _change(self, record: _KeyedRecord) -> Change | None:
+        raise NotImplementedError
 
-    name = "servers"
 
-    def __init__(self, client: StoreClient) -> None:
-        self._client = client
+class ControlTopic(_KeyedTopic):
+    """What the operator writes: the configuration and evacuated zones."""
 
-    async def newest(self) -> ChangePage:
-        """Return the newest heartbeat of each server."""
-        return self._decode(await self._client.newest(_SERVER_TOPIC))
+    name = "control"
+    topic = "keyed.op"
 
-    async def since(self, offset: int, wait_ms: int) -> ChangePage:
-        """Return heartbeats from an offset on."""
-        return self._decode(await self._client.read(_SERVER_TOPIC, offset, wait_ms))
+    def _change(self, record: _KeyedRecord) -> Change | None:
+        if record.key == _TABLE_KEY and record.value:
+            return TableChanged(decode_table(record.value))
+        if record.key.startswith(_EVACUATION_PREFIX):
+            zone = record.key.removeprefix(_EVACUATION_PREFIX)
+            return ZoneChanged(zone, bool(record.value))
+        return None
+
+
+class ServerTopic(_KeyedTopic):
+    """Heartbeats of backend servers."""
 
-    def _decode(self, page: _Page) -> ChangePage:
-        changes = [_server_change(record.key, record.value) for record in page.records]
-        return ChangePage(changes, page.next_offset, page.proof_ms)
+    name = "servers"
+    topic = "keyed.servers"
 
+    def _change(self, record: _KeyedRecord) -> Change | None:
+        if not record.value:
+            return ServerRemoved(record.key)
+        try:
+            return ServerChanged(decode_server(record.key, record.value))
+        except ValueError as error:
+            return ForeignEntry(record.key, str(error))
 
-class MemberTopic:
+
+class MemberTopic(_KeyedTopic):
     """Router processes, each under its name."""
 
-    def __init__(self, client: StoreClient) -> None:
-        self._client = client
+    name = "members"
+    topic = "keyed.routers"
 
     async def announce(self, member: FleetMember) -> None:
         """Write a process's entry."""
@@ -224,33 +241,27 @@
             "started": member.started_ms,
             "announced": member.announced,
         }
-        await self._client.append(_MEMBER_TOPIC, member.router, json.dumps(plain).encode())
-
-    async def members(self) -> list[FleetMember]:
-        """Return all entries."""
-        page = await self._client.newest(_MEMBER_TOPIC)
-        return [_member(record) for record in page.records]
-
-
-def _member(record: _KeyedRecord) -> FleetMember:
-    plain = json.loads(record.value)
-    return FleetMember(
-        router=record.key,
-        host=plain["host"],
-        peer_port=plain["port"],
-        zone=plain["zone"],
-        started_ms=plain["started"],
-        announced=plain["announced"],
-    )
-
-
-def _server_change(server: str, value: bytes) -> Change:
-    if not value:
-        return ServerRemoved(server)
-    try:
-        return ServerChanged(decode_server(server, value))
-    except ValueError as error:
-        return ForeignEntry(server, str(error))
+        await self._client.append(self.topic, member.router, json.dumps(plain).encode())
+
+    def _change(self, record: _KeyedRecord) -> Change | None:
+        try:
+            plain = json.loads(record.value)
+            member = FleetMember(
+                router=record.key,
+                host=plain["host"],
+                peer_port=plain["port"],
+                zone=plain["zone"],
+                started_ms=plain["started"],
+                announced=plain["announced"],
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            return ForeignEntry(record.key, repr(error))
+        return MemberSeen(member)
+
+
+def _read_page(data: bytes, first_offset: int, proof_ms: float) -> _Page:
+    records = _decode_records(data)
+    return _Page(records, first_offset, first_offset + len(records), proof_ms, data)
 
 
 def _decode_records(data: bytes) -> list[_KeyedRecord]:
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -130,6 +130,7 @@
     _messages.Poisoned,
     _messages.Witness,
     _messages.LoadView,
+    _messages.StoreNews,
 )
 
 for _kind in _PARTS + _FRAMES:
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -368,3 +368,24 @@
     leaving: bool
     servers: list[ServerUse]
     accounts: list[AccountUse]
+
+
+@frozen
+class StoreNews:
+    """A page of a topic that the sender has read from the store.
+
+    Args:
+        first_offset: Offset of the first record.
+        next_offset: Offset behind the last record.
+        records: As the store sent them.
+        echo_ms: Newest `sent_ms` of the receiver's views that was heard before the page was
+            current in the store; -1 if none was.
+        after_outage: Whether the sender could not read the store for a while before.
+    """
+
+    topic: str
+    first_offset: int
+    next_offset: int
+    records: bytes
+    echo_ms: int
+    after_outage: bool
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -220,6 +220,15 @@
   accounts @5 :List(AccountUse);
 }
 
+struct StoreNews {
+  topic @0 :Text;
+  firstOffset @1 :Int64;
+  nextOffset @2 :Int64;
+  records @3 :Data;          # as the store sent them
+  echoMs @4 :Int64;          # receiver's clock, heard before the read; -1 if never
+  afterOutage @5 :Bool;
+}
+
 struct Frame {
   names @20 :List(Text);
   union {
@@ -244,5 +253,6 @@
     witness @18 :Witness;
     adopt @19 :Adopt;
     loadView @21 :LoadView;
+    storeNews @22 :StoreNews;
   }
 }
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -18,6 +18,8 @@
     EdgeRouter,
     EdgeSettings,
     HttpConnection,
+    StoreError,
+    StoreTopics,
     TimingSettings,
 )
 from cicadaledge.errors import BackendError
@@ -41,6 +43,8 @@
     view_ms=20,
     stop_accept_ms=150,
     lapse_ms=300,
+    first_member_pauses_ms=(100.0, 200.0),
+    news_silence_ms=400.0,
 )
 FIRST_PORT = 21_000
 PORTS_PER_WORKER = 1_000
@@ -118,6 +122,18 @@
     complete: bool = True
 
 
+class _CuttableClient(StoreClient):
+    """A client whose router can be cut off from the store."""
+
+    is_cut = False
+
+    async def _call(self, *args: Any) -> bytes:
+        if self.is_cut:
+            await asyncio.sleep(0.1)
+            raise StoreError("the store cannot be reached")
+        return await super()._call(*args)
+
+
 @define
 class World:
     """The parts of one deployment."""
@@ -127,7 +143,7 @@
     routers: list[EdgeRouter] = field(factory=list)
     settings: list[EdgeSettings] = field(factory=list)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
-    _beats: set[str] = field(factory=set)
+    _clients: list[_CuttableClient] = field(factory=list)
 
     def configure(self, **changes: Any) -> None:
         """Write a configuration."""
@@ -168,20 +184,21 @@
             bounds=bounds or BoundSettings(grace_ms=3_000),
             timing=timing,
         )
-        client = StoreClient(HOST, self.store.port)
-        router = EdgeRouter(
-            settings,
-            PlatformDialect(),
-            ControlTopic(client),
-            ServerTopic(client),
-            MemberTopic(client),
-        )
+        client = _CuttableClient(HOST, self.store.port)
+        self._clients.append(client)
+        members = MemberTopic(client)
+        topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, registry=members)
+        router = EdgeRouter(settings, PlatformDialect(), topics)
         self.routers.append(router)
         self.settings.append(settings)
         self._tasks.append(asyncio.create_task(router.run()))
         await self.until(lambda: self.is_ready(len(self.routers) - 1))
         return router
 
+    def cut_from_store(self, place: int) -> None:
+        """Let no further call of a router reach the store."""
+        self._clients[place].is_cut = True
+
     async def is_ready(self, place: int = 0) -> bool:
         """Return what the balancer would be told."""
         try:
