--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -137,22 +137,25 @@
 
 @load_app.command()
 def soak(
-    deployment: Annotated[Path, typer.Argument(help="Deployment file.")],
     seed: Annotated[int, typer.Option(help="Seed of the first round.")] = 1,
-    minutes: Annotated[float, typer.Option(help="When to stop.")] = 5.0,
+    seeds: Annotated[int, typer.Option(help="How many rounds.")] = 1,
+    faults: Annotated[int, typer.Option(help="Faults of a round.")] = 7,
+    routers: Annotated[int, typer.Option(help="Routers of each of three zones.")] = 2,
+    callers: Annotated[int, typer.Option(help="Callers at the same time.")] = 16,
+    first_port: Annotated[int, typer.Option(help="First port of the routers.")] = 25_000,
     out: OutOption = Path("out/soak"),
 ) -> None:
-    """Draw faults at random, check all promises, print the seed that broke one."""
-    from cicadaledge.loadtool import load_deployment
-    from cicadaledge.loadtool._soak import soak as run_soak
-
-    loaded = _checked(lambda: load_deployment(deployment))
-    results = run_soak(loaded, out, seed, minutes)
-    for result in results:
-        typer.echo(f"{result.name}: {len(result.broken)} broken, {result.unanswered} unanswered")
-        for line in result.broken:
-            typer.echo(f"  {line}")
-    raise typer.Exit(EXIT_REFUSED if any(result.broken for result in results) else 0)
+    """Run real routers under faults drawn by seed; exit 1 if a promise was broken."""
+    from cicadaledge.soak import SoakPlan, SoakSize, run_round
+
+    size = SoakSize(routers_per_zone=routers, callers=callers, first_port=first_port)
+    broken = False
+    for number in range(seed, seed + seeds):
+        plan = SoakPlan(number, faults=faults, size=size)
+        result = run_round(plan, out / str(number))
+        broken = broken or bool(result.broken)
+        typer.echo("\n".join(result.lines()))
+    raise typer.Exit(EXIT_REFUSED if broken else 0)
 
 
 @load_app.command()
--- /dev/null
+++ b/src/cicadaledge/soak/__init__.py
@@ -0,0 +1,23 @@
+"""Fault soak: real router processes under faults from outside, judged by what is seen there."""
+
+from cicadaledge.soak._faults import KINDS, PlannedFault, draw_faults
+from cicadaledge.soak._ledger import Act, Ledger, Sent, SoakBounds
+from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._round import SoakPlan, SoakResult, run_round
+from cicadaledge.soak._world import SoakSize, SoakWorld
+
+__all__ = [
+    "KINDS",
+    "Act",
+    "FaultProxy",
+    "Ledger",
+    "PlannedFault",
+    "Sent",
+    "SoakBounds",
+    "SoakPlan",
+    "SoakResult",
+    "SoakSize",
+    "SoakWorld",
+    "draw_faults",
+    "run_round",
+]
--- /dev/null
+++ b/src/cicadaledge/soak/_callers.py
@@ -0,0 +1,138 @@
+"""Callers that keep their connections open for as long as the router's process lives."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+from attrs import define, field, frozen
+
+from cicadaledge.edge import HttpConnection, clock_ms
+from cicadaledge.errors import BackendError
+from cicadaledge.routing import RouteKind
+from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Sent
+from cicadaledge.soak._world import SoakWorld
+
+_PATIENCE_S = 6.0  # an answer later than this breaks the promise about time-outs
+_CONNECT_MS = 1_000.0
+_LEAVE_SHARE = 0.05  # callers that leave before the answer
+_THINK_S = (0.02, 0.15)
+
+
+@frozen
+class _Kind:
+    prefix: str
+    kind: RouteKind
+    resumable: bool = False
+
+    @property
+    def is_model(self) -> bool:
+        return self.kind is RouteKind.STREAM
+
+
+_KINDS = (
+    _Kind("/book/", RouteKind.UNSAFE),
+    _Kind("/look/", RouteKind.SAFE),
+    _Kind("/draft/", RouteKind.STREAM),
+    _Kind("/chat/", RouteKind.STREAM, resumable=True),
+)
+
+
+@define
+class Callers:
+    """All callers of one round.
+
+    Args:
+        seed: Draws what they send, and where.
+    """
+
+    world: SoakWorld
+    seed: int
+    _numbers: itertools.count[int] = field(factory=itertools.count)
+    _tasks: list[asyncio.Task[None]] = field(factory=list)
+
+    def start(self) -> None:
+        """Let the callers begin."""
+        for place in range(self.world.size.callers):
+            chance = random.Random(f"{self.seed}/{place}")
+            self._tasks.append(asyncio.create_task(self._call_for_ever(chance)))
+
+    async def stop(self) -> None:
+        """End all callers."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _call_for_ever(self, chance: random.Random) -> None:
+        while True:
+            name = chance.choice(list(self.world.routers))
+            address = self.world.routers[name].callers
+            try:
+                connection = await HttpConnection.open(
+                    address.host, address.port, name, _CONNECT_MS
+                )
+            except BackendError:
+                await asyncio.sleep(chance.uniform(*_THINK_S))
+                continue
+            try:
+                while await self._call(connection, name, chance):
+                    await asyncio.sleep(chance.uniform(*_THINK_S))
+            finally:
+                connection.abort()
+
+    async def _call(self, connection: HttpConnection, router: str, chance: random.Random) -> bool:
+        """Send one request and note what comes; return whether the connection can be kept."""
+        kind = chance.choice(_KINDS)
+        number = next(self._numbers)
+        sent = Sent(
+            request_id=f"s{self.seed}-{number}",
+            kind=kind.kind,
+            resumable=kind.resumable,
+            router=router,
+            target=f"{kind.prefix}{number}?n={number}",
+            body=b"{%d}" % number,
+            key=chance.choice(list(self.world.ledger.accounts)),
+            sent_ms=clock_ms(),
+        )
+        leave_s = chance.uniform(0.0, 0.3) if chance.random() < _LEAVE_SHARE else _PATIENCE_S
+        self.world.ledger.sent[sent.request_id] = sent
+        try:
+            connection.send("POST", sent.target, _headers(sent, kind, chance), sent.body)
+        except BackendError:
+            del self.world.ledger.sent[sent.request_id]
+            return False
+        try:
+            async with asyncio.timeout(leave_s):
+                await self._read(connection, sent)
+        except TimeoutError:
+            sent.left_ms = clock_ms()
+            connection.abort()
+        except BackendError:
+            pass
+        except asyncio.CancelledError:
+            sent.left_ms = clock_ms()
+            raise
+        sent.ended_ms = clock_ms()
+        return sent.complete and connection.finish()
+
+    async def _read(self, connection: HttpConnection, sent: Sent) -> None:
+        head = await connection.head()
+        sent.status = head.status
+        sent.seal = head.get(b"Response-Seal")
+        while (piece := await connection.piece()) is not None:
+            sent.received += piece
+        sent.complete = True
+
+
+def _headers(sent: Sent, kind: _Kind, chance: random.Random) -> list[tuple[bytes, bytes]]:
+    named = {
+        "Host": "site.example",
+        "Attempt-Id": sent.request_id,
+        "Deadline-Ms": str(ROUTE_TIMEOUT_MS),
+        "Authorization": f"Token {sent.key}",
+    }
+    if kind.is_model:
+        subject = chance.randrange(20)
+        named |= {"Model": "m", "Token-Usage": "300,40", "Prompt-Prefix": f"{subject:x}:200,bb:100"}
+    return [(name.encode(), value.encode()) for name, value in named.items()]
--- /dev/null
+++ b/src/cicadaledge/soak/_faults.py
@@ -0,0 +1,337 @@
+"""Faults of a round: drawn by seed, carried out from outside, undone after a while."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from attrs import define, evolve, field, frozen
+
+from cicadaledge.edge import clock_ms
+from cicadaledge.soak._ledger import Act
+from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._world import RouterProcess, SoakServer, SoakWorld
+from cicadaledge.standins import RunnerFaults
+
+_DELAY_MS = 120.0  # twice a round trip between regions
+_STORM_VERSIONS = 6
+_EXIT_POLL_S = 0.05
+
+
+@frozen
+class PlannedFault:
+    """One fault of a round.
+
+    Args:
+        at_s: From the start of the load.
+        for_s: How long until it is undone.
+        pick: Draws what it hits.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    pick: int
+
+
+def draw_faults(seed: int, count: int, within_s: float) -> list[PlannedFault]:
+    """Return the faults of a seed, by time."""
+    chance = random.Random(seed)
+    faults = [
+        PlannedFault(
+            chance.choice(sorted(KINDS)),
+            round(chance.uniform(0.0, within_s), 2),
+            round(chance.uniform(0.3, 4.5), 2),
+            chance.randrange(1_000_000),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+@define
+class FaultLine:
+    """Carries out the faults of a round; those that hit the same object wait for each other.
+
+    Args:
+        world: The running deployment.
+    """
+
+    world: SoakWorld
+    _locks: dict[str, asyncio.Lock] = field(factory=dict)
+
+    async def run(self, faults: list[PlannedFault]) -> None:
+        """Carry out all faults and undo them."""
+        await asyncio.gather(*(self._run_one(fault) for fault in faults))
+
+    async def _run_one(self, fault: PlannedFault) -> None:
+        await asyncio.sleep(fault.at_s)
+        await KINDS[fault.kind](self, fault)
+
+    def _lock(self, name: str) -> asyncio.Lock:
+        return self._locks.setdefault(name, asyncio.Lock())
+
+    def _router(self, fault: PlannedFault) -> RouterProcess:
+        routers = list(self.world.routers.values())
+        return routers[fault.pick % len(routers)]
+
+    def _server(self, fault: PlannedFault) -> SoakServer:
+        servers = list(self.world.servers.values())
+        return servers[fault.pick % len(servers)]
+
+    def _disturb(self, names: list[str], from_ms: float, *, is_planned: bool = False) -> None:
+        self.world.ledger.disturb(names, from_ms, clock_ms(), is_planned=is_planned)
+
+    async def kill(self, fault: PlannedFault) -> None:
+        """Kill a router's process and start it again."""
+        router = self._router(fault)
+        async with self._lock(router.name):
+            begin_ms = clock_ms()
+            router.signal(signal.SIGKILL)
+            await asyncio.sleep(fault.for_s)
+            self.world.start_router(router)
+            self._disturb([router.name], begin_ms)
+
+    async def kill_all(self, fault: PlannedFault) -> None:
+        """Kill all routers at the same moment and start them again."""
+        routers = list(self.world.routers.values())
+        for router in routers:
+            await self._lock(router.name).acquire()
+        begin_ms = clock_ms()
+        for router in routers:
+            router.signal(signal.SIGKILL)
+        await asyncio.sleep(fault.for_s)
+        for router in routers:
+            self.world.start_router(router)
+            self._lock(router.name).release()
+        self._disturb(list(self.world.routers), begin_ms)
+
+    async def pause(self, fault: PlannedFault) -> None:
+        """Let a router's process stand still."""
+        router = self._router(fault)
+        async with self._lock(router.name):
+            begin_ms = clock_ms()
+            router.signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            router.signal(signal.SIGCONT)
+            self._disturb([router.name], begin_ms)
+
+    async def stop(self, fault: PlannedFault) -> None:
+        """Stop a router gracefully and start it again."""
+        router = self._router(fault)
+        async with self._lock(router.name):
+            process = router.process
+            assert process is not None
+            was_ready = await self.world.is_ready(router)
+            begin_ms = clock_ms()
+            router.signal(signal.SIGTERM)
+            end_ms = begin_ms + self.world.ledger.bounds.grace_ms
+            while process.poll() is None and clock_ms() < end_ms:
+                await asyncio.sleep(_EXIT_POLL_S)
+            status = process.poll()
+            if status != 0 and (was_ready or status != -signal.SIGTERM):
+                self.world.ledger.exits.append(f"stop: {router.name} ended with {status}")
+                process.kill()
+            self.world.start_router(router)
+            self._disturb([router.name], begin_ms, is_planned=True)
+
+    async def hang_up(self, fault: PlannedFault) -> None:
+        """Tell a router that its settings file has changed."""
+        self._router(fault).signal(signal.SIGHUP)
+
+    async def store_fault(self, fault: PlannedFault) -> None:
+        """Let the store refuse, reset, keep silent or lose answers."""
+        async with self._lock("store"):
+            begin_ms = clock_ms()
+            self.world.store.fault = ("busy", "silent", "reset", "lost")[fault.pick % 4]
+            await asyncio.sleep(fault.for_s)
+            self.world.store.fault = ""
+            for channel in self.world.store.channels:
+                channel.abort()
+            self._disturb(list(self.world.routers), begin_ms)
+
+    async def history(self, fault: PlannedFault) -> None:
+        """Let the store forget its history."""
+        begin_ms = clock_ms()
+        for topic in ("keyed.op", "keyed.servers", "keyed.routers"):
+            self.world.store.forget_history(topic)
+        self._disturb(list(self.world.routers), begin_ms)
+
+    async def store_link(self, fault: PlannedFault) -> None:
+        """Harm the link between one router and the store."""
+        router = self._router(fault)
+        begin_ms = clock_ms()
+        await self._harm(router.store_link, fault)
+        self._disturb([router.name], begin_ms)
+
+    async def peer_link(self, fault: PlannedFault) -> None:
+        """Harm the links that other routers have opened to one."""
+        router = self._router(fault)
+        begin_ms = clock_ms()
+        await self._harm(router.peer_link, fault)
+        self._disturb(list(self.world.routers), begin_ms)
+
+    async def server_link(self, fault: PlannedFault) -> None:
+        """Harm the links to one backend server."""
+        begin_ms = clock_ms()
+        await self._harm(self._server(fault).proxy, fault)
+        self._disturb(list(self.world.routers), begin_ms)
+
+    async def _harm(self, proxy: FaultProxy, fault: PlannedFault) -> None:
+        async with self._lock(f"proxy {id(proxy)}"):
+            how = ("reset", "silence", "delay", "towards", "back", "both")[fault.pick % 6]
+            ways = {"towards": [proxy.towards], "back": [proxy.back]}
+            closed = ways.get(how, [proxy.towards, proxy.back] if how == "both" else [])
+            if how == "reset":
+                proxy.reset()
+            elif how == "silence":
+                proxy.silence()
+            elif how == "delay":
+                proxy.delay_ms = _DELAY_MS
+            for way in closed:
+                way.is_open.clear()
+            await asyncio.sleep(fault.for_s)
+            proxy.delay_ms = 0.0
+            for way in closed:
+                way.is_open.set()
+
+    async def crash(self, fault: PlannedFault) -> None:
+        """Let a backend server crash and come back under the same name."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            server.lives = False
+            await server.runner.stop()
+            await asyncio.sleep(fault.for_s)
+            await self.world.restart_server(server)
+
+    async def lapse(self, fault: PlannedFault) -> None:
+        """Let a living server's entry go and come back."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            acked_ms = clock_ms()
+            server.present = False
+            self.world.store.put("keyed.servers", server.name, None)
+            await self._rest(fault, self.world.ledger.bounds.drain_ms)
+            self._note(f"drain of {server.name}", acked_ms, servers=frozenset({server.name}))
+            server.present = True
+            self.world.beat(server)
+
+    async def drain(self, fault: PlannedFault) -> None:
+        """Let a server leave, and another incarnation come."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            server.draining = True
+            self.world.beat(server)
+            acked_ms = clock_ms()
+            await self._rest(fault, self.world.ledger.bounds.drain_ms)
+            self._note(f"drain of {server.name}", acked_ms, servers=frozenset({server.name}))
+            server.lives = False
+            await server.runner.stop()
+            await self.world.restart_server(server)
+
+    async def grey(self, fault: PlannedFault) -> None:
+        """Let a server fail, refuse, mix up or break off its answers."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            server.runner.faults = _GREY[fault.pick // 7 % len(_GREY)]
+            await asyncio.sleep(fault.for_s)
+            server.runner.faults = RunnerFaults()
+
+    async def revoke(self, fault: PlannedFault) -> None:
+        """Take a key away and give it back."""
+        async with self._lock("config"):
+            key = self.world.keys[fault.pick % len(self.world.keys)]
+            kept = list(self.world.keys)
+            self.world.keys.remove(key)
+            self.world.configure()
+            acked_ms = clock_ms()
+            await self._rest(fault, self.world.ledger.bounds.revoke_ms)
+            act = Act(f"revocation of {key}", acked_ms, self.world.ledger.bounds.revoke_ms)
+            act = evolve(act, key=key, until_ms=clock_ms(), by_sending=True, everywhere=True)
+            self.world.ledger.acts.append(act)
+            self.world.keys = kept
+            self.world.configure()
+
+    async def move(self, fault: PlannedFault) -> None:
+        """Move two routes to another service and back."""
+        async with self._lock("config"):
+            old, new = "desk", "till"
+            self.world.desk_service = new
+            self.world.configure()
+            acked_ms = clock_ms()
+            bounds = self.world.ledger.bounds
+            await self._rest(fault, bounds.apply_ms)
+            names = frozenset(name for name in self.world.servers if name.startswith(old))
+            act = Act("move of the routes", acked_ms, bounds.apply_ms, names, by_sending=True)
+            self.world.ledger.acts.append(evolve(act, until_ms=clock_ms()))
+            self.world.desk_service = old
+            self.world.configure()
+
+    async def storm(self, fault: PlannedFault) -> None:
+        """Write several versions in quick succession."""
+        for _ in range(_STORM_VERSIONS):
+            self.world.configure()
+            await asyncio.sleep(fault.for_s / 20)
+
+    async def evacuate(self, fault: PlannedFault) -> None:
+        """Empty a zone and take it back."""
+        zones = list(self.world.size.regions_by_zone)
+        zone = zones[fault.pick % len(zones)]
+        async with self._lock(zone):
+            self.world.store.put("keyed.op", f"evacuate/{zone}", {})
+            acked_ms = clock_ms()
+            bounds = self.world.ledger.bounds
+            await self._rest(fault, bounds.evacuation_ms)
+            servers = self.world.servers.values()
+            names = frozenset(one.name for one in servers if one.runner.zone == zone)
+            act = Act(f"evacuation of {zone}", acked_ms, bounds.evacuation_ms, names)
+            self.world.ledger.acts.append(evolve(act, until_ms=clock_ms()))
+            self.world.store.put("keyed.op", f"evacuate/{zone}", None)
+
+    async def _rest(self, fault: PlannedFault, bound_ms: float) -> None:
+        """Wait until the bound has passed, so that what comes after it is seen."""
+        await asyncio.sleep(bound_ms / 1000 + fault.for_s / 2)
+
+    def _note(self, what: str, acked_ms: float, *, servers: frozenset[str]) -> None:
+        limit_ms = self.world.ledger.bounds.drain_ms
+        act = Act(what, acked_ms, limit_ms, servers, until_ms=clock_ms())
+        self.world.ledger.acts.append(act)
+
+
+_GREY = (
+    RunnerFaults(full=True),
+    RunnerFaults(error=True),
+    RunnerFaults(reset=True),
+    RunnerFaults(stray=True),
+    RunnerFaults(silent=True),
+    RunnerFaults(break_after=2),
+    RunnerFaults(raw=b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut"),
+    RunnerFaults(raw=b"no answer at all\r\n\r\n"),
+    RunnerFaults(trailing=b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 5\r\n\r\nextra"),
+)
+
+KINDS: dict[str, Callable[[FaultLine, PlannedFault], Awaitable[None]]] = {
+    method.__name__.replace("_", "-"): method
+    for method in (
+        FaultLine.kill,
+        FaultLine.kill_all,
+        FaultLine.pause,
+        FaultLine.stop,
+        FaultLine.hang_up,
+        FaultLine.store_fault,
+        FaultLine.history,
+        FaultLine.store_link,
+        FaultLine.peer_link,
+        FaultLine.server_link,
+        FaultLine.crash,
+        FaultLine.lapse,
+        FaultLine.drain,
+        FaultLine.grey,
+        FaultLine.revoke,
+        FaultLine.move,
+        FaultLine.storm,
+        FaultLine.evacuate,
+    )
+}
--- /dev/null
+++ b/src/cicadaledge/soak/_ledger.py
@@ -0,0 +1,294 @@
+"""What callers and back ends saw, and which promises it breaks."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from cicadaledge.routing import RouteKind
+from cicadaledge.standins import Run
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_OK = 200
+_LEAVE_NOTICE_MS = 500.0  # a back end must hear of a caller that has left within this
+ROUTE_TIMEOUT_MS = 4_000  # of all routes of the soak
+_ANSWER_MARGIN_MS = 500.0  # a final answer is due within this after the time-out
+_FEW = 3  # breaches that a sum over a whole run allows for crossing messages
+
+
+@frozen
+class SoakBounds:
+    """Bounds that the routers are told, and those of the platform.
+
+    Args:
+        contact_ms: Calm after which a router is in touch again.
+        drain_ms: From a server's leaving to the last request that it gets.
+        evacuation_ms: The same for a zone.
+        revoke_ms: From the removal of a key to the last request with it.
+        apply_ms: From a configuration to the last request handled by an older one.
+    """
+
+    contact_ms: float = 4_000.0
+    drain_ms: float = 3_000.0
+    evacuation_ms: float = 5_000.0
+    revoke_ms: float = 5_000.0
+    apply_ms: float = 3_000.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_ms: float = 10_000.0
+    grace_ms: float = 8_000.0
+
+
+@define
+class Sent:
+    """One request of a caller and what became of it.
+
+    Args:
+        router: Router that it was sent to.
+        events: Events that a whole stream has; 0 for other requests.
+        left_ms: When the caller left before the end.
+    """
+
+    request_id: str
+    kind: RouteKind
+    resumable: bool
+    router: str
+    target: str
+    body: bytes
+    key: str
+    sent_ms: float
+    ended_ms: float | None = None
+    status: int | None = None
+    seal: str | None = None
+    received: bytes = b""
+    complete: bool = False
+    left_ms: float | None = None
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+
+@frozen
+class Act:
+    """Something after which some requests must not reach some servers.
+
+    Args:
+        what: Names it in reports.
+        servers: Servers that must get nothing more; None for all.
+        targets: Prefixes of targets that are concerned; None for all.
+        key: Key that is concerned; None for all.
+        limit_ms: From the acknowledgement on.
+        until_ms: When it was undone.
+        by_sending: Judge when the caller sent the request, not when it arrived.
+        everywhere: Holds for routers out of touch, too.
+    """
+
+    what: str
+    acked_ms: float
+    limit_ms: float
+    servers: frozenset[str] | None = None
+    targets: tuple[str, ...] | None = None
+    key: str | None = None
+    until_ms: float = float("inf")
+    by_sending: bool = False
+    everywhere: bool = False
+
+
+@frozen
+class _Span:
+    from_ms: float
+    until_ms: float
+    is_planned: bool
+
+
+@define
+class Ledger:
+    """Everything that one round saw.
+
+    Args:
+        bounds: Bounds of the deployment.
+        accounts: Account of each key.
+    """
+
+    bounds: SoakBounds
+    accounts: dict[str, str]
+    sent: dict[str, Sent] = field(factory=dict)
+    runs: list[tuple[str, Run]] = field(factory=list)
+    acts: list[Act] = field(factory=list)
+    exits: list[str] = field(factory=list)
+    _disturbed: dict[str, list[_Span]] = field(factory=dict)
+
+    def disturb(
+        self, routers: Iterable[str], from_ms: float, until_ms: float, *, is_planned: bool = False
+    ) -> None:
+        """Note that routers were disturbed for a while.
+
+        Args:
+            is_planned: Whether it was a graceful stop, which must lose nothing.
+        """
+        for name in routers:
+            span = _Span(from_ms, until_ms, is_planned)
+            self._disturbed.setdefault(name, []).append(span)
+
+    def in_touch(
+        self, router: str, from_ms: float, until_ms: float, *, or_stopping: bool = False
+    ) -> bool:
+        """Return whether a router was in touch all the time.
+
+        Args:
+            or_stopping: Pass over graceful stops.
+        """
+        first_ms = from_ms - self.bounds.contact_ms
+        return all(
+            span.until_ms < first_ms or span.from_ms > until_ms or (or_stopping and span.is_planned)
+            for span in self._disturbed.get(router, ())
+        )
+
+    def broken(self) -> list[str]:
+        """Return the promises that were broken, each with the request that shows it."""
+        by_id: dict[str, list[tuple[str, Run]]] = {}
+        for server, run in self.runs:
+            by_id.setdefault(run.request_id, []).append((server, run))
+        found = [*self.exits]
+        found += self._unasked()
+        for sent in self.sent.values():
+            runs = by_id.get(sent.request_id, [])
+            found += self._repeats(sent, runs)
+            found += self._answers(sent, runs)
+        for act in self.acts:
+            found += self._after(act)
+        found += self._left(by_id)
+        found += self._lost(by_id)
+        found += self._held()
+        found += self._retries(by_id)
+        return found
+
+    def _unasked(self) -> list[str]:
+        found = []
+        for server, run in self.runs:
+            sent = self.sent.get(run.request_id)
+            if sent is None:
+                found.append(f"unasked: {server} ran {run.request_id}, which nobody sent")
+                continue
+            if (run.target, run.body) != (sent.target, sent.body):
+                found.append(f"unasked: {server} ran {run.request_id} with a changed request")
+            if "authorization" in run.headers:
+                found.append(f"unasked: {server} was shown the key of {run.request_id}")
+            if run.headers.get("tenant-id") != self.accounts.get(sent.key):
+                found.append(f"unasked: {server} ran {run.request_id} for another account")
+        return found
+
+    def _repeats(self, sent: Sent, runs: list[tuple[str, Run]]) -> list[str]:
+        servers = [server for server, _ in runs]
+        if not sent.idempotent and len(runs) > 1:
+            return [f"twice: {sent.request_id} {sent.target} ran at {servers}"]
+        if sent.status in NOT_RUN_STATUSES and runs and not sent.idempotent:
+            return [f"refused: {sent.request_id} was answered {sent.status} and ran at {servers}"]
+        return []
+
+    def _answers(self, sent: Sent, runs: list[tuple[str, Run]]) -> list[str]:
+        if sent.status != _OK:
+            return []
+        answers = [run.answer for _, run in runs]
+        seals = [run.seal for _, run in runs]
+        if sent.seal not in seals:
+            return [f"mixed: {sent.request_id} has the seal {sent.seal}, not one of {seals}"]
+        if sent.complete and not any(sent.received == answer for answer in answers if answer):
+            return [f"mixed: {sent.request_id} got {sent.received[:80]!r} as a whole answer"]
+        whole = max(answers, key=len, default=b"")
+        if sent.kind is RouteKind.STREAM and not whole.startswith(sent.received):
+            return [f"order: {sent.request_id} got {sent.received[-80:]!r}"]
+        return []
+
+    def _after(self, act: Act) -> list[str]:
+        found = []
+        for server, run in self.runs:
+            sent = self.sent.get(run.request_id)
+            if sent is None or (act.servers is not None and server not in act.servers):
+                continue
+            if act.targets is not None and not sent.target.startswith(act.targets):
+                continue
+            if act.key is not None and sent.key != act.key:
+                continue
+            at_ms = sent.sent_ms if act.by_sending else run.at_ms
+            if not act.acked_ms + act.limit_ms < at_ms < act.until_ms:
+                continue
+            if act.everywhere or self.in_touch(sent.router, act.acked_ms, run.at_ms):
+                late_ms = at_ms - act.acked_ms
+                found.append(
+                    f"{act.what}: {server} ran {run.request_id} of {sent.router} {late_ms:.0f} ms"
+                    " after the acknowledgement"
+                )
+        return found
+
+    def _left(self, by_id: dict[str, list[tuple[str, Run]]]) -> list[str]:
+        """Count the runs that went on for long after their callers had left."""
+        late = []
+        concerned = 0
+        for sent in self.sent.values():
+            if sent.left_ms is None or not sent.idempotent:
+                continue
+            end_ms = sent.left_ms + _LEAVE_NOTICE_MS
+            for server, run in by_id.get(sent.request_id, []):
+                if not self.in_touch(sent.router, sent.sent_ms, end_ms):
+                    continue
+                concerned += 1
+                if run.ended_ms is None or run.ended_ms > end_ms:
+                    late.append(f"{run.request_id} at {server}")
+        if len(late) > max(_FEW, concerned // 4):
+            return [f"gone: {len(late)} of {concerned} runs went on, the first {late[0]}"]
+        return []
+
+    def _lost(self, by_id: dict[str, list[tuple[str, Run]]]) -> list[str]:
+        """Count the requests that were passed on and ended without any answer."""
+        lost = []
+        for sent in self.sent.values():
+            if sent.status is not None or sent.left_ms is not None or sent.ended_ms is None:
+                continue
+            runs = by_id.get(sent.request_id, [])
+            if runs and self.in_touch(sent.router, sent.sent_ms, sent.ended_ms, or_stopping=True):
+                lost.append(f"{sent.request_id} of {sent.router}")
+        if len(lost) > _FEW:
+            return [f"lost: {len(lost)} requests ended without an answer, the first {lost[0]}"]
+        return []
+
+    def _held(self) -> list[str]:
+        """Count the requests without a final answer well after their route's time-out."""
+        held = []
+        for sent in self.sent.values():
+            end_ms = sent.ended_ms or sent.left_ms
+            if end_ms is None or end_ms - sent.sent_ms < ROUTE_TIMEOUT_MS + _ANSWER_MARGIN_MS:
+                continue
+            if self.in_touch(sent.router, sent.sent_ms, end_ms):
+                held.append(sent.request_id)
+        if len(held) > _FEW:
+            return [f"held: {len(held)} requests had no answer in time, the first {held[0]}"]
+        return []
+
+    def _retries(self, by_id: dict[str, list[tuple[str, Run]]]) -> list[str]:
+        """Compare repeats with requests in windows that begin at each repeat."""
+        bounds = self.bounds
+        repeats = sorted(run.at_ms for runs in by_id.values() for _, run in runs[1:])
+        starts = [sent.sent_ms for sent in self.sent.values()]
+        for begin_ms in repeats:
+            end_ms = begin_ms + bounds.retry_window_ms
+            count = sum(begin_ms <= at_ms < end_ms for at_ms in repeats)
+            early_ms = begin_ms - bounds.retry_window_ms
+            asked = max(
+                sum(begin_ms <= at_ms < end_ms for at_ms in starts),
+                sum(early_ms <= at_ms < begin_ms for at_ms in starts),
+            )
+            if count > asked * bounds.retry_ratio + bounds.retry_slack:
+                return [f"budget: {count} repeats beside {asked} requests in a window"]
+        return []
+
+    def statuses(self) -> Counter[str]:
+        """Return how the requests ended."""
+        return Counter(
+            "left" if sent.left_ms is not None else str(sent.status or "closed")
+            for sent in self.sent.values()
+        )
--- /dev/null
+++ b/src/cicadaledge/soak/_proxy.py
@@ -0,0 +1,142 @@
+"""A loopback proxy in front of one address that delays, holds, silences and resets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from attrs import define, field
+
+from cicadaledge.settings import Address
+
+_HOST = "127.0.0.1"
+_CHUNK_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
+
+
+@define(eq=False)
+class _Way:
+    """One direction of all connections; held bytes are passed on when it opens again."""
+
+    is_open: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.is_open.set()
+
+
+@define(eq=False)
+class _Pair:
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    silent: bool = False
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            _reset(writer)
+
+
+class FaultProxy:
+    """Passes connections on to one address.
+
+    Args:
+        target: Where connections go.
+
+    Attributes:
+        port: Where the proxy listens; set by `start`.
+        delay_ms: Added to each piece, in both directions.
+        towards: The way to the target.
+        back: The way from the target.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self.target = target
+        self.port = 0
+        self.delay_ms = 0.0
+        self.towards = _Way()
+        self.back = _Way()
+        self._pairs: set[_Pair] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 takes a free one."""
+        self._server = await asyncio.start_server(self._accept, _HOST, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for pair in list(self._pairs):
+            pair.reset()
+
+    def silence(self) -> None:
+        """Pass nothing more on the connections that are open; new ones work."""
+        for pair in self._pairs:
+            pair.silent = True
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.get_running_loop().create_task(self._carry(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            there = await asyncio.open_connection(self.target.host, self.target.port)
+        except OSError:
+            _reset(writer)
+            return
+        pair = _Pair((writer, there[1]))
+        self._pairs.add(pair)
+        pumps = [
+            asyncio.create_task(self._pump(reader, there[1], pair, self.towards)),
+            asyncio.create_task(self._pump(there[0], writer, pair, self.back)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self._pairs.discard(pair)
+            for one in pair.writers:
+                one.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: _Pair,
+        way: _Way,
+    ) -> None:
+        """Pass bytes on until either side ends; a reset is passed on as a reset."""
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await way.is_open.wait()
+                if pair.silent:
+                    await asyncio.Event().wait()
+                if self.delay_ms:
+                    await asyncio.sleep(self.delay_ms / 1000)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pair.reset()
+        else:
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its peer sees a reset, not an end."""
+    if writer.is_closing():
+        return
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
--- /dev/null
+++ b/src/cicadaledge/soak/_world.py
@@ -0,0 +1,376 @@
+"""Routers as real processes beside stand-ins of the store and of backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field, frozen
+
+from cicadaledge.edge import HttpConnection
+from cicadaledge.errors import BackendError
+from cicadaledge.settings import Address
+from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Ledger, SoakBounds
+from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.standins import PlatformRunner, PlatformStore, Run
+
+_HOST = "127.0.0.1"
+_FIRST_PORT = 25_000  # below the ports that the kernel gives to outgoing connections
+_PORTS = 5_000  # tried from the first one on; a few hundred routers need four each
+_READY_S = 20.0  # a process starts within a second on an idle machine
+_POLL_S = 0.05
+_HEARTBEAT_S = 0.6
+_PROGRAM = "from cicadaledge.platform import main; main()"
+_OK = 200
+KEYS = ("key-of-banksia", "key-of-wattle", "key-of-waratah")
+ACCOUNTS = dict(zip(KEYS, ("banksia", "wattle", "waratah"), strict=True))
+
+
+@frozen
+class SoakSize:
+    """How large a round is.
+
+    Args:
+        zones: Availability zones, each in a region of its own.
+        first_port: First port of the routers.
+    """
+
+    zones: int = 3
+    routers_per_zone: int = 2
+    pools: int = 3
+    desks: int = 3
+    callers: int = 16
+    first_port: int = _FIRST_PORT
+
+    @property
+    def regions_by_zone(self) -> dict[str, str]:
+        """Region of each zone."""
+        return {f"zone-{place}": f"region-{place}" for place in range(self.zones)}
+
+
+class SoakRunner(PlatformRunner):
+    """A backend server whose events name the request that they belong to."""
+
+    def event(self, run: Run, number: int) -> bytes:
+        """Return one event of a stream."""
+        return f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
+
+
+class SoakStore(PlatformStore):
+    """A store that tells routers the proxies of their peers in place of their own ports.
+
+    Attributes:
+        proxied_ports: Proxy of each router's port for peers.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.proxied_ports: dict[int, int] = {}
+
+    def _append(self, topic: str, record: bytes) -> int:
+        key_end = 1 + record[0]
+        if topic == "keyed.routers" and record[key_end:]:
+            plain = json.loads(record[key_end:])
+            plain["port"] = self.proxied_ports.get(plain["port"], plain["port"])
+            record = record[:key_end] + json.dumps(plain).encode()
+        return super()._append(topic, record)
+
+
+@define
+class SoakServer:
+    """A backend server, with the proxy that its entry names."""
+
+    name: str
+    runner: SoakRunner
+    proxy: FaultProxy
+    lives: bool = True
+    draining: bool = False
+    present: bool = True
+
+
+@define
+class RouterProcess:
+    """A router process and the proxies of what it calls."""
+
+    name: str
+    zone: str
+    callers: Address
+    probes: Address
+    settings_path: Path
+    store_link: FaultProxy
+    peer_link: FaultProxy
+    process: subprocess.Popen[bytes] | None = None
+    starts: int = 0
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+@define
+class SoakWorld:
+    """Everything that one round runs.
+
+    Args:
+        directory: Where settings and logs of the routers go.
+    """
+
+    size: SoakSize
+    directory: Path
+    ledger: Ledger = field(factory=lambda: Ledger(SoakBounds(), ACCOUNTS))
+    store: SoakStore = field(factory=SoakStore)
+    servers: dict[str, SoakServer] = field(factory=dict)
+    routers: dict[str, RouterProcess] = field(factory=dict)
+    version: int = 0
+    desk_service: str = "desk"
+    keys: list[str] = field(factory=lambda: list(KEYS))
+    _started_servers: int = 0
+    _tasks: list[asyncio.Task[None]] = field(factory=list)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> Any:
+        """Run the deployment."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        await self.store.start()
+        self.configure()
+        zones = list(self.size.regions_by_zone)
+        for place in range(self.size.pools):
+            await self.add_server(f"pool-{place}", "pool", zones[place % len(zones)])
+        for place in range(self.size.desks):
+            await self.add_server(f"desk-{place}", "desk", zones[place % len(zones)])
+            await self.add_server(f"till-{place}", "till", zones[place % len(zones)])
+        self._tasks.append(asyncio.create_task(self._beat()))
+        try:
+            await self._add_routers(zones)
+            yield self
+        finally:
+            await self._stop()
+
+    def configure(self) -> int:
+        """Write the configuration anew; return its version."""
+        self.version += 1
+        self.store.put("keyed.op", "config", self._configuration())
+        return self.version
+
+    def _configuration(self) -> dict[str, Any]:
+        desk = self.desk_service
+        accounts = [
+            {"name": ACCOUNTS[key], "apiKeys": [key], "allowedRegions": []} for key in self.keys
+        ]
+        engine = {"slots": 64, "kvCapacity": 578_286}
+        return {
+            "version": self.version,
+            "routes": [
+                _route("book", desk, "unsafe"),
+                _route("look", desk, "safe", maxAttempts=2),
+                _route("draft", "pool", "streaming"),
+                _route("chat", "pool", "streaming", maxAttempts=2, streamResume=True),
+            ],
+            "services": [
+                {"name": "desk"},
+                {"name": "till"},
+                {"name": "pool", "coldStartS": 0, "coldPerS": 0, "engine": engine},
+            ],
+            "limits": {"maxBodyBytes": 100_000, "tokensPerS": 0},
+            "tenants": accounts,
+        }
+
+    async def add_server(self, name: str, service: str, zone: str) -> SoakServer:
+        """Start a backend server behind a proxy and write its entry."""
+        self._started_servers += 1
+        runner = SoakRunner(name, service, zone, events=6, gap_s=0.03)
+        runner.born_ms = time.time_ns() // 1_000_000 + self._started_servers
+        await runner.start()
+        proxy = FaultProxy(Address(_HOST, runner.port))
+        await proxy.start()
+        server = SoakServer(name, runner, proxy)
+        self.servers[name] = server
+        self.beat(server)
+        return server
+
+    def beat(self, server: SoakServer) -> None:
+        """Write the entry of a server."""
+        entry = server.runner.heartbeat("draining" if server.draining else "ready")
+        entry["address"] = f"{_HOST}:{server.proxy.port}"
+        self.store.put("keyed.servers", server.name, entry)
+
+    async def restart_server(self, server: SoakServer) -> None:
+        """Start a crashed server again, as a new incarnation under the same name."""
+        self.collect(server)
+        runner = server.runner
+        again = SoakRunner(runner.instance, runner.service, runner.zone, events=6, gap_s=0.03)
+        again.born_ms = max(time.time_ns() // 1_000_000, runner.born_ms + 1)
+        await again.start()
+        server.proxy.target = Address(_HOST, again.port)
+        server.runner = again
+        server.lives = server.present = True
+        server.draining = False
+        self.beat(server)
+
+    def collect(self, server: SoakServer) -> None:
+        """Take over the runs of a server's incarnation."""
+        self.ledger.runs += [(server.name, run) for run in server.runner.runs]
+        server.runner.runs = []
+
+    def start_router(self, router: RouterProcess) -> None:
+        """Start the process of a router."""
+        router.starts += 1
+        environment = {**os.environ, "CICADALEDGE_NODE_FILE": str(router.settings_path)}
+        log_path = self.directory / f"{router.name}.log"
+        with log_path.open("ab") as log:
+            router.process = subprocess.Popen(
+                [sys.executable, "-c", _PROGRAM],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+
+    async def is_ready(self, router: RouterProcess) -> bool:
+        """Return what the balancer would be told."""
+        probes = router.probes
+        try:
+            connection = await HttpConnection.open(probes.host, probes.port, router.name, 500)
+        except BackendError:
+            return False
+        try:
+            async with asyncio.timeout(1.0):
+                connection.send("GET", "/cicadaledge/readyz", [(b"Host", b"probe")], b"")
+                return (await connection.head()).status == _OK
+        except (BackendError, TimeoutError):
+            return False
+        finally:
+            connection.abort()
+
+    async def all_ready(self, within_s: float = _READY_S) -> bool:
+        """Wait until all routers are ready; return whether they are."""
+        end_s = time.monotonic() + within_s
+        while time.monotonic() < end_s:
+            if all([await self.is_ready(router) for router in self.routers.values()]):
+                return True
+            await asyncio.sleep(_POLL_S)
+        return False
+
+    async def _add_routers(self, zones: list[str]) -> None:
+        ports = _free_ports(self.size.first_port)
+        for zone in zones:
+            for place in range(self.size.routers_per_zone):
+                await self._add_router(f"router-{zone}-{place}", zone, ports)
+        for router in self.routers.values():
+            self.start_router(router)
+        if not await self.all_ready():
+            self.ledger.exits.append("start: the routers did not become ready")
+
+    async def _add_router(self, name: str, zone: str, ports: Iterator[int]) -> None:
+        callers, probes = (Address(_HOST, next(ports)) for _ in range(2))
+        peers = Address(_HOST, _first_of_two(ports))
+        store_link = FaultProxy(Address(_HOST, self.store.port))
+        peer_link = FaultProxy(peers)
+        await store_link.start()
+        await peer_link.start()
+        self.store.proxied_ports[peers.port] = peer_link.port
+        path = self.directory / f"{name}.toml"
+        router = RouterProcess(name, zone, callers, probes, path, store_link, peer_link)
+        path.write_text(self._settings(router, peers))
+        self.routers[name] = router
+
+    def _settings(self, router: RouterProcess, peers: Address) -> str:
+        bounds = self.ledger.bounds
+        zones = "\n".join(f'{zone} = "{one}"' for zone, one in self.size.regions_by_zone.items())
+        return f"""\
+nodeName = "{router.name}"
+ip = "{_HOST}"
+zone = "{router.zone}"
+region = "{self.size.regions_by_zone[router.zone]}"
+internalPortRange = [{peers.port}, {peers.port + 1}]
+[zones]
+{zones}
+[listenAddrs]
+front = "{_HOST}:{router.callers.port}"
+ready = "{_HOST}:{router.probes.port}"
+[bounds]
+graceS = {bounds.grace_ms / 1000}
+revokeMs = {bounds.revoke_ms}
+strictRevoke = true
+retryBudgetRatio = {bounds.retry_ratio}
+retryBudgetSlack = {bounds.retry_slack}
+budgetWindowS = {bounds.retry_window_ms / 1000}
+quotaWindowS = 4
+[platform]
+address = "{_HOST}:{router.store_link.port}"
+"""
+
+    async def _beat(self) -> None:
+        """Write the entries of the living servers again and again."""
+        while True:
+            await asyncio.sleep(_HEARTBEAT_S)
+            for server in self.servers.values():
+                if server.lives and server.present:
+                    self.beat(server)
+
+    async def _stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for router in self.routers.values():
+            if router.process is not None and router.process.poll() is None:
+                router.signal(signal.SIGCONT)
+                router.process.kill()
+                router.process.wait()
+            await router.store_link.stop()
+            await router.peer_link.stop()
+        for server in self.servers.values():
+            self.collect(server)
+            await server.proxy.stop()
+            await server.runner.stop()
+        await self.store.stop()
+
+
+def _route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
+    plain = {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": ROUTE_TIMEOUT_MS,
+        "targetLatencyMs": 1_000,
+        "service": service,
+        "maxAttempts": 1,
+        "authExempt": False,
+        "sessionAffinity": False,
+        "streamResume": False,
+        "allowedRegions": [],
+    }
+    return {**plain, **changes}
+
+
+def _free_ports(first: int) -> Iterator[int]:
+    """Yield ports that nothing listens on."""
+    for port in range(first, first + _PORTS):
+        if _is_free(port):
+            yield port
+
+
+def _first_of_two(ports: Iterator[int]) -> int:
+    """Return a port that is followed by another free one, and use both up."""
+    first = next(ports)
+    while (second := next(ports)) != first + 1:
+        first = second
+    return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as one, contextlib.suppress(OSError):
+        one.bind((_HOST, port))
+        return True
+    return False
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -7,7 +7,7 @@
 
 from attrs import define
 
-from cicadaledge.edge import AnswerWriter, Headers, RequestHead
+from cicadaledge.edge import AnswerWriter, Headers, RequestHead, clock_ms
 from cicadaledge.standins._http_service import HttpService
 
 _FOREVER_S = 3600.0
@@ -15,15 +15,25 @@
 
 @define
 class Run:
-    """One request that the server ran."""
+    """One request that the server ran.
+
+    Args:
+        at_ms: When it arrived.
+        answer: Body of the whole answer.
+        ended_ms: When the server stopped working on it.
+    """
 
     request_id: str
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at_ms: float = 0.0
+    seal: str = ""
+    answer: bytes = b""
     finished: bool = False
     gone: bool = False
+    ended_ms: float | None = None
 
 
 @define
@@ -107,12 +117,16 @@
             await writer.whole(503, [(b"Not-Executed", b"1")], b"full")
             return
         run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
+        run.at_ms = clock_ms()
         self.runs.append(run)
+        run.seal = f"{self.instance}.{len(self.runs)}"
         try:
             await self._run(run, writer)
         except asyncio.CancelledError:
             run.gone = True
             raise
+        finally:
+            run.ended_ms = clock_ms()
 
     async def _run(self, run: Run, writer: AnswerWriter) -> None:
         faults = self.faults
@@ -141,24 +155,30 @@
             return
         run.finished = True
         status = 500 if self.faults.error else 200
-        await writer.whole(status, self._headers(run), f"{self.instance} {run.target}".encode())
+        run.answer = f"{self.instance} {run.target}".encode()
+        await writer.whole(status, self._headers(run), run.answer)
 
     async def _stream(self, run: Run, writer: AnswerWriter) -> None:
         first = int(run.headers.get("last-event-id", "0")) + 1
+        run.answer = b"".join(self.event(run, number) for number in range(1, self.events + 1))
         writer.start(200, self._headers(run))
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.gap_s)
             if self.faults.break_after is not None and number > self.faults.break_after:
-                await writer.piece(b"id: %d\nda" % number)
+                await writer.piece(self.event(run, number)[: len(b"id: %d\nda" % number)])
                 writer.break_off()
                 return
-            await writer.piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await writer.piece(self.event(run, number))
         run.finished = True
         writer.end()
 
+    def event(self, run: Run, number: int) -> bytes:
+        """Return one event of a stream."""
+        return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
     def _headers(self, run: Run) -> Headers:
         return [
             (b"Attempt-Id", run.request_id.encode()),
-            (b"Response-Seal", f"{self.instance}.{len(self.runs)}".encode()),
+            (b"Response-Seal", run.seal.encode()),
             (b"Server-Load", b"1,0,8"),
         ]
--- /dev/null
+++ b/tests/soak/test_ledger.py
@@ -0,0 +1,133 @@
+"""The judge of a soak finds each kind of broken promise, and passes over what is allowed."""
+
+import pytest
+from attrs import evolve
+
+from cicadaledge.routing import RouteKind
+from cicadaledge.soak import Act, Ledger, Sent, SoakBounds
+from cicadaledge.standins import Run
+
+KEY = "key-of-banksia"
+
+
+def a_request(number=1, **changes):
+    plain = Sent(
+        request_id=f"r{number}",
+        kind=RouteKind.UNSAFE,
+        resumable=False,
+        router="router-0",
+        target="/book/1",
+        body=b"{}",
+        key=KEY,
+        sent_ms=10_000.0,
+        ended_ms=10_050.0,
+        status=200,
+        seal="desk-0.1",
+        received=b"whole",
+        complete=True,
+    )
+    return evolve(plain, **changes)
+
+
+def a_run(number=1, **changes):
+    plain = Run(
+        f"r{number}",
+        "POST",
+        "/book/1",
+        {"tenant-id": "banksia"},
+        b"{}",
+        at_ms=10_010.0,
+        seal="desk-0.1",
+        answer=b"whole",
+        finished=True,
+        ended_ms=10_040.0,
+    )
+    return evolve(plain, **changes)
+
+
+def judge(sent, runs, acts=(), disturbed=()):
+    ledger = Ledger(SoakBounds(), {KEY: "banksia"})
+    ledger.sent = {one.request_id: one for one in sent}
+    ledger.runs = [("desk-0", run) for run in runs]
+    ledger.acts = list(acts)
+    for span in disturbed:
+        ledger.disturb(["router-0"], *span)
+    return [line.split(":")[0] for line in ledger.broken()]
+
+
+def test_a_whole_answer_breaks_nothing():
+    assert judge([a_request()], [a_run()]) == []
+
+
+@pytest.mark.parametrize(
+    ("sent", "runs", "broken"),
+    [
+        ([], [a_run()], "unasked"),
+        ([a_request()], [a_run(body=b"{} ")], "unasked"),
+        ([a_request()], [a_run(headers={"tenant-id": "wattle"})], "unasked"),
+        (
+            [a_request()],
+            [a_run(headers={"tenant-id": "banksia", "authorization": "Token x"})],
+            "unasked",
+        ),
+        ([a_request()], [a_run(), a_run()], "twice"),
+        ([a_request(status=503, seal=None, received=b"")], [a_run()], "refused"),
+        ([a_request(seal="desk-9.9")], [a_run()], "mixed"),
+        ([a_request(received=b"who")], [a_run()], "mixed"),
+        ([a_request(kind=RouteKind.STREAM, received=b"wole", complete=False)], [a_run()], "order"),
+    ],
+)
+def test_a_wrong_exchange_is_found(sent, runs, broken):
+    assert judge(sent, runs) == [broken]
+
+
+def test_a_safe_request_may_run_twice():
+    assert judge([a_request(kind=RouteKind.SAFE)], [a_run(), a_run()]) == []
+
+
+def test_a_run_after_a_drain_is_found_unless_its_router_was_out_of_touch():
+    act = Act("drain", 5_000.0, 3_000.0, frozenset({"desk-0"}))
+    assert judge([a_request()], [a_run()], [act]) == ["drain"]
+    assert judge([a_request()], [a_run()], [evolve(act, until_ms=9_000.0)]) == []
+    assert judge([a_request()], [a_run()], [act], [(2_000.0, 3_000.0)]) == []
+
+
+def test_a_revoked_key_binds_routers_out_of_touch_too():
+    act = Act("revocation", 4_000.0, 5_000.0, key=KEY, by_sending=True, everywhere=True)
+    assert judge([a_request()], [a_run()], [act], [(0.0, 9_000.0)]) == ["revocation"]
+
+
+def many(count, sent, run):
+    return (
+        [evolve(sent, request_id=f"r{n}") for n in range(count)],
+        [evolve(run, request_id=f"r{n}") for n in range(count)],
+    )
+
+
+def test_runs_that_go_on_after_their_callers_left_are_found():
+    sent = a_request(kind=RouteKind.SAFE, left_ms=10_020.0, status=None, complete=False)
+    assert judge(*many(4, sent, a_run(ended_ms=10_600.0))) == ["gone"]
+    assert judge(*many(4, sent, a_run(ended_ms=10_400.0))) == []
+
+
+def test_requests_that_end_without_an_answer_are_found_also_around_a_stop():
+    sent = a_request(status=None, complete=False, seal=None, received=b"")
+    assert judge(*many(4, sent, a_run())) == ["lost"]
+    assert judge(*many(4, sent, a_run()), disturbed=[(9_000.0, 9_500.0)]) == []
+    ledger = Ledger(SoakBounds(), {KEY: "banksia"})
+    requests, runs = many(4, sent, a_run())
+    ledger.sent = {one.request_id: one for one in requests}
+    ledger.runs = [("desk-0", run) for run in runs]
+    ledger.disturb(["router-0"], 9_000.0, 9_500.0, is_planned=True)
+    assert [line.split(":")[0] for line in ledger.broken()] == ["lost"]
+
+
+def test_answers_well_after_the_time_out_are_found():
+    sent = a_request(ended_ms=14_600.0, status=504, seal=None, received=b"")
+    assert judge(*many(4, sent, a_run())) == ["held"]
+
+
+def test_repeats_beyond_the_budget_are_found():
+    sent, runs = many(30, a_request(kind=RouteKind.SAFE), a_run())
+    assert judge(sent, [*runs, *runs[:26]]) == []
+    assert judge(sent, [*runs, *runs[:27]]) == ["budget"]
