Give accounts beyond their share idle places as long as none of them is left behind

Ruled out: the share itself (it follows the asked rates; maximal outputs in place of real ones make it about a quarter too small, which the bounds allow for). Reading time stays open in inverse proportion to the use; places stay open to 0.6, closing with the fourth power once an account gets over 1.5 times what the least served large one gets that is held back.

--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -22,7 +22,15 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
-from cicadaledge.placing import AccountShares, Chosen, LoadBook, Placer, Refused, ServerHealth
+from cicadaledge.placing import (
+    AccountShares,
+    Chosen,
+    LoadBook,
+    Placer,
+    Refused,
+    ServerHealth,
+    ShareUse,
+)
 from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable, Service
 
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
@@ -264,7 +272,7 @@
         while True:
             now_ms = clock_ms()
             self._recheck(work)
-            use = self._use_of_share(work, now_ms)
+            use = self._share_use(work, now_ms)
             choice = self._placer.choose(
                 work.call, work.route, work.service, work.regions, work.tried, use, now_ms
             )
@@ -278,13 +286,14 @@
                 raise RefusalError(code, choice.reason, retry_after_ms=int(choice.retry_after_ms))
             await asyncio.sleep(_HOLD_STEP_S)
 
-    def _use_of_share(self, work: Work, now_ms: float) -> float:
+    def _share_use(self, work: Work, now_ms: float) -> ShareUse:
         if work.account is None or work.service.engine is None:
-            return 0.0
+            return ShareUse()
         capacity = work.table.limits.tokens_per_s
-        return self._shares.use_of_share(work.account.name, capacity, now_ms)
+        return self._shares.use(work.account.name, capacity, now_ms)
 
     def _log_placed(self, work: Work, chosen: Chosen, now_ms: float) -> None:
+        use = self._share_use(work, now_ms)
         totals = self._load.totals(chosen.server.server, now_ms)
         _log.info(
             "Placed.",
@@ -293,7 +302,10 @@
             account=work.account_name,
             server=chosen.server.server,
             attempt=work.attempts + 1,
-            use_of_share=round(self._use_of_share(work, now_ms), 2),
+            use_of_share=round(use.of_share, 2),
+            use_of_least=round(use.of_least, 2),
+            share_per_s=self._shares.share_per_s,
+            cost_tokens=work.call.cost_tokens,
             unread_tokens=chosen.placement.unread_tokens,
             predicted_ms=round(chosen.predicted_ms),
             running=totals.running,
@@ -304,7 +316,7 @@
             proof_age_ms=round(self._beliefs.proof_age_ms(now_ms)),
         )
 
-    def _log_refused(self, work: Work, choice: Refused, use: float, now_ms: float) -> None:
+    def _log_refused(self, work: Work, choice: Refused, use: ShareUse, now_ms: float) -> None:
         _log.info(
             "No server was chosen.",
             request_id=work.call.request_id,
@@ -316,7 +328,9 @@
             running_unread_tokens=choice.totals.unread_tokens,
             sent_last_s=choice.totals.sent_last_s,
             routers=self._load.routers(now_ms),
-            use_of_share=round(use, 2),
+            use_of_share=round(use.of_share, 2),
+            use_of_least=round(use.of_least, 2),
+            share_per_s=self._shares.share_per_s,
             prompt_tokens=work.call.prompt_tokens,
             waited_ms=round(now_ms - work.call.started_ms),
             version=work.table.version,
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -21,6 +21,7 @@
     Placer,
     PlacingSettings,
     ServerHealth,
+    ShareUse,
     fair_level,
 )
 from cicadaledge.routing import (
@@ -46,6 +47,8 @@
 _SEND_MS = 1.0  # from a router to an engine
 _NO_LIMIT_TOKENS = 100_000
 _PAUSE_AIM_MS = 500.0
+_SPARED_REQUESTS = 3  # the largest ones, which may find no room by chance
+_EVEN_SPAN_S = 6  # seconds in which an account must not get less than half of the others
 _WINDOW_MS = 4_000.0  # windows in which an account is owed its max-min share
 
 
@@ -176,6 +179,8 @@
         worth: Worth earned over worth owed.
         worst_tenth: The same for the worst tenth of accounts, two at least.
         in_aim: Part of the requests answered in aim.
+        evenness: Least of what an account got that had a request refused or late in each
+            second of a span, over what it asked or the best served one got, whichever is less.
         read_again: Tokens of shared parts read again over all tokens read.
         by_class: Worth earned over worth asked for, beyond shares too.
     """
@@ -187,6 +192,7 @@
     late: float
     refused: float
     read_again: float
+    evenness: float
     by_class: dict[str, float]
 
     def row(self) -> str:
@@ -194,11 +200,11 @@
         classes = " ".join(f"{name} {value:.2f}" for name, value in self.by_class.items())
         return (
             f"{self.mode:14} {self.worth:6.3f} {self.worst_tenth:8.3f} {self.in_aim:7.3f} "
-            f"{self.late:6.3f} {self.refused:8.3f} {self.read_again:11.3f}  {classes}"
+            f"{self.late:6.3f} {self.refused:8.3f} {self.read_again:11.3f} {self.evenness:8.2f}  {classes}"
         )
 
 
-REPLAY_HEADER = f"{'mode':14} {'worth':>6} {'accounts':>8} {'in aim':>7} {'late':>6} {'refused':>8} {'read again':>11}"
+REPLAY_HEADER = f"{'mode':14} {'worth':>6} {'accounts':>8} {'in aim':>7} {'late':>6} {'refused':>8} {'read again':>11} {'evenness':>8}"
 
 
 class _SimRouter:
@@ -329,9 +335,9 @@
             kind.name, "h", "/", RouteKind.STREAM, kind.deadline_ms, kind.aim_ms, 1,
             (ServiceWeight(_SERVICE, 1),),
         )  # fmt: skip
-        use = 0.0
+        use = ShareUse()
         if self._mode.shares:
-            use = router.shares.use_of_share(request.account, self._day.tokens_per_s, now_ms)
+            use = router.shares.use(request.account, self._day.tokens_per_s, now_ms)
         choice = router.placer.choose(request.call, route, self._service, None, set(), use, now_ms)
         if isinstance(choice, Chosen):
             self._send(request, router, choice, now_ms)
@@ -430,9 +436,37 @@
             refused=sum(one.admitted_ms is None for one in self._requests) / count,
             read_again=sum(one.read_again_tokens for one in engines)
             / max(1, sum(one.read_tokens for one in engines)),
+            evenness=self._evenness(),
             by_class={name: one.part for name, one in by_class.items()},
         )
 
+    def _evenness(self) -> float:
+        """Return how evenly accounts were served that waited all through a span."""
+        seconds = int(self._day.seconds)
+        asked = [dict.fromkeys(self._accounts(), 0.0) for _ in range(seconds)]
+        got = [dict.fromkeys(self._accounts(), 0.0) for _ in range(seconds)]
+        waited: list[set[str]] = [set() for _ in range(seconds)]
+        sizes: dict[tuple[str, int], list[int]] = {}
+        for request in self._requests:
+            second = min(int(request.first_ms / 1000), seconds - 1)
+            asked[second][request.account] += request.call.cost_tokens
+            for begin in range(second - _EVEN_SPAN_S + 1, second + 1):
+                sizes.setdefault((request.account, begin), []).append(request.call.cost_tokens)
+            if request.admitted_ms is not None:
+                got[second][request.account] += request.call.cost_tokens
+            if request.admitted_ms is None or not request.in_aim:
+                waited[second].add(request.account)
+        least = 1.0
+        for begin in range(seconds - _EVEN_SPAN_S + 1):
+            span = slice(begin, begin + _EVEN_SPAN_S)
+            for account in set.intersection(*waited[span]):
+                spared = sum(sorted(sizes[account, begin])[-_SPARED_REQUESTS:])
+                least = min(least, _part_got(account, asked[span], got[span], spared))
+        return least
+
+    def _accounts(self) -> list[str]:
+        return [f"account-{number}" for number in range(self._day.accounts)]
+
     def _windows(self) -> dict[tuple[str, int], _Sum]:
         """Return what each account earned and was owed in each window.
 
@@ -460,6 +494,21 @@
         return worth * request.size_worth
 
 
+def _part_got(
+    account: str,
+    asked: list[dict[str, float]],
+    got: list[dict[str, float]],
+    spared_tokens: int,
+) -> float:
+    """Return what an account got over what it could expect, second by second."""
+    expected = sum(
+        min(asked_then[account], max(got_then.values()))
+        for asked_then, got_then in zip(asked, got, strict=True)
+    )
+    expected -= spared_tokens
+    return sum(one[account] for one in got) / expected if expected > 0 else 1.0
+
+
 def replay_modes(day: ReplayDay, modes: tuple[Mode, ...] = MODES) -> list[ReplayResult]:
     """Return the results of one day in several modes."""
     return [Replay(day, mode).run() for mode in modes]
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -9,7 +9,7 @@
 from cicadaledge.placing._load import LoadBook, Placement
 from cicadaledge.placing._placer import Chosen, Placer, PlacingSettings, Refused
 from cicadaledge.placing._rates import RateWindow
-from cicadaledge.placing._shares import AccountShares, fair_level
+from cicadaledge.placing._shares import AccountShares, ShareUse, fair_level
 from cicadaledge.placing._totals import ServerTotals
 
 __all__ = [
@@ -26,5 +26,6 @@
     "Refused",
     "ServerHealth",
     "ServerTotals",
+    "ShareUse",
     "fair_level",
 ]
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -10,7 +10,7 @@
 from cicadaledge.placing._engine import EngineModel, EngineSettings
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
-from cicadaledge.placing._shares import AccountShares
+from cicadaledge.placing._shares import AccountShares, ShareUse
 from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
 
@@ -27,8 +27,13 @@
         affine_tokens: Shared tokens from which a request goes only where they are kept.
         region_crossing_ms: Added to the predicted time for a server of another region.
         fair_low: Use of share up to which an account is not held back.
-        fair_high: Use of share from which the part of the bounds falls in inverse proportion.
-        beyond_share: Part of the bounds open to an account at `fair_high`.
+        fair_high: Use of share from which the time for reading falls in inverse proportion.
+        beyond_share: Part of the time for reading prompts open to an account at `fair_high`.
+        beyond_places: Least part of `running_limit` open to any account: a request that runs
+            slows others by a hundredth, only reading its prompt holds them up.
+        even_slack: How much more than the least served account that is held back another one
+            may get before fewer places are open to it; none may get twice as much.
+        even_exponent: Power with which places close beyond `even_slack`.
         cold_part: Part of the rate that a cold server bears that the fleet uses.
         warm_rate_per_s: Requests a second to one server that may turn cold unnoticed.
         settle_ms: Age from which a server is believed to keep the parts it is first for.
@@ -44,6 +49,9 @@
     fair_low: float = 0.9
     fair_high: float = 1.5
     beyond_share: float = 0.3
+    beyond_places: float = 0.6
+    even_slack: float = 1.5
+    even_exponent: float = 4.0
     cold_part: float = 0.8
     warm_rate_per_s: float = 18.0
     settle_ms: float = 6_000.0
@@ -77,6 +85,14 @@
     totals: ServerTotals = ServerTotals()
 
 
+@frozen
+class _Openness:
+    """Parts of the bounds that are open to an account."""
+
+    reading: float
+    places: float
+
+
 class Placer:
     """Decides for one router, with the fleet's load as far as it is known.
 
@@ -112,7 +128,7 @@
         service: Service,
         regions: frozenset[str] | None,
         tried: set[str],
-        use_of_share: float,
+        use: ShareUse,
         now_ms: float,
     ) -> Chosen | Refused:
         """Return where to send a request now.
@@ -120,14 +136,14 @@
         Args:
             regions: Regions whose servers may run it, or None for all.
             tried: Servers that have had it already.
-            use_of_share: What its account gets, as a multiple of its share.
+            use: What its account gets.
         """
         usable = self._candidates(service, regions, tried, now_ms)
         if not usable:
             return Refused("no server", self._settings.long_retry_ms)
         if service.engine is None:
             return self._choose_plain(usable, service, now_ms)
-        return self._choose_engine(call, route, service, usable, use_of_share, now_ms)
+        return self._choose_engine(call, route, service, usable, use, now_ms)
 
     def note_sent(self, call: Call, chosen: Chosen, now_ms: float) -> None:
         """Count a request that is about to be sent."""
@@ -169,14 +185,14 @@
         route: Route,
         service: Service,
         usable: list[ServerEntry],
-        use_of_share: float,
+        use: ShareUse,
         now_ms: float,
     ) -> Chosen | Refused:
         ranked = sorted(usable, key=lambda entry: _rank(call, entry.server))
         shared_tokens = sum(part.tokens for part in call.shared_parts)
         if shared_tokens >= self._settings.affine_tokens:
             ranked = ranked[:1]
-        openness = self._openness(use_of_share)
+        openness = self._openness(use)
         best: tuple[float, Chosen] | None = None
         for place, entry in enumerate(ranked):
             chosen = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
@@ -198,7 +214,7 @@
         service: Service,
         entry: ServerEntry,
         is_first: bool,
-        openness: float,
+        openness: _Openness,
         now_ms: float,
     ) -> Chosen | None:
         """Return the choice of one server, or None if it cannot serve in time."""
@@ -215,7 +231,7 @@
         if not self._fits(call, service, totals, openness):
             return None
         waiting_ms = predicted_ms - engine.first_token_ms(ServerTotals(), unread)
-        bound_ms = route.aim_ms * self._settings.aim_share * openness
+        bound_ms = route.aim_ms * self._settings.aim_share * openness.reading
         if predicted_ms > bound_ms and waiting_ms > bound_ms * 0.35:
             return None
         if not self._within_rate(entry, service, now_ms):
@@ -223,10 +239,12 @@
         context = call.prompt_tokens + call.output_tokens
         return Chosen(entry, Placement(entry.server, unread, context), predicted_ms)
 
-    def _fits(self, call: Call, service: Service, totals: ServerTotals, openness: float) -> bool:
+    def _fits(
+        self, call: Call, service: Service, totals: ServerTotals, openness: _Openness
+    ) -> bool:
         assert service.engine is not None
         limit = min(self._settings.running_limit, service.engine.slots)
-        if totals.running >= max(1.0, limit * openness):
+        if totals.running >= max(1.0, limit * openness.places):
             return False
         memory = service.engine.memory_tokens * self._settings.engine.memory_share
         return totals.context_tokens + call.prompt_tokens + call.output_tokens <= memory
@@ -242,15 +260,18 @@
         part = service.cold_per_s * self._settings.cold_part / self._load.routers(now_ms)
         return self._load.own_sent_last_s(entry.server, now_ms) < max(1.0, part)
 
-    def _openness(self, use_of_share: float) -> float:
+    def _openness(self, use: ShareUse) -> _Openness:
         """Return the part of the bounds that is open to an account."""
         settings = self._settings
-        if use_of_share <= settings.fair_low:
-            return 1.0
-        if use_of_share >= settings.fair_high:
-            return settings.beyond_share * settings.fair_high / use_of_share
-        along = (use_of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
-        return 1.0 - along * (1.0 - settings.beyond_share)
+        if use.of_share <= settings.fair_low:
+            return _Openness(1.0, 1.0)
+        if use.of_share >= settings.fair_high:
+            reading = settings.beyond_share * settings.fair_high / use.of_share
+        else:
+            along = (use.of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
+            reading = 1.0 - along * (1.0 - settings.beyond_share)
+        evenness = min(1.0, settings.even_slack / use.of_least) ** settings.even_exponent
+        return _Openness(reading, max(reading, settings.beyond_places * evenness))
 
     def _retry_after_ms(self, totals: ServerTotals) -> float:
         """Return when half of the prompts that wait at an engine will have been read."""
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -11,6 +11,7 @@
     PlacingSettings,
     Refused,
     ServerHealth,
+    ShareUse,
     fair_level,
 )
 from cicadaledge.routing import (
@@ -30,6 +31,7 @@
 DESK = Service("desk")
 REGIONS = {"zone-a": "north", "zone-b": "south"}
 SETTLED_MS = 100_000.0
+ENOUGH = ShareUse()
 
 
 def entry(
@@ -84,7 +86,7 @@
         request: Call,
         *,
         service: Service = POOL,
-        use: float = 0.0,
+        use: ShareUse = ENOUGH,
         aim_ms: float = 1000.0,
         regions: frozenset[str] | None = None,
         now_ms: float = SETTLED_MS,
@@ -94,7 +96,7 @@
             self.placer.note_sent(request, choice, now_ms)
         return choice
 
-    def fill(self, use: float, *, spread_ms: float = 100.0) -> int:
+    def fill(self, use: ShareUse, *, spread_ms: float = 100.0) -> int:
         """Place requests until one is refused; return how many were taken."""
         for number in range(1_000):
             now_ms = SETTLED_MS + number * spread_ms
@@ -114,24 +116,58 @@
 
 
 def test_an_engine_takes_requests_up_to_its_limit():
-    assert Pool(entry("a")).fill(0.0) == PlacingSettings().running_limit
+    assert Pool(entry("a")).fill(ENOUGH) == PlacingSettings().running_limit
 
 
 def test_an_account_far_beyond_its_share_leaves_most_of_an_engine_to_others():
     """One account asks five times its share; the rest must find room beside it."""
-    taken = Pool(entry("a")).fill(5.0)
+    taken = Pool(entry("a")).fill(ShareUse(5.0, 5.0))
     assert taken <= PlacingSettings().running_limit * 0.15
     pool = Pool(entry("a"))
-    pool.fill(5.0)
+    pool.fill(ShareUse(5.0, 5.0))
     assert isinstance(pool.place(call(5_000, subject="other", own=500)), Chosen)
 
 
+def test_an_account_beyond_its_share_gets_idle_places_while_nobody_is_served_less():
+    """Three accounts flood evenly: engines with few requests and no prompt to read take more."""
+    taken = Pool(entry("a")).fill(ShareUse(3.0, 1.0))
+    assert taken >= PlacingSettings().running_limit // 2
+    assert taken < PlacingSettings().running_limit
+
+
+def test_prompts_of_an_account_far_beyond_its_share_do_not_queue_up():
+    """Reading a prompt holds others up, so it waits only behind what is read at once."""
+    pool = Pool(entry("a"))
+    flood = ShareUse(4.0, 1.0)
+    taken = [pool.place(call(number, shared=200, own=5_000), use=flood) for number in range(10)]
+    assert sum(isinstance(one, Chosen) for one in taken) == 1
+    plain = pool.place(call(99, shared=200, own=5_000))
+    assert isinstance(plain, Chosen)
+
+
 def test_the_further_beyond_its_share_the_less_an_account_gets():
-    taken = [Pool(entry("a")).fill(use) for use in (0.5, 1.2, 1.5, 3.0, 6.0)]
+    uses = (0.5, 1.2, 1.5, 3.0, 6.0)
+    taken = [Pool(entry("a")).fill(ShareUse(use, max(1.0, use))) for use in uses]
     assert taken == sorted(taken, reverse=True)
     assert taken[0] > taken[2] > taken[4]
 
 
+def test_an_account_is_compared_with_the_least_served_large_one_that_is_held_back():
+    shares = AccountShares(4_000, FleetLoad())
+    for step in range(400):
+        now_ms = step * 50.0
+        for account, asked, admitted in (("flood", 500, 200), ("held", 300, 50), ("small", 1, 0)):
+            shares.note_asked(account, asked * 10, now_ms)
+            shares.note_admitted(account, admitted * 10, now_ms)
+    now_ms = 20_000.0
+    # Of 10,000 tokens a second the small one asks for 200, and the others share the rest.
+    flood = shares.use("flood", 10_000.0, now_ms)
+    assert flood.of_least == pytest.approx(4.0, rel=0.05)
+    assert shares.use("held", 10_000.0, now_ms).of_least == 1.0
+    assert shares.use("small", 10_000.0, now_ms).of_share < 0.1
+    assert flood.of_share == pytest.approx(flood.of_least * 10_000 / 4_900, rel=0.1)
+
+
 def test_accounts_in_a_flood_converge_to_equal_rates():
     """One account floods, one asks a little more than its share; each call costs the same."""
     fleet = FleetLoad()
@@ -149,7 +185,7 @@
         account = "plain" if step % 10 == 0 else "flood"
         request = call(step, subject=f"s{step % 40}", shared=200, own=1_000)
         shares.note_asked(account, request.cost_tokens, now_ms)
-        use = shares.use_of_share(account, capacity_per_s, now_ms)
+        use = shares.use(account, capacity_per_s, now_ms)
         choice = pool.place(request, use=use, now_ms=now_ms)
         if isinstance(choice, Chosen):
             pool.load.first_token(choice.placement)
