Keep cold servers below their rate in large fleets, and the platform's words out of the soak

Ruled out: late news of the cold state (the entries said so; the burst came from all routers). A router now sends its part of a cold server's rate; where that is below one a second, a few routers are chosen by hash. The bound for other servers follows from the operators' bounds, less what may have been sent since the views were made.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -81,7 +81,7 @@
         self._settings = settings
         self._beliefs = Beliefs(settings)
         self._metrics = EdgeMetrics()
-        fleet = FleetLoad()
+        fleet = FleetLoad(settings.router)
         self._load = LoadBook(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
         self._pool = ServerPool(settings.timing)
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -220,7 +220,9 @@
             self._relays = relays
         is_relay = relays[own.zone] == own.router
         members = len(self._known.keys() | {own.router})
-        self._fleet.set_roles(relays[own.zone], is_relay=is_relay, members=members)
+        self._fleet.set_roles(
+            relays[own.zone], is_relay=is_relay, members=members, turn_ms=self._turn_ms()
+        )
         self.news.set_role(self._zone_peers(), is_relay=is_relay)
 
     def _is_heard(self, name: str, now_ms: float) -> bool:
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 from collections.abc import Iterable, Iterator
 
@@ -18,6 +19,8 @@
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
 _ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each tenth view
+_STALE_TURNS = 4.0  # a turn at the router, one at each of two relays, and one on the way
+_DRAWS = 2**32
 _NOTHING = ServerTotals()
 
 
@@ -98,9 +101,15 @@
 
 
 class FleetLoad:
-    """Parts of the fleet's load that this router has heard."""
+    """Parts of the fleet's load that this router has heard.
 
-    def __init__(self) -> None:
+    Args:
+        router: Name of this router.
+    """
+
+    def __init__(self, router: str = "") -> None:
+        self._router = router
+        self._turn_ms = 0.0
         self._zone = _PartSum()
         self._far = _PartSum()
         self._rest = _PartSum()
@@ -108,8 +117,14 @@
         self._relay = ""
         self._members = 1
 
-    def set_roles(self, relay: str, *, is_relay: bool, members: int) -> None:
-        """Note which router relays for this zone, and how many the fleet has by its list."""
+    def set_roles(self, relay: str, *, is_relay: bool, members: int, turn_ms: float = 0.0) -> None:
+        """Note which router relays for this zone.
+
+        Args:
+            members: How many routers the fleet has by its list.
+            turn_ms: Time between two views.
+        """
+        self._turn_ms = turn_ms
         self._relay = relay
         self._is_relay = is_relay
         self._members = max(1, members)
@@ -138,6 +153,19 @@
         """Return whether the other routers' load is known."""
         return self._members == 1 or any(one.parts for one in self._sums(now_ms))
 
+    def may_exceed_by(self, rate_per_s: float) -> float:
+        """Return how much a rate may have grown since the views that tell of it were made."""
+        return rate_per_s * _STALE_TURNS * self._turn_ms / 1000
+
+    def is_first_for(self, server: str, count: float) -> bool:
+        """Return whether this router is among about *count* ones chosen for a server.
+
+        All routers agree without hearing each other, as each draws by the same hash.
+        """
+        text = f"{server}/{self._router}".encode()
+        drawn = int.from_bytes(hashlib.blake2b(text, digest_size=4).digest(), "big")
+        return drawn * self._members < count * _DRAWS
+
     def use_of(self, server: str, now_ms: float) -> ServerTotals:
         """Return what the others have placed on a server."""
         totals = _NOTHING
@@ -156,6 +184,10 @@
         heard = 1 + sum(one.routers for one in self._sums(now_ms))
         return heard if self.is_current(now_ms) else max(heard, self._members)
 
+    def routers_at_most(self, now_ms: float) -> int:
+        """Return how many routers may be there: heard ones, or listed ones if they are more."""
+        return max(self.routers(now_ms), self._members)
+
     def zone_view(self, own: LoadView, now_ms: float) -> LoadView:
         """Return the sum of this zone, for other relays."""
         self._zone.expire(now_ms)
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -10,6 +10,7 @@
 from cicadaledge.wire import ServerUse
 
 _SECOND_MS = 1_000.0
+_BLIND_PART = 0.5  # routers are drawn by chance, and some that are cut off are not counted
 
 
 @define(eq=False)
@@ -71,10 +72,24 @@
         own.running -= 1
         own.context_tokens -= placement.context_tokens
 
-    def own_sent_last_s(self, server: str, now_ms: float) -> int:
-        """Return how many requests this router sent to a server within the last second."""
-        own = self._own.get(server)
-        return own.sent.count(now_ms) if own else 0
+    def is_within(self, server: str, limit_per_s: float, now_ms: float) -> bool:
+        """Return whether the fleet, as far as it is heard, may send a server one more request."""
+        if not self._others.is_current(now_ms):
+            return self.is_within_part(server, limit_per_s * _BLIND_PART, now_ms)
+        sent = self.totals(server, now_ms).sent_last_s
+        return sent + self._others.may_exceed_by(sent) + 1 <= max(1.0, limit_per_s)
+
+    def is_within_part(self, server: str, limit_per_s: float, now_ms: float) -> bool:
+        """Return whether this router's part of a rate allows one more request.
+
+        All routers together stay below the rate whatever they hear of each other. Where it
+        allows less than one request a second to each, a few routers are chosen.
+        """
+        sent = self._own_totals(server, now_ms).sent_last_s
+        routers = self._others.routers_at_most(now_ms)
+        if routers <= limit_per_s:
+            return sent + 1 <= limit_per_s / routers
+        return sent < 1 and self._others.is_first_for(server, limit_per_s)
 
     def totals(self, server: str, now_ms: float) -> ServerTotals:
         """Return the load of a server.
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -35,7 +35,8 @@
             may get before fewer places are open to it; none may get twice as much.
         even_exponent: Power with which places close beyond `even_slack`.
         cold_part: Part of the rate that a cold server bears that the fleet uses.
-        warm_rate_per_s: Requests a second to one server that may turn cold unnoticed.
+        cold_overage: Multiple of that rate that no server may get: it can turn cold unnoticed.
+        cold_slack: Requests a second beside that multiple.
         settle_ms: Age from which a server is believed to keep the parts it is first for.
         short_retry_ms: Least pause before a refused request may come again.
         long_retry_ms: Longest such pause.
@@ -53,7 +54,8 @@
     even_slack: float = 1.5
     even_exponent: float = 4.0
     cold_part: float = 0.8
-    warm_rate_per_s: float = 18.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
     settle_ms: float = 6_000.0
     short_retry_ms: float = 150.0
     long_retry_ms: float = 1_000.0
@@ -253,12 +255,12 @@
         """Return whether one more request stays below what the server bears when cold."""
         if service.cold_per_s <= 0:
             return True
-        if self._directory.cold_until_ms(entry.server) <= now_ms:
-            return (
-                self._load.totals(entry.server, now_ms).sent_last_s < self._settings.warm_rate_per_s
-            )
-        part = service.cold_per_s * self._settings.cold_part / self._load.routers(now_ms)
-        return self._load.own_sent_last_s(entry.server, now_ms) < max(1.0, part)
+        settings = self._settings
+        if self._directory.cold_until_ms(entry.server) > now_ms:
+            part_per_s = service.cold_per_s * settings.cold_part
+            return self._load.is_within_part(entry.server, part_per_s, now_ms)
+        bound_per_s = service.cold_per_s * settings.cold_overage + settings.cold_slack
+        return self._load.is_within(entry.server, bound_per_s, now_ms)
 
     def _openness(self, use: ShareUse) -> _Openness:
         """Return the part of the bounds that is open to an account."""
--- a/src/cicadaledge/platform/_node.py
+++ b/src/cicadaledge/platform/_node.py
@@ -9,9 +9,12 @@
 
 from cicadaledge.edge import BoundSettings, EdgeSettings
 from cicadaledge.errors import SettingsError
+from cicadaledge.placing import PlacingSettings
 from cicadaledge.settings import Address
 
 _FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
+_COLD_OVERAGE = 1.0  # without a stated bound, cold servers get what they bear
+_COLD_SLACK = 0.0
 _USUAL_FILE = "/etc/cicadaledge/node.toml"
 
 
@@ -53,6 +56,10 @@
             retry_window_ms=float(bounds["budgetWindowS"]) * 1000,
             share_window_ms=float(bounds.get("quotaWindowS", 4)) * 1000,
         ),
+        placing=PlacingSettings(
+            cold_overage=float(bounds.get("coldOverage", _COLD_OVERAGE)),
+            cold_slack=float(bounds.get("coldSlack", _COLD_SLACK)),
+        ),
     )
 
 
--- a/src/cicadaledge/soak/_callers.py
+++ b/src/cicadaledge/soak/_callers.py
@@ -6,17 +6,19 @@
 import itertools
 import random
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from cicadaledge.edge import HttpConnection, clock_ms
 from cicadaledge.errors import BackendError
 from cicadaledge.routing import RouteKind
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Sent
 from cicadaledge.soak._world import SoakWorld
+from cicadaledge.standins import CallerRequest, answer_seal
 
 _PATIENCE_S = 6.0  # an answer later than this breaks the promise about time-outs
 _CONNECT_MS = 1_000.0
 _LEAVE_SHARE = 0.05  # callers that leave before the answer
+_SUBJECTS = 20  # shared parts of prompts
 _THINK_S = (0.02, 0.15)
 
 
@@ -98,7 +100,7 @@
         leave_s = chance.uniform(0.0, 0.3) if chance.random() < _LEAVE_SHARE else _PATIENCE_S
         self.world.ledger.sent[sent.request_id] = sent
         try:
-            connection.send("POST", sent.target, _headers(sent, kind, chance), sent.body)
+            connection.send("POST", sent.target, _request(sent, kind, chance).headers(), sent.body)
         except BackendError:
             del self.world.ledger.sent[sent.request_id]
             return False
@@ -119,20 +121,15 @@
     async def _read(self, connection: HttpConnection, sent: Sent) -> None:
         head = await connection.head()
         sent.status = head.status
-        sent.seal = head.get(b"Response-Seal")
+        sent.seal = answer_seal(head)
         while (piece := await connection.piece()) is not None:
             sent.received += piece
         sent.complete = True
 
 
-def _headers(sent: Sent, kind: _Kind, chance: random.Random) -> list[tuple[bytes, bytes]]:
-    named = {
-        "Host": "site.example",
-        "Attempt-Id": sent.request_id,
-        "Deadline-Ms": str(ROUTE_TIMEOUT_MS),
-        "Authorization": f"Token {sent.key}",
-    }
-    if kind.is_model:
-        subject = chance.randrange(20)
-        named |= {"Model": "m", "Token-Usage": "300,40", "Prompt-Prefix": f"{subject:x}:200,bb:100"}
-    return [(name.encode(), value.encode()) for name, value in named.items()]
+def _request(sent: Sent, kind: _Kind, chance: random.Random) -> CallerRequest:
+    plain = CallerRequest(sent.request_id, sent.key, ROUTE_TIMEOUT_MS)
+    if not kind.is_model:
+        return plain
+    subject = chance.randrange(_SUBJECTS)
+    return evolve(plain, prompt="300,40", parts=f"{subject:x}:200,bb:100")
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -155,8 +155,7 @@
     async def history(self, fault: PlannedFault) -> None:
         """Let the store forget its history."""
         begin_ms = clock_ms()
-        for topic in ("keyed.op", "keyed.servers", "keyed.routers"):
-            self.world.store.forget_history(topic)
+        self.world.store.forget_all_history()
         self._disturb(list(self.world.routers), begin_ms)
 
     async def store_link(self, fault: PlannedFault) -> None:
@@ -212,7 +211,7 @@
         async with self._lock(server.name):
             acked_ms = clock_ms()
             server.present = False
-            self.world.store.put("keyed.servers", server.name, None)
+            self.world.store.put_server(server.name, None)
             await self._rest(fault, self.world.ledger.bounds.drain_ms)
             self._note(f"drain of {server.name}", acked_ms, servers=frozenset({server.name}))
             server.present = True
@@ -280,7 +279,7 @@
         zones = list(self.world.size.regions_by_zone)
         zone = zones[fault.pick % len(zones)]
         async with self._lock(zone):
-            self.world.store.put("keyed.op", f"evacuate/{zone}", {})
+            self.world.store.put_evacuation(zone, evacuated=True)
             acked_ms = clock_ms()
             bounds = self.world.ledger.bounds
             await self._rest(fault, bounds.evacuation_ms)
@@ -288,7 +287,7 @@
             names = frozenset(one.name for one in servers if one.runner.zone == zone)
             act = Act(f"evacuation of {zone}", acked_ms, bounds.evacuation_ms, names)
             self.world.ledger.acts.append(evolve(act, until_ms=clock_ms()))
-            self.world.store.put("keyed.op", f"evacuate/{zone}", None)
+            self.world.store.put_evacuation(zone, evacuated=False)
 
     async def _rest(self, fault: PlannedFault, bound_ms: float) -> None:
         """Wait until the bound has passed, so that what comes after it is seen."""
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -7,8 +7,9 @@
 
 from attrs import define, field, frozen
 
+from cicadaledge.edge import BoundSettings
 from cicadaledge.routing import RouteKind
-from cicadaledge.standins import Run
+from cicadaledge.standins import Run, account_of_run
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _OK = 200
@@ -40,6 +41,16 @@
     retry_window_ms: float = 10_000.0
     grace_ms: float = 8_000.0
 
+    def for_routers(self) -> BoundSettings:
+        """Return the bounds that the routers are told."""
+        return BoundSettings(
+            grace_ms=self.grace_ms,
+            revoke_ms=self.revoke_ms,
+            retry_ratio=self.retry_ratio,
+            retry_slack=self.retry_slack,
+            retry_window_ms=self.retry_window_ms,
+        )
+
 
 @define
 class Sent:
@@ -178,7 +189,7 @@
                 found.append(f"unasked: {server} ran {run.request_id} with a changed request")
             if "authorization" in run.headers:
                 found.append(f"unasked: {server} was shown the key of {run.request_id}")
-            if run.headers.get("tenant-id") != self.accounts.get(sent.key):
+            if account_of_run(run.headers) != self.accounts.get(sent.key):
                 found.append(f"unasked: {server} ran {run.request_id} for another account")
         return found
 
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import signal
 import socket
@@ -22,7 +21,17 @@
 from cicadaledge.settings import Address
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Ledger, SoakBounds
 from cicadaledge.soak._proxy import FaultProxy
-from cicadaledge.standins import PlatformRunner, PlatformStore, Run
+from cicadaledge.standins import (
+    NODE_FILE_VARIABLE,
+    READY_PATH,
+    NodeFile,
+    PlatformRunner,
+    PlatformStore,
+    Run,
+    platform_account,
+    platform_pool,
+    platform_route,
+)
 
 _HOST = "127.0.0.1"
 _FIRST_PORT = 25_000  # below the ports that the kernel gives to outgoing connections
@@ -66,26 +75,6 @@
         return f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
 
 
-class SoakStore(PlatformStore):
-    """A store that tells routers the proxies of their peers in place of their own ports.
-
-    Attributes:
-        proxied_ports: Proxy of each router's port for peers.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.proxied_ports: dict[int, int] = {}
-
-    def _append(self, topic: str, record: bytes) -> int:
-        key_end = 1 + record[0]
-        if topic == "keyed.routers" and record[key_end:]:
-            plain = json.loads(record[key_end:])
-            plain["port"] = self.proxied_ports.get(plain["port"], plain["port"])
-            record = record[:key_end] + json.dumps(plain).encode()
-        return super()._append(topic, record)
-
-
 @define
 class SoakServer:
     """A backend server, with the proxy that its entry names."""
@@ -129,7 +118,7 @@
     size: SoakSize
     directory: Path
     ledger: Ledger = field(factory=lambda: Ledger(SoakBounds(), ACCOUNTS))
-    store: SoakStore = field(factory=SoakStore)
+    store: PlatformStore = field(factory=PlatformStore)
     servers: dict[str, SoakServer] = field(factory=dict)
     routers: dict[str, RouterProcess] = field(factory=dict)
     version: int = 0
@@ -160,30 +149,25 @@
     def configure(self) -> int:
         """Write the configuration anew; return its version."""
         self.version += 1
-        self.store.put("keyed.op", "config", self._configuration())
+        self.store.put_configuration(self._configuration())
         return self.version
 
     def _configuration(self) -> dict[str, Any]:
         desk = self.desk_service
-        accounts = [
-            {"name": ACCOUNTS[key], "apiKeys": [key], "allowedRegions": []} for key in self.keys
-        ]
-        engine = {"slots": 64, "kvCapacity": 578_286}
+        limit = {"timeoutMs": ROUTE_TIMEOUT_MS}
         return {
             "version": self.version,
             "routes": [
-                _route("book", desk, "unsafe"),
-                _route("look", desk, "safe", maxAttempts=2),
-                _route("draft", "pool", "streaming"),
-                _route("chat", "pool", "streaming", maxAttempts=2, streamResume=True),
-            ],
-            "services": [
-                {"name": "desk"},
-                {"name": "till"},
-                {"name": "pool", "coldStartS": 0, "coldPerS": 0, "engine": engine},
+                platform_route("book", desk, "unsafe", **limit),
+                platform_route("look", desk, "safe", maxAttempts=2, **limit),
+                platform_route("draft", "pool", "streaming", **limit),
+                platform_route(
+                    "chat", "pool", "streaming", maxAttempts=2, streamResume=True, **limit
+                ),
             ],
+            "services": [{"name": "desk"}, {"name": "till"}, platform_pool("pool")],
             "limits": {"maxBodyBytes": 100_000, "tokensPerS": 0},
-            "tenants": accounts,
+            "tenants": [platform_account(ACCOUNTS[key], [key]) for key in self.keys],
         }
 
     async def add_server(self, name: str, service: str, zone: str) -> SoakServer:
@@ -203,7 +187,7 @@
         """Write the entry of a server."""
         entry = server.runner.heartbeat("draining" if server.draining else "ready")
         entry["address"] = f"{_HOST}:{server.proxy.port}"
-        self.store.put("keyed.servers", server.name, entry)
+        self.store.put_server(server.name, entry)
 
     async def restart_server(self, server: SoakServer) -> None:
         """Start a crashed server again, as a new incarnation under the same name."""
@@ -226,7 +210,7 @@
     def start_router(self, router: RouterProcess) -> None:
         """Start the process of a router."""
         router.starts += 1
-        environment = {**os.environ, "CICADALEDGE_NODE_FILE": str(router.settings_path)}
+        environment = {**os.environ, NODE_FILE_VARIABLE: str(router.settings_path)}
         log_path = self.directory / f"{router.name}.log"
         with log_path.open("ab") as log:
             router.process = subprocess.Popen(
@@ -246,7 +230,7 @@
             return False
         try:
             async with asyncio.timeout(1.0):
-                connection.send("GET", "/cicadaledge/readyz", [(b"Host", b"probe")], b"")
+                connection.send("GET", READY_PATH, [(b"Host", b"probe")], b"")
                 return (await connection.head()).status == _OK
         except (BackendError, TimeoutError):
             return False
@@ -279,37 +263,25 @@
         peer_link = FaultProxy(peers)
         await store_link.start()
         await peer_link.start()
-        self.store.proxied_ports[peers.port] = peer_link.port
+        self.store.peer_ports[peers.port] = peer_link.port
         path = self.directory / f"{name}.toml"
         router = RouterProcess(name, zone, callers, probes, path, store_link, peer_link)
-        path.write_text(self._settings(router, peers))
+        path.write_text(self._node_file(router, peers).text())
         self.routers[name] = router
 
-    def _settings(self, router: RouterProcess, peers: Address) -> str:
+    def _node_file(self, router: RouterProcess, peers: Address) -> NodeFile:
         bounds = self.ledger.bounds
-        zones = "\n".join(f'{zone} = "{one}"' for zone, one in self.size.regions_by_zone.items())
-        return f"""\
-nodeName = "{router.name}"
-ip = "{_HOST}"
-zone = "{router.zone}"
-region = "{self.size.regions_by_zone[router.zone]}"
-internalPortRange = [{peers.port}, {peers.port + 1}]
-[zones]
-{zones}
-[listenAddrs]
-front = "{_HOST}:{router.callers.port}"
-ready = "{_HOST}:{router.probes.port}"
-[bounds]
-graceS = {bounds.grace_ms / 1000}
-revokeMs = {bounds.revoke_ms}
-strictRevoke = true
-retryBudgetRatio = {bounds.retry_ratio}
-retryBudgetSlack = {bounds.retry_slack}
-budgetWindowS = {bounds.retry_window_ms / 1000}
-quotaWindowS = 4
-[platform]
-address = "{_HOST}:{router.store_link.port}"
-"""
+        store = Address(_HOST, router.store_link.port)
+        return NodeFile(
+            router.name,
+            router.zone,
+            self.size.regions_by_zone,
+            router.callers,
+            router.probes,
+            peers,
+            store,
+            bounds.for_routers(),
+        )
 
     async def _beat(self) -> None:
         """Write the entries of the living servers again and again."""
@@ -336,24 +308,6 @@
         await self.store.stop()
 
 
-def _route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
-    plain = {
-        "name": name,
-        "host": "site.example",
-        "pathPrefix": f"/{name}/",
-        "routeType": kind,
-        "timeoutMs": ROUTE_TIMEOUT_MS,
-        "targetLatencyMs": 1_000,
-        "service": service,
-        "maxAttempts": 1,
-        "authExempt": False,
-        "sessionAffinity": False,
-        "streamResume": False,
-        "allowedRegions": [],
-    }
-    return {**plain, **changes}
-
-
 def _free_ports(first: int) -> Iterator[int]:
     """Yield ports that nothing listens on."""
     for port in range(first, first + _PORTS):
--- a/src/cicadaledge/standins/__init__.py
+++ b/src/cicadaledge/standins/__init__.py
@@ -4,11 +4,31 @@
 from cicadaledge.standins._engine_emulator import EngineEmulator, EngineFigures, EngineRun
 from cicadaledge.standins._old_system import OldBackend, OldSystemSettings, OldSystemStandIn
 from cicadaledge.standins._platform import PlatformSettings, PlatformStandIn
+from cicadaledge.standins._platform_files import (
+    NODE_FILE_VARIABLE,
+    READY_PATH,
+    CallerRequest,
+    NodeFile,
+    account_of_run,
+    answer_seal,
+    platform_account,
+    platform_pool,
+    platform_route,
+)
 from cicadaledge.standins._platform_runner import PlatformRunner, Run, RunnerFaults
 from cicadaledge.standins._platform_store import PlatformStore
 from cicadaledge.standins._service import ServiceSettings, ServiceStandIn
 
 __all__ = [
+    "NODE_FILE_VARIABLE",
+    "READY_PATH",
+    "CallerRequest",
+    "NodeFile",
+    "account_of_run",
+    "answer_seal",
+    "platform_account",
+    "platform_pool",
+    "platform_route",
     "EngineEmulator",
     "EngineFigures",
     "EngineRun",
--- /dev/null
+++ b/src/cicadaledge/standins/_platform_files.py
@@ -0,0 +1,126 @@
+"""What the users' platform and its callers write, for deployments of stand-ins."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import frozen
+
+from cicadaledge.edge import AnswerHead, BoundSettings, Headers
+from cicadaledge.settings import Address
+
+NODE_FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
+READY_PATH = "/cicadaledge/readyz"
+
+
+@frozen
+class NodeFile:
+    """The settings file of one router.
+
+    Args:
+        peers: Where other routers connect; metrics are served at the next port.
+    """
+
+    router: str
+    zone: str
+    regions_by_zone: dict[str, str]
+    callers: Address
+    probes: Address
+    peers: Address
+    store: Address
+    bounds: BoundSettings = BoundSettings()
+
+    def text(self) -> str:
+        """Return the file."""
+        zones = [f'{zone} = "{region}"' for zone, region in self.regions_by_zone.items()]
+        lines = [
+            f'nodeName = "{self.router}"',
+            f'ip = "{self.peers.host}"',
+            f'zone = "{self.zone}"',
+            f'region = "{self.regions_by_zone[self.zone]}"',
+            f"internalPortRange = [{self.peers.port}, {self.peers.port + 1}]",
+            "[zones]",
+            *zones,
+            "[listenAddrs]",
+            f'front = "{self.callers.host}:{self.callers.port}"',
+            f'ready = "{self.probes.host}:{self.probes.port}"',
+            "[bounds]",
+            f"graceS = {self.bounds.grace_ms / 1000}",
+            f"revokeMs = {self.bounds.revoke_ms}",
+            f"strictRevoke = {str(self.bounds.strict_revoke).lower()}",
+            f"retryBudgetRatio = {self.bounds.retry_ratio}",
+            f"retryBudgetSlack = {self.bounds.retry_slack}",
+            f"budgetWindowS = {self.bounds.retry_window_ms / 1000}",
+            f"quotaWindowS = {self.bounds.share_window_ms / 1000}",
+            "[platform]",
+            f'address = "{self.store.host}:{self.store.port}"',
+        ]
+        return "\n".join(lines) + "\n"
+
+
+@frozen
+class CallerRequest:
+    """What a caller says of a request.
+
+    Args:
+        prompt: Tokens of the prompt and of the output, and its parts; empty for plain ones.
+    """
+
+    request_id: str
+    key: str
+    deadline_ms: int
+    prompt: str = ""
+    parts: str = ""
+
+    def headers(self) -> Headers:
+        """Return the headers."""
+        named = {
+            "Host": "site.example",
+            "Attempt-Id": self.request_id,
+            "Deadline-Ms": str(self.deadline_ms),
+            "Authorization": f"Token {self.key}",
+        }
+        if self.prompt:
+            named |= {"Model": "m", "Token-Usage": self.prompt, "Prompt-Prefix": self.parts}
+        return [(name.encode(), value.encode()) for name, value in named.items()]
+
+
+def answer_seal(head: AnswerHead) -> str | None:
+    """Return the seal that a server gave its answer."""
+    return head.get(b"Response-Seal")
+
+
+def account_of_run(headers: dict[str, str]) -> str | None:
+    """Return the account that a server was told, from a request's headers in lower case."""
+    return headers.get("tenant-id")
+
+
+def platform_route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    plain = {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 2_000,
+        "targetLatencyMs": 1_000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        "authExempt": False,
+        "sessionAffinity": False,
+        "streamResume": False,
+        "allowedRegions": [],
+    }
+    return {**plain, **changes}
+
+
+def platform_account(name: str, keys: list[str]) -> dict[str, Any]:
+    """Return a client account of the operator's configuration."""
+    return {"name": name, "apiKeys": keys, "allowedRegions": []}
+
+
+def platform_pool(name: str) -> dict[str, Any]:
+    """Return a model service of the operator's configuration."""
+    engine = {"slots": 64, "kvCapacity": 578_286}
+    return {"name": name, "coldStartS": 0, "coldPerS": 0, "engine": engine}
--- a/src/cicadaledge/standins/_platform_store.py
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -17,6 +17,9 @@
 _OFFSET_BYTES = 8
 _POLL_STEP_S = 0.01
 _PREFIX = "/cicadaledge/log-"
+_OPERATOR_TOPIC = "keyed.op"
+_SERVER_TOPIC = "keyed.servers"
+_ROUTER_TOPIC = "keyed.routers"
 
 
 @define
@@ -36,21 +39,40 @@
         fault: "" or "busy" (503), "silent" (no answer), "reset", "lost" (appends are done and
             not answered).
         calls: Calls by name, refused ones too.
+        peer_ports: Ports that are written in place of those that routers announce for peers.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.fault = ""
         self.calls: dict[str, int] = {}
+        self.peer_ports: dict[int, int] = {}
         self._topics: dict[str, _Topic] = {}
         self._newest: dict[str, dict[str, tuple[bytes, int]]] = {}
 
+    def put_configuration(self, plain: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.put(_OPERATOR_TOPIC, "config", plain)
+
+    def put_evacuation(self, zone: str, *, evacuated: bool) -> None:
+        """Evacuate a zone, or take it back."""
+        self.put(_OPERATOR_TOPIC, f"evacuate/{zone}", {} if evacuated else None)
+
+    def put_server(self, name: str, entry: dict[str, Any] | None) -> None:
+        """Write a server's entry, or remove it."""
+        self.put(_SERVER_TOPIC, name, entry)
+
     def put(self, topic: str, key: str, value: Any) -> int:
         """Write a record as its owner does; None removes the key. Return its offset."""
         data = b"" if value is None else value if isinstance(value, bytes) else _json(value)
         name = key.encode()
         return self._append(topic, bytes([len(name)]) + name + data)
 
+    def forget_all_history(self) -> None:
+        """Delete the records of all topics; the newest of each key are kept."""
+        for topic in (_OPERATOR_TOPIC, _SERVER_TOPIC, _ROUTER_TOPIC):
+            self.forget_history(topic)
+
     def forget_history(self, topic: str) -> None:
         """Delete the records; the newest of each key are kept."""
         kept = self._topic(topic)
@@ -117,10 +139,15 @@
         return offset
 
     def _append(self, topic: str, record: bytes) -> int:
-        kept = self._topic(topic)
-        kept.records.append(record)
         key = record[1 : 1 + record[0]].decode()
         value = record[1 + record[0] :]
+        if topic == _ROUTER_TOPIC and value and self.peer_ports:
+            plain = json.loads(value)
+            plain["port"] = self.peer_ports.get(plain["port"], plain["port"])
+            value = _json(plain)
+            record = record[: 1 + record[0]] + value
+        kept = self._topic(topic)
+        kept.records.append(record)
         newest = self._newest.setdefault(topic, {})
         if value:
             newest[key] = (value, kept.end - 1)
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -1,5 +1,7 @@
 """Placing on full engines: shares, prefixes, cold servers, regions."""
 
+import random
+
 import pytest
 
 from cicadaledge.placing import (
@@ -26,6 +28,7 @@
     Service,
     ServiceWeight,
 )
+from cicadaledge.wire import LoadView, ViewScope
 
 POOL = Service("pool", cold_per_s=11.0, engine=Engine(64, 578_286))
 DESK = Service("desk")
@@ -63,8 +66,10 @@
 class Pool:
     """A placer over some servers, seen by one router."""
 
-    def __init__(self, *entries: ServerEntry, settings: PlacingSettings | None = None) -> None:
-        self.fleet = FleetLoad()
+    def __init__(
+        self, *entries: ServerEntry, settings: PlacingSettings | None = None, router: str = "r0"
+    ) -> None:
+        self.fleet = FleetLoad(router)
         self.load = LoadBook(self.fleet)
         self.directory = ServerDirectory()
         self.health = ServerHealth()
@@ -145,6 +150,71 @@
     assert isinstance(plain, Chosen)
 
 
+class _LargeFleet:
+    """Routers of one zone that hear the sum of all others once in a turn."""
+
+    def __init__(
+        self, routers: int, turn_ms: float, *, cold: bool = True, hears: bool = True
+    ) -> None:
+        self.turn_ms = turn_ms
+        self.hears = hears
+        cold_ms = 2 * SETTLED_MS if cold else 0.0
+        self.pools = [Pool(entry("a", cold_ms=cold_ms), router=f"r{n}") for n in range(routers)]
+        self.relay = FleetLoad()
+        self.relay.set_roles("relay", is_relay=True, members=routers)
+        for pool in self.pools:
+            pool.fleet.set_roles("relay", is_relay=False, members=routers, turn_ms=turn_ms)
+
+    def exchange(self, now_ms: float) -> None:
+        views = {}
+        for number, pool in enumerate(self.pools):
+            own = pool.load.own_uses(now_ms)
+            views[f"r{number}"] = LoadView(0, int(ViewScope.SENDER), 1, False, own, [])
+        nothing = LoadView(0, int(ViewScope.SENDER), 0, False, [], [])
+        # What the relay heard a turn ago is what it tells now.
+        for name, rest in self.relay.rest_views(nothing, views, now_ms):
+            if self.hears:
+                self.pools[int(name[1:])].fleet.take("relay", rest, now_ms)
+        for name, view in views.items():
+            self.relay.take(name, view, now_ms)
+
+    def most_sent_in_a_second(self, asking: int, *, each_ms: int = 10) -> int:
+        """Let some routers have a request at a time; return the most that were sent."""
+        chance = random.Random(1)
+        sent_ms: list[float] = []
+        for step in range(400):
+            now_ms = SETTLED_MS + step * 10.0
+            if step % int(self.turn_ms / 10) == 0:
+                self.exchange(now_ms)
+            if step * 10 % each_ms:
+                continue
+            for number in chance.sample(range(len(self.pools)), asking):
+                pool = self.pools[number]
+                request = call(step * 1_000 + number, own=20, shared=20)
+                choice = pool.place(request, now_ms=now_ms)
+                if isinstance(choice, Chosen):
+                    sent_ms.append(now_ms)
+                    pool.load.first_token(choice.placement)
+                    pool.load.end(choice.placement)
+        return max(sum(at <= one < at + 1_000 for one in sent_ms) for at in sent_ms)
+
+
+@pytest.mark.parametrize("hears", [True, False])
+def test_a_large_fleet_keeps_below_the_rate_that_a_cold_server_bears(hears):
+    """77 routers want it at the same time, whether they hear each other or not."""
+    settings = PlacingSettings()
+    bound = POOL.cold_per_s * settings.cold_overage + settings.cold_slack
+    assert 3 <= _LargeFleet(77, 100.0, hears=hears).most_sent_in_a_second(25) <= bound
+
+
+def test_a_large_fleet_keeps_below_it_at_servers_that_may_turn_cold_unnoticed():
+    """50 requests a second for one server, views up to three turns old."""
+    settings = PlacingSettings()
+    bound = POOL.cold_per_s * settings.cold_overage + settings.cold_slack
+    fleet = _LargeFleet(77, 100.0, cold=False)
+    assert 10 <= fleet.most_sent_in_a_second(1, each_ms=20) <= bound
+
+
 def test_the_further_beyond_its_share_the_less_an_account_gets():
     uses = (0.5, 1.2, 1.5, 3.0, 6.0)
     taken = [Pool(entry("a")).fill(ShareUse(use, max(1.0, use))) for use in uses]
