Reset connections that are given up, so that what waits in them never arrives

Ruled out: late notice of the caller's leaving (the attempt had ended); a second sending. Now a channel that is aborted is reset. The test of two real sockets failed before.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -1,7 +1,7 @@
 """The router process that carries calls transparently between callers and backend servers."""
 
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, RequestHead
-from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._follow import FollowTimes, TopicFollower, TopicSink
@@ -58,5 +58,6 @@
     "ZoneChanged",
     "ZoneNews",
     "clock_ms",
+    "reset_on_close",
     "run_edge_router",
 ]
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import cast
@@ -12,6 +13,7 @@
 _KEEPALIVE_IDLE_S = 1  # a silent connection is found within about 3 s
 _KEEPALIVE_PERIOD_S = 1
 _KEEPALIVE_PROBES = 2
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 _USER_TIMEOUT_MS = 4_000  # unacknowledged bytes mean a lost path after the bound of contact
 
 
@@ -20,6 +22,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Let a socket's peer see a reset when it is closed, and drop what waits in it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 class Channel(asyncio.Protocol):
     """One TCP connection.
 
@@ -86,9 +93,16 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Reset the connection; the peer sees that the exchange is not complete."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Reset the connection; the peer sees that the exchange is not complete.
+
+        Without a reset the system would still deliver, even seconds later, what was written.
+        """
+        if self._transport is None or self.gone:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            reset_on_close(sock)
+        self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket up to find silent connections."""
--- a/src/cicadaledge/soak/_proxy.py
+++ b/src/cicadaledge/soak/_proxy.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 
 from attrs import define, field
 
+from cicadaledge.edge import reset_on_close
 from cicadaledge.settings import Address
 
 _HOST = "127.0.0.1"
 _CHUNK_BYTES = 65_536
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 
 
 @define(eq=False)
@@ -137,6 +135,5 @@
     """Close a connection so that its peer sees a reset, not an end."""
     if writer.is_closing():
         return
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    reset_on_close(writer.get_extra_info("socket"))
     writer.transport.abort()
--- /dev/null
+++ b/tests/edge/test_channel.py
@@ -0,0 +1,63 @@
+"""A channel that is given up is reset, so that nothing that waits in it arrives later."""
+
+import asyncio
+
+import pytest
+
+from cicadaledge.edge import Channel
+
+
+def test_an_aborted_channel_is_reset_also_with_bytes_on_their_way():
+    async def play():
+        received: list[Channel] = []
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Channel(received.append), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        _, channel = await loop.create_connection(Channel, "127.0.0.1", port)
+        channel.write(b"request")
+        channel.abort()
+        async with asyncio.timeout(2.0):
+            while not received or not received[0].gone:
+                await asyncio.sleep(0.01)
+        assert received[0].reset
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_a_closed_channel_ends_after_what_was_written():
+    async def play():
+        received: list[Channel] = []
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Channel(received.append), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        _, channel = await loop.create_connection(Channel, "127.0.0.1", port)
+        channel.write(b"request")
+        channel.close()
+        async with asyncio.timeout(2.0):
+            while not received:
+                await asyncio.sleep(0.01)
+            assert await received[0].read() == b"request"
+            while not received[0].gone:
+                await asyncio.sleep(0.01)
+        assert not received[0].reset
+        server.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_a_channel_can_be_aborted_at_any_time(times):
+    async def play():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(Channel, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        _, channel = await loop.create_connection(Channel, "127.0.0.1", port)
+        for _ in range(times):
+            channel.abort()
+            await asyncio.sleep(0.05)
+        assert channel.gone
+        Channel().abort()
+        server.close()
+
+    asyncio.run(play())
