Keep descriptors free for servers: close idle callers, and send refused ones away when crowded

The callers of a hot account meet one router; each refused one leaves a connection open for the idle time of 15 s. Callers may now hold 0.6 of the descriptors; beyond that those idle for longest are closed, a tenth at a time, and from half of it refused callers are told to close. Tests on a router with 260 descriptors.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -112,6 +112,7 @@
     def __init__(self, channel: Channel, service: CallerService) -> None:
         self.channel = channel
         self.idle = True
+        self.idle_since_ms = clock_ms()
         self._service = service
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=service.limits.header_bytes
@@ -158,6 +159,7 @@
     async def _read_request(self) -> tuple[RequestHead, bytes] | None:
         limits = self._service.limits
         self.idle = True
+        self.idle_since_ms = clock_ms()
         request = await self._first_event(limits.idle_timeout_ms)
         if request is None:
             return None
--- /dev/null
+++ b/src/cicadaledge/edge/_callers.py
@@ -0,0 +1,69 @@
+"""All connections of callers to one router, within the descriptors that it may use."""
+
+from __future__ import annotations
+
+from cicadaledge.edge._caller import CallerConnection
+from cicadaledge.logs import PartLog
+
+_RESERVED = 200  # descriptors for files, the store and peers
+_CALLER_PART = 0.6  # of the others; the rest is for connections to backend servers
+_CROWDED_PART = 0.5  # of the callers' part, from which refused callers are sent away
+_ROOM_PART = 0.1  # of the callers' part that is made free at once
+_log = PartLog("callers")
+
+
+class CallerConnections:
+    """Keeps count of the callers' connections and closes idle ones where they are too many.
+
+    Args:
+        descriptors: File descriptors that the process may use.
+    """
+
+    def __init__(self, descriptors: int) -> None:
+        self.limit = max(1, int((descriptors - _RESERVED) * _CALLER_PART))
+        self._connections: set[CallerConnection] = set()
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether a caller that is refused should open another connection elsewhere."""
+        return len(self._connections) > self.limit * _CROWDED_PART
+
+    def add(self, connection: CallerConnection) -> None:
+        """Count a connection; make room if there are too many."""
+        self._connections.add(connection)
+        if len(self._connections) > self.limit:
+            self._make_room()
+
+    def discard(self, connection: CallerConnection) -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close every connection that waits for a request."""
+        for connection in self._idle():
+            connection.channel.close()
+
+    def _make_room(self) -> None:
+        """Close the connections that have been idle for longest."""
+        idle = sorted(self._idle(), key=lambda connection: connection.idle_since_ms)
+        closed = idle[: max(1, int(self.limit * _ROOM_PART))]
+        if not closed:
+            return
+        for connection in closed:
+            connection.channel.close()
+        _log.warning(
+            "Too many callers; idle ones are closed.",
+            callers=len(self._connections),
+            limit=self.limit,
+            closed=len(closed),
+        )
+
+    def _idle(self) -> list[CallerConnection]:
+        return [
+            connection
+            for connection in self._connections
+            if connection.idle and not connection.channel.has_unread
+        ]
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -11,6 +11,7 @@
 from cicadaledge.codes import Code
 from cicadaledge.edge._beliefs import Beliefs, ControlSink, ServerSink
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
+from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
@@ -81,6 +82,7 @@
         self._settings = settings
         self._beliefs = Beliefs(settings)
         self._metrics = EdgeMetrics()
+        self._callers = CallerConnections(settings.descriptors)
         fleet = FleetLoad(settings.router)
         self._load = LoadBook(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
@@ -104,6 +106,7 @@
             health,
             self._placer,
             self._pool,
+            self._callers,
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
@@ -111,7 +114,6 @@
         self._followers = self._follow(topics)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._connections: set[CallerConnection] = set()
 
     async def run(self) -> None:
         """Serve until `stop` is called."""
@@ -200,11 +202,11 @@
         task = asyncio.get_running_loop().create_task(connection.run())
         self._tasks.add(task)
         if service is self._desk:
-            self._connections.add(connection)
+            self._callers.add(connection)
 
         def done(ended: asyncio.Task[None]) -> None:
             self._tasks.discard(ended)
-            self._connections.discard(connection)
+            self._callers.discard(connection)
             if not ended.cancelled() and ended.exception() is not None:
                 _log.warning("Connection has failed.", error=repr(ended.exception()))
                 channel.abort()
@@ -215,7 +217,7 @@
         while True:
             self._pool.close_idle()
             self._placer.forget_servers(self._beliefs.directory.names())
-            self._metrics.set_state("callers", len(self._connections))
+            self._metrics.set_state("callers", len(self._callers))
             self._metrics.set_state("active", self._desk.active)
             self._metrics.set_state("peers", len(self._peers.links.peers()))
             self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
@@ -233,17 +235,12 @@
         self._desk.refusing = True
         callers.close()
         while clock_ms() < end_ms:
-            self._close_idle_callers()
-            if not self._desk.active and not self._connections:
+            self._callers.close_idle()
+            if not self._desk.active and not self._callers:
                 return
             await asyncio.sleep(_CHECK_S)
         _log.warning("Grace has passed; answers are broken off.", count=self._desk.active)
 
-    def _close_idle_callers(self) -> None:
-        for connection in list(self._connections):
-            if connection.idle and not connection.channel.has_unread:
-                connection.channel.close()
-
 
 def run_edge_router(settings: EdgeSettings, dialect: Dialect, topics: StoreTopics) -> None:
     """Run a router until it is told to stop."""
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -13,6 +13,7 @@
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult, WholeAnswer
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
+from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._dialect import Dialect
 from cicadaledge.edge._http_client import Headers
@@ -88,6 +89,7 @@
         health: ServerHealth,
         placer: Placer,
         pool: ServerPool,
+        callers: CallerConnections,
         metrics: EdgeMetrics,
     ) -> None:
         self.closing = False
@@ -101,6 +103,7 @@
         self._health = health
         self._placer = placer
         self._pool = pool
+        self._callers = callers
         self._metrics = metrics
         self._retries = RetryBudget(settings.bounds)
         self._chance = random.Random()
@@ -401,6 +404,8 @@
             return
         status = code_info(refusal.code).http_status
         headers = self._dialect.refusal_headers(refusal.retry_after_ms)
+        if self._callers.is_crowded:
+            headers = [*headers, (b"Connection", b"close")]
         await writer.whole(status, headers, _json(refusal_body(refusal, request_id)))
 
 
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -88,6 +88,7 @@
         probes: Where the balancer asks whether to send callers here.
         peers: Where other routers connect.
         metrics: Where metrics are served.
+        descriptors: File descriptors that the process may use.
     """
 
     router: str
@@ -99,6 +100,7 @@
     peers: Address
     metrics: Address
     store: Address
+    descriptors: int = field(default=4_096, validator=gt(200))
     bounds: BoundSettings = field(factory=BoundSettings)
     timing: TimingSettings = field(factory=TimingSettings)
     placing: PlacingSettings = field(factory=PlacingSettings)
--- a/src/cicadaledge/platform/_node.py
+++ b/src/cicadaledge/platform/_node.py
@@ -15,6 +15,7 @@
 _FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
 _COLD_OVERAGE = 1.0  # without a stated bound, cold servers get what they bear
 _COLD_SLACK = 0.0
+_DESCRIPTORS = 4_096  # a usual limit of processes
 _USUAL_FILE = "/etc/cicadaledge/node.toml"
 
 
@@ -47,6 +48,7 @@
         peers=Address(plain["ip"], int(plain["internalPortRange"][0])),
         metrics=Address(plain["ip"], int(plain["internalPortRange"][1])),
         store=_address(plain["platform"]["address"]),
+        descriptors=int(plain.get("limits", {}).get("maxFds", _DESCRIPTORS)),
         bounds=BoundSettings(
             grace_ms=float(bounds["graceS"]) * 1000,
             revoke_ms=float(bounds["revokeMs"]),
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -169,6 +169,7 @@
         zone: str = "zone-a",
         timing: TimingSettings = FAST,
         bounds: BoundSettings | None = None,
+        descriptors: int = 4_096,
     ) -> EdgeRouter:
         """Start a router and wait until it is ready, if the store serves it."""
         settings = EdgeSettings(
@@ -181,6 +182,7 @@
             peers=Address(HOST, free_port()),
             metrics=Address(HOST, free_port()),
             store=Address(HOST, self.store.port),
+            descriptors=descriptors,
             bounds=bounds or BoundSettings(grace_ms=3_000),
             timing=timing,
         )
--- /dev/null
+++ b/tests/edge/test_callers.py
@@ -0,0 +1,68 @@
+"""More callers than a router has descriptors for."""
+
+import asyncio
+
+from edge_world import request_headers, small_world
+
+from cicadaledge.edge import HttpConnection
+from cicadaledge.standins import RunnerFaults
+
+FEW = 260  # descriptors: 36 callers, crowded from 19 on
+
+
+async def ask(connection: HttpConnection, target: str) -> int:
+    connection.send("POST", target, request_headers(), b"{}")
+    head = await connection.head()
+    await connection.body()
+    connection.finish()
+    return head.status
+
+
+def test_the_longest_idle_callers_make_room_for_new_ones():
+    async def play():
+        async with small_world(descriptors=FEW) as world:
+            connections = [await world.connect() for _ in range(30)]
+            for connection in connections:
+                assert await ask(connection, "/book/1") == 200
+            later = [await world.connect() for _ in range(12)]
+            for connection in later:
+                assert await ask(connection, "/book/2") == 200
+            await asyncio.sleep(0.1)
+            gone = [connection.channel.gone for connection in connections]
+            assert 6 <= sum(gone) <= 12
+            assert gone == sorted(gone, reverse=True)
+            assert not any(connection.channel.gone for connection in later)
+
+    asyncio.run(play())
+
+
+def test_a_refused_caller_is_sent_away_where_there_are_many():
+    async def play():
+        async with small_world(descriptors=FEW) as world:
+            world.runners[0].faults = RunnerFaults(full=True)
+            first = await world.connect()
+            assert await ask(first, "/book/1") == 503
+            assert first.is_usable(1_000)
+            others = [await world.connect() for _ in range(25)]
+            await asyncio.sleep(0.1)
+            assert await ask(first, "/book/1") == 503
+            await asyncio.sleep(0.1)
+            assert first.channel.gone
+            for other in others:
+                other.abort()
+
+    asyncio.run(play())
+
+
+def test_a_caller_that_waits_for_its_answer_is_not_closed():
+    async def play():
+        async with small_world(descriptors=FEW) as world:
+            world.runners[0].gap_s = 0.6
+            waiting = asyncio.create_task(world.call("/book/1"))
+            await asyncio.sleep(0.1)
+            others = [await world.connect() for _ in range(50)]
+            assert (await waiting).status == 200
+            for other in others:
+                other.abort()
+
+    asyncio.run(play())
