--- /dev/null
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -0,0 +1,97 @@
+"""Days and ways of placing that a replay plays."""
+
+from __future__ import annotations
+
+from attrs import evolve, field, frozen
+
+from cicadaledge.placing import PlacingSettings
+
+_NO_LIMIT_TOKENS = 100_000
+
+
+@frozen
+class RequestClass:
+    """Requests of one kind.
+
+    Args:
+        prompt_tokens: Mean of the own part of a prompt; sizes are log-normal.
+        subjects: How many shared parts there are; each belongs to one account.
+    """
+
+    name: str
+    per_s: float
+    aim_ms: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+    shared_tokens: int
+    subjects: int
+    prompt_tokens: int
+    spread: float
+    output_tokens: int
+
+
+@frozen
+class ReplayDay:
+    """A day's load and the deployment that it meets.
+
+    Args:
+        skew: Exponent of the accounts' sizes.
+        hot_accounts: Accounts that send `hot_factor` times their usual in the middle third.
+        uneven: Weights of the routers, as connections come unevenly.
+    """
+
+    classes: tuple[RequestClass, ...]
+    seconds: float = 24.0
+    routers: int = 9
+    engines: int = 9
+    regions: int = 3
+    accounts: int = 16
+    skew: float = 1.8
+    hot_accounts: int = 3
+    hot_factor: float = 5.0
+    uneven: tuple[float, ...] = (3.0, 1.0, 1.0, 2.0, 0.5, 0.5, 1.0, 0.3, 0.7)
+    tokens_per_s: float = 225_000.0
+    view_ms: float = 50.0
+    view_delay_ms: float = 80.0
+    seed: int = 1
+
+
+HEAVY_DAY = ReplayDay(
+    (
+        RequestClass("draft", 40, 1000, 15_000, 4.7, 1.4, 5382, 170, 6610, 1.0, 384),
+        RequestClass("chat", 52, 600, 12_000, 1.5, 0.45, 198, 332, 628, 0.8, 294),
+        RequestClass("sort", 56, 600, 3_000, 0.47, 0.14, 568, 240, 1800, 1.0, 24),
+    )
+)
+
+
+@frozen
+class Mode:
+    """A way of placing.
+
+    Args:
+        shared_views: Whether routers hear each other.
+        split: Whether each router takes the others to place as much as itself.
+        shares: Whether accounts beyond their share are held back.
+    """
+
+    name: str
+    settings: PlacingSettings = field(factory=PlacingSettings)
+    shared_views: bool = True
+    split: bool = False
+    shares: bool = True
+
+
+MODES = (
+    Mode("placed"),
+    Mode("static_split", shared_views=False, split=True),
+    Mode("uncoordinated", shared_views=False),
+    Mode("least_loaded", PlacingSettings(affine_tokens=_NO_LIMIT_TOKENS)),
+    Mode("no_shares", shares=False),
+)
+
+
+def scaled(day: ReplayDay, factor: float) -> ReplayDay:
+    """Return a day with *factor* times the requests."""
+    return evolve(day, classes=tuple(evolve(one, per_s=one.per_s * factor) for one in day.classes))
