Let the soak judge more: harmed links to servers leave routers in touch, calm rounds too

Now what may have been held up on the way to such a server is passed over there only, and a round has 2 to 9 faults.

--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -139,7 +139,7 @@
 def soak(
     seed: Annotated[int, typer.Option(help="Seed of the first round.")] = 1,
     seeds: Annotated[int, typer.Option(help="How many rounds.")] = 1,
-    faults: Annotated[int, typer.Option(help="Faults of a round.")] = 7,
+    faults: Annotated[int, typer.Option(help="Faults of a round; 0 draws 2 to 9.")] = 0,
     routers: Annotated[int, typer.Option(help="Routers of each of three zones.")] = 2,
     callers: Annotated[int, typer.Option(help="Callers at the same time.")] = 16,
     first_port: Annotated[int, typer.Option(help="First port of the routers.")] = 25_000,
@@ -151,7 +151,7 @@
     size = SoakSize(routers_per_zone=routers, callers=callers, first_port=first_port)
     broken = False
     for number in range(seed, seed + seeds):
-        plan = SoakPlan(number, faults=faults, size=size)
+        plan = SoakPlan(number, faults=faults or None, size=size)
         result = run_round(plan, out / str(number))
         broken = broken or bool(result.broken)
         typer.echo("\n".join(result.lines()))
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -15,6 +15,7 @@
 from cicadaledge.soak._world import RouterProcess, SoakServer, SoakWorld
 from cicadaledge.standins import RunnerFaults
 
+_COUNTS = (2, 9)
 _DELAY_MS = 120.0  # twice a round trip between regions
 _STORM_VERSIONS = 6
 _EXIT_POLL_S = 0.05
@@ -36,9 +37,15 @@
     pick: int
 
 
-def draw_faults(seed: int, count: int, within_s: float) -> list[PlannedFault]:
-    """Return the faults of a seed, by time."""
+def draw_faults(seed: int, count: int | None, within_s: float) -> list[PlannedFault]:
+    """Return the faults of a seed, by time.
+
+    Args:
+        count: How many; None draws this, too: few leave routers in touch, many overlap.
+    """
     chance = random.Random(seed)
+    if count is None:
+        count = chance.randint(*_COUNTS)
     faults = [
         PlannedFault(
             chance.choice(sorted(KINDS)),
@@ -174,9 +181,10 @@
 
     async def server_link(self, fault: PlannedFault) -> None:
         """Harm the links to one backend server."""
+        server = self._server(fault)
         begin_ms = clock_ms()
-        await self._harm(self._server(fault).proxy, fault)
-        self._disturb(list(self.world.routers), begin_ms)
+        await self._harm(server.proxy, fault)
+        self.world.ledger.harm(server.name, begin_ms, clock_ms())
 
     async def _harm(self, proxy: FaultProxy, fault: PlannedFault) -> None:
         async with self._lock(f"proxy {id(proxy)}"):
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -132,6 +132,7 @@
     acts: list[Act] = field(factory=list)
     exits: list[str] = field(factory=list)
     _disturbed: dict[str, list[_Span]] = field(factory=dict)
+    _harmed: dict[str, list[_Span]] = field(factory=dict)
 
     def disturb(
         self, routers: Iterable[str], from_ms: float, until_ms: float, *, is_planned: bool = False
@@ -145,6 +146,18 @@
             span = _Span(from_ms, until_ms, is_planned)
             self._disturbed.setdefault(name, []).append(span)
 
+    def harm(self, server: str, from_ms: float, until_ms: float) -> None:
+        """Note that the links to a server were harmed for a while."""
+        self._harmed.setdefault(server, []).append(_Span(from_ms, until_ms, is_planned=False))
+
+    def _is_held_up(self, server: str, at_ms: float) -> bool:
+        """Return whether what a server received may have been held on its way."""
+        contact_ms = self.bounds.contact_ms
+        return any(
+            span.from_ms <= at_ms <= span.until_ms + contact_ms
+            for span in self._harmed.get(server, ())
+        )
+
     def in_touch(
         self, router: str, from_ms: float, until_ms: float, *, or_stopping: bool = False
     ) -> bool:
@@ -221,6 +234,8 @@
             sent = self.sent.get(run.request_id)
             if sent is None or (act.servers is not None and server not in act.servers):
                 continue
+            if not act.by_sending and self._is_held_up(server, run.at_ms):
+                continue
             if act.targets is not None and not sent.target.startswith(act.targets):
                 continue
             if act.key is not None and sent.key != act.key:
@@ -247,6 +262,8 @@
             for server, run in by_id.get(sent.request_id, []):
                 if not self.in_touch(sent.router, sent.sent_ms, end_ms):
                     continue
+                if self._is_held_up(server, end_ms):
+                    continue
                 concerned += 1
                 if run.ended_ms is None or run.ended_ms > end_ms:
                     late.append(f"{run.request_id} at {server}")
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -26,13 +26,13 @@
 
     Args:
         seed: Draws faults and load.
-        faults: How many faults.
+        faults: How many faults; None draws it by the seed.
         within_s: Time within which they begin.
         size: Size of the deployment.
     """
 
     seed: int
-    faults: int = 7
+    faults: int | None = None
     within_s: float = 8.0
     size: SoakSize = SoakSize()
 
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -92,6 +92,19 @@
     assert judge([a_request()], [a_run()], [act], [(2_000.0, 3_000.0)]) == []
 
 
+def test_what_was_held_up_on_the_way_to_a_server_is_not_late():
+    act = Act("drain", 5_000.0, 3_000.0, frozenset({"desk-0"}))
+    ledger = Ledger(SoakBounds(), {KEY: "banksia"})
+    ledger.sent = {"r1": a_request()}
+    ledger.runs = [("desk-0", a_run())]
+    ledger.acts = [act]
+    ledger.harm("desk-0", 6_500.0, 7_000.0)
+    assert ledger.broken() == []
+    ledger.harm("desk-1", 6_500.0, 7_000.0)
+    ledger.runs = [("desk-0", a_run(at_ms=11_500.0))]
+    assert [line.split(":")[0] for line in ledger.broken()] == ["drain"]
+
+
 def test_a_revoked_key_binds_routers_out_of_touch_too():
     act = Act("revocation", 4_000.0, 5_000.0, key=KEY, by_sending=True, everywhere=True)
     assert judge([a_request()], [a_run()], [act], [(0.0, 9_000.0)]) == ["revocation"]
