Do not send requests whose callers have left before they were read

Ruled out: bytes that arrive after a reset (the requests were sent to servers after the end). The end is now looked for once before a request is answered. The test failed before with an idle connection to the server at hand.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -146,6 +146,9 @@
             return False
         if received is None:
             return False
+        await asyncio.sleep(0)  # lets an end that came behind the request be read
+        if self.channel.ended:
+            return False
         head, body = received
         writer = AnswerWriter(self)
         await self._service.answer(head, body, writer)
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -59,6 +59,11 @@
         """Whether bytes have arrived that nobody has read."""
         return bool(self._buffer)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the peer has closed its side, with or without a reset."""
+        return self._ended
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the peer has not taken yet."""
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -28,6 +28,23 @@
     asyncio.run(play())
 
 
+def test_a_request_whose_caller_has_left_before_it_was_read_is_not_sent():
+    """Connections can wait for long to be accepted."""
+
+    async def play():
+        async with small_world() as world:
+            for _ in range(10):
+                # Leaves a connection to the server that could be used at once.
+                assert (await world.call("/book/1")).status == 200
+                connection = await world.connect()
+                connection.send("POST", "/book/2", request_headers(), b"{}")
+                connection.channel.close()
+                await asyncio.sleep(0.05)
+            assert {run.target for run in world.runners[0].runs} == {"/book/1"}
+
+    asyncio.run(play())
+
+
 def test_a_waiting_request_gets_its_answer_when_its_route_runs_out():
     async def play():
         async with small_world() as world:
