--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -31,7 +31,7 @@
     StoreClient,
 )
 from cicadaledge.settings import Address
-from cicadaledge.standins import PlatformRunner, PlatformStore
+from cicadaledge.standins import PlatformRunner, PlatformStore, platform_pool, platform_route
 
 HOST = "127.0.0.1"
 KEY = "key-of-banksia"
@@ -66,45 +66,20 @@
             return port
 
 
-def route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
-    """Return a route of the operator's configuration."""
-    plain = {
-        "name": name,
-        "host": "site.example",
-        "pathPrefix": f"/{name}/",
-        "routeType": kind,
-        "timeoutMs": 2000,
-        "targetLatencyMs": 1000,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 1,
-        "authExempt": False,
-        "sessionAffinity": False,
-        "streamResume": False,
-        "allowedRegions": [],
-    }
-    return {**plain, **changes}
-
-
 def configuration(**changes: Any) -> dict[str, Any]:
     """Return a configuration with a desk and a model pool."""
     plain: dict[str, Any] = {
         "version": 1,
         "routes": [
-            route("book", "desk", "unsafe"),
-            route("look", "desk", "safe", maxAttempts=2),
-            route("open", "desk", "safe", authExempt=True),
-            route("draft", "pool", "streaming"),
-            route("chat", "pool", "streaming", maxAttempts=2, streamResume=True),
+            platform_route("book", "desk", "unsafe"),
+            platform_route("look", "desk", "safe", maxAttempts=2),
+            platform_route("open", "desk", "safe", authExempt=True),
+            platform_route("draft", "pool", "streaming"),
+            platform_route("chat", "pool", "streaming", maxAttempts=2, streamResume=True),
         ],
         "services": [
             {"name": "desk", "coldStartS": 0, "coldPerS": 0},
-            {
-                "name": "pool",
-                "coldStartS": 3,
-                "coldPerS": 11,
-                "engine": {"slots": 64, "kvCapacity": 578286},
-            },
+            {**platform_pool("pool"), "coldStartS": 3, "coldPerS": 11},
         ],
         "limits": {"maxBodyBytes": 100_000, "tokensPerS": 225_000},
         "tenants": [{"name": "banksia", "apiKeys": [KEY], "allowedRegions": []}],
@@ -309,6 +284,5 @@
     "configuration",
     "evolve",
     "request_headers",
-    "route",
     "small_world",
 ]
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from attrs import evolve
-from edge_world import FAST, KEY, configuration, route, small_world
+from edge_world import FAST, KEY, configuration, small_world
 
 from cicadaledge.edge import BoundSettings
+from cicadaledge.standins import platform_route
 
 STRICT = BoundSettings(grace_ms=3_000, revoke_ms=900)
 TIGHT = evolve(FAST, revoke_margin_ms=100)
@@ -46,7 +47,7 @@
     async def play():
         async with small_world() as world:
             moved = configuration(version=5)
-            moved["routes"] = [route("new", "desk", "unsafe")]
+            moved["routes"] = [platform_route("new", "desk", "unsafe")]
             world.store.put("keyed.op", "config", moved)
             await asyncio.sleep(0.3)
             world.configure(version=1)
@@ -161,7 +162,7 @@
     async def play():
         async with small_world(desks=0, pools=0) as world:
             other = await world.add_runner("till-0", "till")
-            slow = route("book", "desk", "unsafe", targetLatencyMs=9_000, timeoutMs=9_000)
+            slow = platform_route("book", "desk", "unsafe", targetLatencyMs=9_000, timeoutMs=9_000)
             services = [*configuration()["services"], {"name": "till"}]
             world.configure(version=2, routes=[slow], services=services)
             await asyncio.sleep(0.3)
@@ -180,7 +181,7 @@
         async with small_world() as world:
             south = await world.add_runner("desk-b", "desk", "zone-b")
             plain = configuration(version=2)
-            plain["routes"][0] = route("book", "desk", "unsafe", allowedRegions=["south"])
+            plain["routes"][0] = platform_route("book", "desk", "unsafe", allowedRegions=["south"])
             world.store.put("keyed.op", "config", plain)
             await asyncio.sleep(0.3)
             for number in range(4):
--- a/tests/edge/test_carrying.py
+++ b/tests/edge/test_carrying.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from edge_world import KEY, configuration, request_headers, route, small_world
+from edge_world import KEY, configuration, request_headers, small_world
+
+from cicadaledge.standins import platform_route
 
 MODEL = {"model": True}
 
@@ -90,7 +92,7 @@
         async with small_world() as world:
             await world.add_runner("deep-0", "deep")
             plain = configuration()
-            plain["routes"].append(route("book/deep", "deep", "unsafe"))
+            plain["routes"].append(platform_route("book/deep", "deep", "unsafe"))
             plain["services"].append({"name": "deep"})
             plain["version"] = 2
             world.store.put("keyed.op", "config", plain)
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from edge_world import configuration, request_headers, route, small_world
+from edge_world import configuration, request_headers, small_world
 
 from cicadaledge.edge import EdgeRouter
-from cicadaledge.standins import RunnerFaults
+from cicadaledge.standins import RunnerFaults, platform_route
 
 
 def test_a_server_stops_working_when_the_caller_leaves():
@@ -49,7 +49,7 @@
     async def play():
         async with small_world() as world:
             plain = configuration(version=2)
-            plain["routes"][0] = route("book", "desk", "unsafe", timeoutMs=300)
+            plain["routes"][0] = platform_route("book", "desk", "unsafe", timeoutMs=300)
             world.store.put("keyed.op", "config", plain)
             world.runners[0].faults = RunnerFaults(silent=True)
             await asyncio.sleep(0.4)
