Let both sides keep the same one of two links dialed at the same time

Cause, by reading the new dialing: after a second without a link both sides dial. The side that accepts finishes the handshake half a round trip earlier, so across regions each side kept the link that it had accepted and closed the other, again and again in the same rhythm. Ruled out: telling by incarnation (equal). Now both prefer the link that the lesser name dialed. The test through proxies of 30 ms failed before: three links came up within a second.

--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -52,6 +52,7 @@
     incarnation: int
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    is_preferred: bool
     sent_names: NameTable = field(factory=NameTable)
     received_names: NameTable = field(factory=NameTable)
 
@@ -177,7 +178,7 @@
                 opening = asyncio.open_connection(host, port)
                 reader, writer = await asyncio.wait_for(opening, _DIAL_TIMEOUT_S)
                 self._connected.add(address)
-                await self._run(reader, writer)
+                await self._run(reader, writer, dialed=True)
             except (OSError, TimeoutError):
                 pass
             finally:
@@ -187,12 +188,15 @@
         self._dialers.pop(address, None)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await self._run(reader, writer)
+        await self._run(reader, writer, dialed=False)
 
-    async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, dialed: bool
+    ) -> None:
         link = None
         try:
-            link = await asyncio.wait_for(self._handshake(reader, writer), _HANDSHAKE_TIMEOUT_S)
+            handshake = self._handshake(reader, writer, dialed=dialed)
+            link = await asyncio.wait_for(handshake, _HANDSHAKE_TIMEOUT_S)
             if link is not None and self._adopt(link):
                 await self._read(link)
         except (FrameError, OSError, TimeoutError, asyncio.IncompleteReadError):
@@ -203,7 +207,7 @@
                 self._forget(link)
 
     async def _handshake(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, dialed: bool
     ) -> _Link | None:
         nonce = secrets.token_bytes(_NONCE_BYTES)
         self._write(writer, Hello(self._router, self._incarnation, nonce))
@@ -216,7 +220,8 @@
         if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, expected):
             return None
         self._handshakes += 1
-        return _Link(hello.router, hello.incarnation, reader, writer)
+        is_preferred = dialed == (self._router < hello.router)
+        return _Link(hello.router, hello.incarnation, reader, writer, is_preferred)
 
     def _proof(self, router: str, incarnation: int, nonce: bytes) -> bytes:
         text = f"{router}\n{incarnation}\n".encode() + nonce
@@ -236,9 +241,14 @@
         return decode_message(await reader.readexactly(length), names)
 
     def _adopt(self, link: _Link) -> bool:
+        """Take a link into use, or return False if another one to the peer is better.
+
+        Both sides prefer the link that the lesser name has dialed, so that of two dialed at the
+        same time they keep the same one.
+        """
         known = self._links.get(link.peer)
         if known is not None and not known.writer.is_closing():
-            if known.incarnation >= link.incarnation:
+            if (known.incarnation, known.is_preferred) >= (link.incarnation, link.is_preferred):
                 return False
             known.writer.close()
             self._forget(known)
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,59 @@
+"""Two routers that dial each other at the same time agree on one link."""
+
+import asyncio
+
+import pytest
+
+from cicadaledge.settings import Address
+from cicadaledge.soak import FaultProxy
+from cicadaledge.wire import LoadView, PeerLinks, ViewScope
+
+HOST = "127.0.0.1"
+
+
+class Peer:
+    """A router's links behind a proxy that adds the way across regions."""
+
+    def __init__(self, name):
+        self.name = name
+        self.heard = []
+        self.ups = 0
+        self.links = PeerLinks(name, 1, "key", self.on_message, self.on_up, lambda peer: None)
+
+    def on_message(self, peer, message):
+        self.heard.append(message.sent_ms)
+
+    def on_up(self, peer, incarnation):
+        self.ups += 1
+
+    async def start(self, delay_ms):
+        await self.links.listen(HOST, 0)
+        port = self.links._server.sockets[0].getsockname()[1]
+        self.proxy = FaultProxy(Address(HOST, port))
+        self.proxy.delay_ms = delay_ms
+        await self.proxy.start()
+
+
+@pytest.mark.parametrize("second_after_s", [0.0, 0.03, 0.1])
+def test_links_dialed_from_both_sides_end_as_one(second_after_s):
+    async def play():
+        one, two = Peer("a"), Peer("b")
+        await one.start(30.0)
+        await two.start(30.0)
+        one.links.dial(HOST, two.proxy.port)
+        await asyncio.sleep(second_after_s)
+        two.links.dial(HOST, one.proxy.port)
+        await asyncio.sleep(1.0)
+        assert one.ups <= 2 and two.ups <= 2
+        for number in range(20):
+            view = LoadView(number, int(ViewScope.NOBODY), 0, False, [], [])
+            assert one.links.send("b", view)
+            assert two.links.send("a", view)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.2)
+        assert one.heard == two.heard == list(range(20))
+        for peer in (one, two):
+            await peer.links.close()
+            await peer.proxy.stop()
+
+    asyncio.run(play())
