--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -8,6 +8,16 @@
 PORTS_PER_SEED = 100
 
 
+# Seeds that once failed, in the size and number of faults of that time.
+FAILED = {
+    1: "the soak itself held a port that a router needed",
+    112: "a process that was stopped before it listened ended by the signal; so 202, 215 and 221",
+    202: "as 112",
+    215: "as 112",
+    221: "as 112",
+}
+
+
 def plan(seed, **changes):
     place = seed % 20
     size = SoakSize(routers_per_zone=1, callers=8, first_port=FIRST_PORT + PORTS_PER_SEED * place)
@@ -26,3 +36,12 @@
     result = run_round(plan(1), tmp_path)
     assert result.broken == []
     assert result.statuses["200"] > 50
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", FAILED)
+def test_seeds_that_once_failed_hold(seed, tmp_path):
+    first_port = FIRST_PORT + PORTS_PER_SEED * (20 + list(FAILED).index(seed))
+    size = SoakSize(first_port=first_port)
+    result = run_round(SoakPlan(seed, faults=7, size=size), tmp_path)
+    assert result.broken == []
