Drop what nothing reads and merge what stood twice, after reading the whole change

Dead: the shares that the placer was handed, counters of received bytes and exchanges, starts of a router and targets of an act in the soak, the version that configure returned. Twice: the condition under which a server may serve (usable, is_usable), the two sinks of the beliefs, the start of a soak's server, the notes of its acts. The pool no longer compares each idle connection with all that it keeps. The soak's extra answer moves to the stand-ins: the check on the platform's names passed over words behind a line break in a literal. It sees them now, and failed on the former code. Ruled out: one type for the three loads of a server (wire, frozen and running sums differ in use), and membership.rank for engines (another hash would move every prefix).

--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -128,8 +128,8 @@
             _log.info("Server is gone.", server=server)
 
 
-class ControlSink:
-    """Takes what the operators write.
+class _BeliefSink:
+    """Takes changes over into the beliefs.
 
     Args:
         beliefs: What the router believes.
@@ -142,6 +142,10 @@
         """Take over one change."""
         self._beliefs.apply(change, now_ms)
 
+
+class ControlSink(_BeliefSink):
+    """Takes what the operators write."""
+
     def complete(self, changes: list[Change], now_ms: float) -> None:
         """Take back the zones that are no longer evacuated."""
         zones = [one for one in changes if isinstance(one, ZoneChanged)]
@@ -155,19 +159,8 @@
         """Do nothing: the configuration does not lapse."""
 
 
-class ServerSink:
-    """Takes the heartbeats of backend servers.
-
-    Args:
-        beliefs: What the router believes.
-    """
-
-    def __init__(self, beliefs: Beliefs) -> None:
-        self._beliefs = beliefs
-
-    def apply(self, change: Change, now_ms: float) -> None:
-        """Take over one change."""
-        self._beliefs.apply(change, now_ms)
+class ServerSink(_BeliefSink):
+    """Takes the heartbeats of backend servers."""
 
     def complete(self, changes: list[Change], now_ms: float) -> None:
         """Remove the servers that have no entry."""
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -38,7 +38,6 @@
         self.on_gone: Callable[[], None] | None = None
         self.gone = False
         self.reset = False
-        self.received_bytes = 0
         self._on_open = on_open
         self._buffer = bytearray()
         self._ended = False
@@ -126,7 +125,6 @@
     def data_received(self, data: bytes) -> None:
         """Keep bytes until they are read."""
         self._buffer += data
-        self.received_bytes += len(data)
         if len(self._buffer) > _READ_PAUSE_BYTES and not self._reading_paused:
             self._reading_paused = True
             self.transport.pause_reading()
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -92,7 +92,6 @@
             settings.placing,
             self._beliefs.directory,
             self._load,
-            self._shares,
             health,
             settings.region_of,
             settings.region,
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -48,7 +48,6 @@
         self.peer = peer
         self.channel = channel
         self.used_ms = clock_ms()
-        self.exchanges = 0
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES)
         self._idle_ms = _DEFAULT_IDLE_MS
         self._closing = False
@@ -82,7 +81,6 @@
         if body:
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
-        self.exchanges += 1
         self.channel.write(data)
 
     async def head(self) -> AnswerHead:
--- a/src/cicadaledge/edge/_server_pool.py
+++ b/src/cicadaledge/edge/_server_pool.py
@@ -59,9 +59,11 @@
     def close_idle(self) -> None:
         """Close connections that nobody will use again."""
         for key, idle in list(self._idle.items()):
-            kept = deque(one for one in idle if one.is_usable(_IDLE_LIMIT_MS))
+            kept: deque[HttpConnection] = deque()
             for connection in idle:
-                if connection not in kept:
+                if connection.is_usable(_IDLE_LIMIT_MS):
+                    kept.append(connection)
+                else:
                     connection.channel.close()
             if kept:
                 self._idle[key] = kept
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -62,7 +62,6 @@
             mode.settings,
             directory,
             self.load,
-            self.shares,
             ServerHealth(),
             lambda zone: zone,
             region,
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -10,7 +10,7 @@
 from cicadaledge.placing._engine import EngineModel, EngineSettings
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
-from cicadaledge.placing._shares import AccountShares, ShareUse
+from cicadaledge.placing._shares import ShareUse
 from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
 
@@ -109,7 +109,6 @@
         settings: PlacingSettings,
         directory: ServerDirectory,
         load: LoadBook,
-        shares: AccountShares,
         health: ServerHealth,
         region_of: Callable[[str], str],
         own_region: str,
@@ -117,7 +116,6 @@
         self._settings = settings
         self._directory = directory
         self._load = load
-        self._shares = shares
         self._health = health
         self._region_of = region_of
         self._own_region = own_region
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -130,22 +130,20 @@
     def usable(self, service: str) -> Iterator[ServerEntry]:
         """Yield the servers of a service that may get requests."""
         for known in self._known.values():
-            entry = known.entry
-            if entry.service != service or known.removed_ms is not None or known.foreign:
-                continue
-            if entry.state is ServerState.READY and entry.zone not in self._evacuated:
-                yield entry
+            if known.entry.service == service and self._may_serve(known):
+                yield known.entry
 
     def is_usable(self, entry: ServerEntry) -> bool:
         """Return whether a server that was chosen earlier may still get requests."""
         known = self._known.get(entry.server)
+        return known is not None and known.entry.born_ms == entry.born_ms and self._may_serve(known)
+
+    def _may_serve(self, known: _Known) -> bool:
         return (
-            known is not None
-            and known.removed_ms is None
+            known.removed_ms is None
             and not known.foreign
-            and known.entry.born_ms == entry.born_ms
             and known.entry.state is ServerState.READY
-            and entry.zone not in self._evacuated
+            and known.entry.zone not in self._evacuated
         )
 
     def cold_until_ms(self, server: str) -> float:
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -6,14 +6,15 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from cicadaledge.edge import clock_ms
 from cicadaledge.soak._ledger import Act
 from cicadaledge.soak._proxy import FaultProxy
 from cicadaledge.soak._world import RouterProcess, SoakServer, SoakWorld
-from cicadaledge.standins import RunnerFaults
+from cicadaledge.standins import EXTRA_ANSWER, RunnerFaults
 
 _COUNTS = (2, 9)
 _DELAY_MS = 120.0  # twice a round trip between regions
@@ -217,11 +218,9 @@
         """Let a living server's entry go and come back."""
         server = self._server(fault)
         async with self._lock(server.name):
-            acked_ms = clock_ms()
             server.present = False
             self.world.store.put_server(server.name, None)
-            await self._rest(fault, self.world.ledger.bounds.drain_ms)
-            self._note(f"drain of {server.name}", acked_ms, servers=frozenset({server.name}))
+            await self._rest_drained(fault, server)
             server.present = True
             self.world.beat(server)
 
@@ -231,9 +230,7 @@
         async with self._lock(server.name):
             server.draining = True
             self.world.beat(server)
-            acked_ms = clock_ms()
-            await self._rest(fault, self.world.ledger.bounds.drain_ms)
-            self._note(f"drain of {server.name}", acked_ms, servers=frozenset({server.name}))
+            await self._rest_drained(fault, server)
             server.lives = False
             await server.runner.stop()
             await self.world.restart_server(server)
@@ -255,9 +252,9 @@
             self.world.configure()
             acked_ms = clock_ms()
             await self._rest(fault, self.world.ledger.bounds.revoke_ms)
-            act = Act(f"revocation of {key}", acked_ms, self.world.ledger.bounds.revoke_ms)
-            act = evolve(act, key=key, until_ms=clock_ms(), by_sending=True, everywhere=True)
-            self.world.ledger.acts.append(act)
+            limit_ms = self.world.ledger.bounds.revoke_ms
+            what = f"revocation of {key}"
+            self._note(what, acked_ms, limit_ms, key=key, by_sending=True, everywhere=True)
             self.world.keys = kept
             self.world.configure()
 
@@ -271,8 +268,8 @@
             bounds = self.world.ledger.bounds
             await self._rest(fault, bounds.apply_ms)
             names = frozenset(name for name in self.world.servers if name.startswith(old))
-            act = Act("move of the routes", acked_ms, bounds.apply_ms, names, by_sending=True)
-            self.world.ledger.acts.append(evolve(act, until_ms=clock_ms()))
+            what = "move of the routes"
+            self._note(what, acked_ms, bounds.apply_ms, servers=names, by_sending=True)
             self.world.desk_service = old
             self.world.configure()
 
@@ -293,17 +290,24 @@
             await self._rest(fault, bounds.evacuation_ms)
             servers = self.world.servers.values()
             names = frozenset(one.name for one in servers if one.runner.zone == zone)
-            act = Act(f"evacuation of {zone}", acked_ms, bounds.evacuation_ms, names)
-            self.world.ledger.acts.append(evolve(act, until_ms=clock_ms()))
+            self._note(f"evacuation of {zone}", acked_ms, bounds.evacuation_ms, servers=names)
             self.world.store.put_evacuation(zone, evacuated=False)
 
     async def _rest(self, fault: PlannedFault, bound_ms: float) -> None:
         """Wait until the bound has passed, so that what comes after it is seen."""
         await asyncio.sleep(bound_ms / 1000 + fault.for_s / 2)
 
-    def _note(self, what: str, acked_ms: float, *, servers: frozenset[str]) -> None:
+    async def _rest_drained(self, fault: PlannedFault, server: SoakServer) -> None:
+        """Wait while a server that has just left must get nothing more."""
+        acked_ms = clock_ms()
         limit_ms = self.world.ledger.bounds.drain_ms
-        act = Act(what, acked_ms, limit_ms, servers, until_ms=clock_ms())
+        await self._rest(fault, limit_ms)
+        servers = frozenset({server.name})
+        self._note(f"drain of {server.name}", acked_ms, limit_ms, servers=servers)
+
+    def _note(self, what: str, acked_ms: float, limit_ms: float, **how: Any) -> None:
+        """Note an act that is undone now; the ledger judges what reached whom."""
+        act = Act(what, acked_ms, limit_ms, until_ms=clock_ms(), **how)
         self.world.ledger.acts.append(act)
 
 
@@ -316,7 +320,7 @@
     RunnerFaults(break_after=2),
     RunnerFaults(raw=b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut"),
     RunnerFaults(raw=b"no answer at all\r\n\r\n"),
-    RunnerFaults(trailing=b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 5\r\n\r\nextra"),
+    RunnerFaults(trailing=EXTRA_ANSWER),
 )
 
 KINDS: dict[str, Callable[[FaultLine, PlannedFault], Awaitable[None]]] = {
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -58,7 +58,6 @@
 
     Args:
         router: Router that it was sent to.
-        events: Events that a whole stream has; 0 for other requests.
         left_ms: When the caller left before the end.
     """
 
@@ -90,7 +89,6 @@
     Args:
         what: Names it in reports.
         servers: Servers that must get nothing more; None for all.
-        targets: Prefixes of targets that are concerned; None for all.
         key: Key that is concerned; None for all.
         limit_ms: From the acknowledgement on.
         until_ms: When it was undone.
@@ -102,7 +100,6 @@
     acked_ms: float
     limit_ms: float
     servers: frozenset[str] | None = None
-    targets: tuple[str, ...] | None = None
     key: str | None = None
     until_ms: float = float("inf")
     by_sending: bool = False
@@ -236,8 +233,6 @@
                 continue
             if not act.by_sending and self._is_held_up(server, run.at_ms):
                 continue
-            if act.targets is not None and not sent.target.startswith(act.targets):
-                continue
             if act.key is not None and sent.key != act.key:
                 continue
             at_ms = sent.sent_ms if act.by_sending else run.at_ms
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -39,6 +39,8 @@
 _READY_S = 20.0  # a process starts within a second on an idle machine
 _POLL_S = 0.05
 _HEARTBEAT_S = 0.6
+_EVENTS = 6  # of a stream
+_EVENT_GAP_S = 0.03
 _PROGRAM = "from cicadaledge.platform import main; main()"
 _OK = 200
 KEYS = ("key-of-banksia", "key-of-wattle", "key-of-waratah")
@@ -99,7 +101,6 @@
     store_link: FaultProxy
     peer_link: FaultProxy
     process: subprocess.Popen[bytes] | None = None
-    starts: int = 0
 
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it lives."""
@@ -124,7 +125,6 @@
     version: int = 0
     desk_service: str = "desk"
     keys: list[str] = field(factory=lambda: list(KEYS))
-    _started_servers: int = 0
     _tasks: list[asyncio.Task[None]] = field(factory=list)
 
     @contextlib.asynccontextmanager
@@ -146,11 +146,10 @@
         finally:
             await self._stop()
 
-    def configure(self) -> int:
-        """Write the configuration anew; return its version."""
+    def configure(self) -> None:
+        """Write the configuration anew, as its next version."""
         self.version += 1
         self.store.put_configuration(self._configuration())
-        return self.version
 
     def _configuration(self) -> dict[str, Any]:
         desk = self.desk_service
@@ -172,10 +171,7 @@
 
     async def add_server(self, name: str, service: str, zone: str) -> SoakServer:
         """Start a backend server behind a proxy and write its entry."""
-        self._started_servers += 1
-        runner = SoakRunner(name, service, zone, events=6, gap_s=0.03)
-        runner.born_ms = time.time_ns() // 1_000_000 + self._started_servers
-        await runner.start()
+        runner = await _started_runner(name, service, zone)
         proxy = FaultProxy(Address(_HOST, runner.port))
         await proxy.start()
         server = SoakServer(name, runner, proxy)
@@ -192,10 +188,9 @@
     async def restart_server(self, server: SoakServer) -> None:
         """Start a crashed server again, as a new incarnation under the same name."""
         self.collect(server)
-        runner = server.runner
-        again = SoakRunner(runner.instance, runner.service, runner.zone, events=6, gap_s=0.03)
-        again.born_ms = max(time.time_ns() // 1_000_000, runner.born_ms + 1)
-        await again.start()
+        former = server.runner
+        again = await _started_runner(former.instance, former.service, former.zone)
+        again.born_ms = max(again.born_ms, former.born_ms + 1)
         server.proxy.target = Address(_HOST, again.port)
         server.runner = again
         server.lives = server.present = True
@@ -209,7 +204,6 @@
 
     def start_router(self, router: RouterProcess) -> None:
         """Start the process of a router."""
-        router.starts += 1
         environment = {**os.environ, NODE_FILE_VARIABLE: str(router.settings_path)}
         log_path = self.directory / f"{router.name}.log"
         with log_path.open("ab") as log:
@@ -308,6 +302,13 @@
         await self.store.stop()
 
 
+async def _started_runner(name: str, service: str, zone: str) -> SoakRunner:
+    runner = SoakRunner(name, service, zone, events=_EVENTS, gap_s=_EVENT_GAP_S)
+    runner.born_ms = time.time_ns() // 1_000_000
+    await runner.start()
+    return runner
+
+
 def _free_ports(first: int) -> Iterator[int]:
     """Yield ports that nothing listens on."""
     for port in range(first, first + _PORTS):
--- a/src/cicadaledge/standins/__init__.py
+++ b/src/cicadaledge/standins/__init__.py
@@ -5,6 +5,7 @@
 from cicadaledge.standins._old_system import OldBackend, OldSystemSettings, OldSystemStandIn
 from cicadaledge.standins._platform import PlatformSettings, PlatformStandIn
 from cicadaledge.standins._platform_files import (
+    EXTRA_ANSWER,
     NODE_FILE_VARIABLE,
     READY_PATH,
     CallerRequest,
@@ -20,6 +21,7 @@
 from cicadaledge.standins._service import ServiceSettings, ServiceStandIn
 
 __all__ = [
+    "EXTRA_ANSWER",
     "NODE_FILE_VARIABLE",
     "READY_PATH",
     "CallerRequest",
--- a/src/cicadaledge/standins/_platform_files.py
+++ b/src/cicadaledge/standins/_platform_files.py
@@ -11,6 +11,7 @@
 
 NODE_FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
 READY_PATH = "/cicadaledge/readyz"
+EXTRA_ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 5\r\n\r\nextra"
 
 
 @frozen
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -80,7 +80,6 @@
             settings or PlacingSettings(),
             self.directory,
             self.load,
-            self.shares,
             self.health,
             lambda zone: REGIONS[zone],
             "north",
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -19,7 +19,7 @@
 
 SOURCE = Path(__file__).parent.parent.parent / "src" / "cicadaledge"
 WORDS = re.compile(
-    r"(?<![\w-])(?:Attempt-Id|Response-Seal|Expect-Instance|Tenant-Id|Deadline-Ms|Token-Usage|Prompt-Prefix"
+    r"(?:(?<![\w-])|(?<=\\n))(?:Attempt-Id|Response-Seal|Expect-Instance|Tenant-Id|Deadline-Ms|Token-Usage|Prompt-Prefix"
     r"|Not-Executed|Server-Load|keyed\.|coldRemainingMs|log-append|log-read|log-newest"
     r"|trafficSplit|routeType|allowedRegions|CICADALEDGE_NODE_FILE)"
 )
