--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from cicadaledge.edge._caller import AnswerWriter
-    from cicadaledge.edge._desk import Work
+    from cicadaledge.edge._work import Work
 
 _STRAY_ANSWERS = 2  # late answers to earlier requests that are passed over on one connection
 _OK = 200
--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -13,7 +13,7 @@
     ZoneChanged,
 )
 from cicadaledge.logs import PartLog
-from cicadaledge.routing import RoutingTable, ServerDirectory
+from cicadaledge.routing import RoutingTable, ServerDirectory, ServerEntry
 
 _log = PartLog("beliefs")
 
@@ -31,6 +31,7 @@
         self.servers_known = False
         self._settings = settings
         self._proof_ms = float("-inf")
+        self._servers_proof_ms = float("-inf")
         self._hold_removals_until_ms = 0.0
         self._held_removals: dict[str, float] = {}
 
@@ -42,7 +43,7 @@
             case ZoneChanged(zone, evacuated):
                 self._apply_zone(zone, evacuated)
             case ServerChanged(entry):
-                self._held_removals.pop(entry.server, None)
+                self._cancel_removal(entry)
                 if self.directory.apply(entry, now_ms):
                     _log.info(
                         "Server has changed.",
@@ -76,6 +77,14 @@
         """Note that the configuration read so far was the newest at *proof_ms*."""
         self._proof_ms = max(self._proof_ms, proof_ms)
 
+    def note_servers_proof(self, proof_ms: float) -> None:
+        """Note that the servers read so far were the newest at *proof_ms*."""
+        self._servers_proof_ms = max(self._servers_proof_ms, proof_ms)
+
+    def servers_age_ms(self, now_ms: float) -> float:
+        """Return the age of the newest proof that the servers are current."""
+        return now_ms - self._servers_proof_ms
+
     def note_store_back(self, now_ms: float) -> None:
         """Keep servers for a while whose entries lapsed while the store was away."""
         self._hold_removals_until_ms = now_ms + self._settings.timing.lapse_ms
@@ -119,10 +128,22 @@
 
     def _remove(self, server: str, now_ms: float) -> None:
         if now_ms < self._hold_removals_until_ms:
-            self._held_removals.setdefault(server, self._hold_removals_until_ms)
+            if server not in self._held_removals:
+                self._held_removals[server] = self._hold_removals_until_ms
+                held_ms = self._hold_removals_until_ms - now_ms
+                _log.info("Removal is put off.", server=server, held_ms=round(held_ms))
             return
         self._remove_now(server, now_ms)
 
+    def _cancel_removal(self, entry: ServerEntry) -> None:
+        if self._held_removals.pop(entry.server, None) is not None:
+            _log.info(
+                "Removal is cancelled by a heartbeat.",
+                server=entry.server,
+                born_ms=entry.born_ms,
+                sequence=entry.sequence,
+            )
+
     def _remove_now(self, server: str, now_ms: float) -> None:
         if self.directory.remove(server, now_ms):
             _log.info("Server is gone.", server=server)
@@ -171,6 +192,7 @@
     def note_read(self, proof_ms: float, now_ms: float) -> None:
         """Carry out removals that were put off."""
         self._beliefs.servers_known = True
+        self._beliefs.note_servers_proof(proof_ms)
         self._beliefs.settle_removals(now_ms)
         self._beliefs.directory.forget_old(now_ms)
 
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -7,10 +7,8 @@
 import random
 from typing import Any
 
-from attrs import define, field
-
 from cicadaledge.codes import Code, code_info
-from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult, WholeAnswer
+from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
 from cicadaledge.edge._callers import CallerConnections
@@ -18,9 +16,11 @@
 from cicadaledge.edge._dialect import Dialect
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._request_lines import RequestLines
 from cicadaledge.edge._retries import RetryBudget
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._work import Work
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import (
@@ -28,11 +28,10 @@
     Chosen,
     LoadBook,
     Placer,
-    Refused,
     ServerHealth,
     ShareUse,
 )
-from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable, Service
+from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable
 
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
 _HOLD_STEP_S = 0.015  # a tenth of the shortest hold
@@ -43,35 +42,6 @@
 _log = PartLog("request")
 
 
-@define
-class Work:
-    """One request on its way.
-
-    Args:
-        account: The account that it belongs to, or None where none is needed.
-        regions: Regions that may run it, or None for all.
-        until_ms: When its time runs out.
-        failure: The newest failure that a server itself answered with.
-    """
-
-    call: Call
-    route: Route
-    service: Service
-    table: RoutingTable
-    account: Account | None
-    regions: frozenset[str] | None
-    until_ms: float
-    tried: set[str] = field(factory=set)
-    attempts: int = 0
-    may_have_run: bool = False
-    failure: WholeAnswer | None = None
-
-    @property
-    def account_name(self) -> str | None:
-        """Name of the account, or None."""
-        return self.account.name if self.account else None
-
-
 class CallDesk:
     """Admits, places, sends and relays requests.
 
@@ -107,6 +77,7 @@
         self._metrics = metrics
         self._retries = RetryBudget(settings.bounds)
         self._chance = random.Random()
+        self._lines = RequestLines(beliefs, load, shares)
 
     @property
     def limits(self) -> Limits:
@@ -233,7 +204,7 @@
     async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
         now_ms = clock_ms()
         self._placer.note_sent(work.call, chosen, now_ms)
-        self._log_placed(work, chosen, now_ms)
+        self._lines.placed(work, chosen, self._share_use(work, now_ms), now_ms)
         server = chosen.server.server
         try:
             result = await attempt.run()
@@ -256,17 +227,7 @@
             self._metrics.first_byte((attempt.first_ms - now_ms) / 1000)
         if result.end is AttemptEnd.ANSWERED:
             self._metrics.answered((ended_ms - work.call.started_ms) / 1000)
-        _log.info(
-            "Attempt has ended.",
-            request_id=work.call.request_id,
-            server=server,
-            end=result.end.value,
-            status=result.status,
-            reason=result.reason,
-            predicted_ms=round(chosen.predicted_ms),
-            first_ms=attempt.first_ms and round(attempt.first_ms - now_ms),
-            took_ms=round(ended_ms - now_ms),
-        )
+        self._lines.attempt_ended(work, chosen, result, attempt.first_ms, now_ms)
         return result
 
     def _note_health(self, work: Work, server: str, *, failed: bool) -> None:
@@ -292,7 +253,7 @@
                     self._shares.note_admitted(work.account.name, work.call.cost_tokens, now_ms)
                 return choice
             if now_ms + _HOLD_STEP_S * 1000 > hold_until_ms:
-                self._log_refused(work, choice, use, now_ms)
+                self._lines.not_placed(work, choice, use, now_ms)
                 code = Code.BACKEND_LOST if work.may_have_run else Code.NO_CAPACITY
                 raise RefusalError(code, choice.reason, retry_after_ms=int(choice.retry_after_ms))
             await asyncio.sleep(_HOLD_STEP_S)
@@ -303,50 +264,6 @@
         capacity = work.table.limits.tokens_per_s
         return self._shares.use(work.account.name, capacity, now_ms)
 
-    def _log_placed(self, work: Work, chosen: Chosen, now_ms: float) -> None:
-        use = self._share_use(work, now_ms)
-        totals = self._load.totals(chosen.server.server, now_ms)
-        _log.info(
-            "Placed.",
-            request_id=work.call.request_id,
-            route=work.route.name,
-            account=work.account_name,
-            server=chosen.server.server,
-            attempt=work.attempts + 1,
-            use_of_share=round(use.of_share, 2),
-            use_of_least=round(use.of_least, 2),
-            share_per_s=self._shares.share_per_s,
-            cost_tokens=work.call.cost_tokens,
-            unread_tokens=chosen.placement.unread_tokens,
-            predicted_ms=round(chosen.predicted_ms),
-            running=totals.running,
-            running_unread_tokens=totals.unread_tokens,
-            routers=self._load.routers(now_ms),
-            waited_ms=round(now_ms - work.call.started_ms),
-            version=work.table.version,
-            proof_age_ms=round(self._beliefs.proof_age_ms(now_ms)),
-        )
-
-    def _log_refused(self, work: Work, choice: Refused, use: ShareUse, now_ms: float) -> None:
-        _log.info(
-            "No server was chosen.",
-            request_id=work.call.request_id,
-            route=work.route.name,
-            account=work.account_name,
-            reason=choice.reason,
-            server=choice.server,
-            running=choice.totals.running,
-            running_unread_tokens=choice.totals.unread_tokens,
-            sent_last_s=choice.totals.sent_last_s,
-            routers=self._load.routers(now_ms),
-            use_of_share=round(use.of_share, 2),
-            use_of_least=round(use.of_least, 2),
-            share_per_s=self._shares.share_per_s,
-            prompt_tokens=work.call.prompt_tokens,
-            waited_ms=round(now_ms - work.call.started_ms),
-            version=work.table.version,
-        )
-
     def _recheck(self, work: Work) -> None:
         """Follow a newer configuration, read meanwhile.
 
--- /dev/null
+++ b/src/cicadaledge/edge/_work.py
@@ -0,0 +1,41 @@
+"""One request on its way through a router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from cicadaledge.routing import Account, Call, Route, RoutingTable, Service
+
+if TYPE_CHECKING:
+    from cicadaledge.edge._attempt import WholeAnswer
+
+
+@define
+class Work:
+    """One request on its way.
+
+    Args:
+        account: The account that it belongs to, or None where none is needed.
+        regions: Regions that may run it, or None for all.
+        until_ms: When its time runs out.
+        failure: The newest failure that a server itself answered with.
+    """
+
+    call: Call
+    route: Route
+    service: Service
+    table: RoutingTable
+    account: Account | None
+    regions: frozenset[str] | None
+    until_ms: float
+    tried: set[str] = field(factory=set)
+    attempts: int = 0
+    may_have_run: bool = False
+    failure: WholeAnswer | None = None
+
+    @property
+    def account_name(self) -> str | None:
+        """Name of the account, or None."""
+        return self.account.name if self.account else None
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -7,7 +7,7 @@
 from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
-from cicadaledge.placing._placer import Chosen, Placer, PlacingSettings, Refused
+from cicadaledge.placing._placer import Chosen, Limit, Placer, PlacingSettings, Refused
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._shares import AccountShares, ShareUse, fair_level
 from cicadaledge.placing._totals import ServerTotals
@@ -18,6 +18,7 @@
     "EngineModel",
     "EngineSettings",
     "FleetLoad",
+    "Limit",
     "LoadBook",
     "Placement",
     "Placer",
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import hashlib
 from collections.abc import Callable
 
@@ -61,6 +62,15 @@
     long_retry_ms: float = 1_000.0
 
 
+class Limit(enum.StrEnum):
+    """The bound that kept a request from an engine."""
+
+    PLACES = "places"
+    MEMORY = "memory"
+    READING = "reading"
+    RATE = "rate"
+
+
 @frozen
 class Chosen:
     """A server for the request."""
@@ -79,12 +89,14 @@
         retry_after_ms: When it has a chance.
         server: The server that it would have gone to first; empty if there is none.
         totals: Load of that server.
+        limit: The bound that it met there, or None.
     """
 
     reason: str
     retry_after_ms: float
     server: str = ""
     totals: ServerTotals = ServerTotals()
+    limit: Limit | None = None
 
 
 @frozen
@@ -193,19 +205,19 @@
         if shared_tokens >= self._settings.affine_tokens:
             ranked = ranked[:1]
         openness = self._openness(use)
-        best: tuple[float, Chosen] | None = None
+        best: Chosen | None = None
+        first_limit: Limit | None = None
         for place, entry in enumerate(ranked):
-            chosen = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
-            if chosen is None:
-                continue
-            cost_ms = chosen.predicted_ms
-            if best is None or cost_ms < best[0]:
-                best = (cost_ms, chosen)
-        if best is None:
-            totals = self._load.totals(ranked[0].server, now_ms)
-            retry_after_ms = self._retry_after_ms(totals)
-            return Refused("engines are full", retry_after_ms, ranked[0].server, totals)
-        return best[1]
+            weighed = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
+            if isinstance(weighed, Limit):
+                first_limit = first_limit or weighed
+            elif best is None or weighed.predicted_ms < best.predicted_ms:
+                best = weighed
+        if best is not None:
+            return best
+        totals = self._load.totals(ranked[0].server, now_ms)
+        retry_after_ms = self._retry_after_ms(totals)
+        return Refused("engines are full", retry_after_ms, ranked[0].server, totals, first_limit)
 
     def _weigh(
         self,
@@ -216,8 +228,8 @@
         is_first: bool,
         openness: _Openness,
         now_ms: float,
-    ) -> Chosen | None:
-        """Return the choice of one server, or None if it cannot serve in time."""
+    ) -> Chosen | Limit:
+        """Return the choice of one server, or the bound that keeps the request from it."""
         assert service.engine is not None
         totals = self._load.totals(entry.server, now_ms)
         settled = now_ms - self._directory.first_seen_ms(entry.server) > self._settings.settle_ms
@@ -228,26 +240,29 @@
         predicted_ms = engine.first_token_ms(totals, unread)
         if not self._is_near(entry):
             predicted_ms += self._settings.region_crossing_ms
-        if not self._fits(call, service, totals, openness):
-            return None
+        limit = self._exceeded(call, service, totals, openness)
+        if limit is not None:
+            return limit
         waiting_ms = predicted_ms - engine.first_token_ms(ServerTotals(), unread)
         bound_ms = route.aim_ms * self._settings.aim_share * openness.reading
         if predicted_ms > bound_ms and waiting_ms > bound_ms * 0.35:
-            return None
+            return Limit.READING
         if not self._within_rate(entry, service, now_ms):
-            return None
+            return Limit.RATE
         context = call.prompt_tokens + call.output_tokens
         return Chosen(entry, Placement(entry.server, unread, context), predicted_ms)
 
-    def _fits(
+    def _exceeded(
         self, call: Call, service: Service, totals: ServerTotals, openness: _Openness
-    ) -> bool:
+    ) -> Limit | None:
+        """Return the bound on running requests that one more would exceed."""
         assert service.engine is not None
         limit = min(self._settings.running_limit, service.engine.slots)
         if totals.running >= max(1.0, limit * openness.places):
-            return False
+            return Limit.PLACES
         memory = service.engine.memory_tokens * self._settings.engine.memory_share
-        return totals.context_tokens + call.prompt_tokens + call.output_tokens <= memory
+        context = totals.context_tokens + call.prompt_tokens + call.output_tokens
+        return Limit.MEMORY if context > memory else None
 
     def _within_rate(self, entry: ServerEntry, service: Service, now_ms: float) -> bool:
         """Return whether one more request stays below what the server bears when cold."""
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -63,6 +63,7 @@
         self._own: dict[str, _Rate] = {}
         self._level_per_s = math.inf
         self._least_per_s = math.inf
+        self._asked_per_s: dict[str, float] = {}
         self._admitted_per_s: dict[str, float] = {}
         self._level_ms = -math.inf
 
@@ -71,6 +72,15 @@
         """Newest max-min share in tokens a second; None if there is enough for all."""
         return None if math.isinf(self._level_per_s) else round(self._level_per_s)
 
+    def newest_use(self, account: str) -> AccountUse:
+        """Return what the whole fleet asked and admitted for an account, as last summed."""
+        asked_per_s = self._asked_per_s.get(account, 0.0)
+        return AccountUse(account, asked_per_s, self._admitted_per_s.get(account, 0.0))
+
+    def sum_age_ms(self, now_ms: float) -> float:
+        """Return how long ago the fleet's rates were summed."""
+        return now_ms - self._level_ms
+
     def note_asked(self, account: str, tokens: int, now_ms: float) -> None:
         """Count a request that an account makes."""
         self._rate(account, now_ms).asked_per_s += tokens * 1000.0 / self._window_ms
@@ -112,6 +122,7 @@
         for use in self._all_uses(now_ms):
             asked[use.account] = asked.get(use.account, 0.0) + use.asked_per_s
             admitted[use.account] = admitted.get(use.account, 0.0) + use.admitted_per_s
+        self._asked_per_s = asked
         self._admitted_per_s = admitted
         self._level_per_s = fair_level(asked.values(), capacity_per_s)
         self._least_per_s = self._least_served(asked)
