--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -1,5 +1,6 @@
 """The router process that carries calls transparently between callers and backend servers."""
 
+from cicadaledge.edge._beliefs import Beliefs, ServerSink
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, RequestHead
 from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
@@ -29,6 +30,7 @@
     "AnswerHead",
     "AnswerSigns",
     "AnswerWriter",
+    "Beliefs",
     "BoundSettings",
     "CallerConnection",
     "Change",
@@ -49,6 +51,7 @@
     "RequestHead",
     "ServerChanged",
     "ServerRemoved",
+    "ServerSink",
     "StoreError",
     "StoreTopics",
     "TableChanged",
--- a/src/cicadaledge/loadtool/__init__.py
+++ b/src/cicadaledge/loadtool/__init__.py
@@ -21,7 +21,7 @@
 from cicadaledge.loadtool._fault_line import FaultLine
 from cicadaledge.loadtool._launcher import Launcher, LaunchError
 from cicadaledge.loadtool._replay import Replay, replay_modes
-from cicadaledge.loadtool._replay_day import HEAVY_DAY, MODES, Mode, ReplayDay, scaled
+from cicadaledge.loadtool._replay_day import FLOODED_DAY, HEAVY_DAY, MODES, Mode, ReplayDay, scaled
 from cicadaledge.loadtool._replay_result import REPLAY_HEADER, ReplayResult
 from cicadaledge.loadtool._report import compare, load_summary, mode_table, plot, table
 from cicadaledge.loadtool._run import ExperimentResult, run_experiment
@@ -37,6 +37,7 @@
     "ExperimentResult",
     "ExperimentSpec",
     "FaultEvent",
+    "FLOODED_DAY",
     "FaultLine",
     "HEAVY_DAY",
     "LaunchError",
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -67,7 +67,7 @@
             region,
         )
 
-    def view(self, now_ms: float) -> LoadView:
+    def view(self, now_ms: float, *, with_accounts: bool) -> LoadView:
         """Return what this router tells the others."""
         return LoadView(
             int(now_ms),
@@ -75,7 +75,7 @@
             1,
             False,
             self.load.own_uses(now_ms),
-            self.shares.own_uses(now_ms),
+            self.shares.own_uses(now_ms) if with_accounts else [],
         )
 
 
@@ -90,18 +90,22 @@
         self._order = itertools.count()
         self._ids = itertools.count()
         self._requests: list[ReplayRequest] = []
-        self._engines = {f"engine-{n}": EngineEmulator(EngineFigures()) for n in range(day.engines)}
+        figures = EngineFigures(slots=day.slots)
+        self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
+        self._views = 0
         self._stepping: set[str] = set()
         directory = ServerDirectory()
         for place, name in enumerate(self._engines):
             zone = f"region-{place % day.regions}"
-            entry = ServerEntry(name, _SERVICE, "h", 1, zone, ServerState.READY, 64, 0.0, 1, 1)
+            entry = ServerEntry(
+                name, _SERVICE, "h", 1, zone, ServerState.READY, day.slots, 0.0, 1, 1
+            )
             directory.apply(entry, -60_000.0)
         self._routers = [
             _SimRouter(f"router-{n}", f"region-{n % day.regions}", day, mode, directory)
             for n in range(day.routers)
         ]
-        self._service = Service(_SERVICE, engine=Engine(64, EngineFigures().memory_tokens))
+        self._service = Service(_SERVICE, engine=Engine(day.slots, figures.memory_tokens))
 
     def run(self) -> ReplayResult:
         """Play the day and its end; return what callers got."""
@@ -152,7 +156,8 @@
         weights = []
         for place in range(self._day.accounts):
             weight = 1.0 / (place + 1) ** (self._day.skew / 2)
-            hot = place < self._day.hot_accounts and third_ms <= now_ms < 2 * third_ms
+            is_hot = 0 <= place - self._day.first_hot < self._day.hot_accounts
+            hot = is_hot and third_ms <= now_ms < 2 * third_ms
             weights.append(weight * self._day.hot_factor if hot else weight)
         return f"account-{self._chance.choices(range(self._day.accounts), weights)[0]}"
 
@@ -242,7 +247,9 @@
     def _exchange_views(self, now_ms: float) -> None:
         if now_ms > self._day.seconds * 1000 + 5_000:
             return
-        views = [(router.name, router.view(now_ms)) for router in self._routers]
+        self._views += 1
+        told = self._views % self._day.accounts_every == 0
+        views = [(one.name, one.view(now_ms, with_accounts=told)) for one in self._routers]
 
         def deliver(at_ms: float) -> None:
             for router in self._routers:
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -38,6 +38,9 @@
     Args:
         skew: Exponent of the accounts' sizes.
         hot_accounts: Accounts that send `hot_factor` times their usual in the middle third.
+        first_hot: The largest of them, by rank of size.
+        slots: Requests that an engine runs at once.
+        accounts_every: Views with the rates of accounts.
         uneven: Weights of the routers, as connections come unevenly.
     """
 
@@ -50,8 +53,11 @@
     skew: float = 1.8
     hot_accounts: int = 3
     hot_factor: float = 5.0
+    first_hot: int = 0
     uneven: tuple[float, ...] = (3.0, 1.0, 1.0, 2.0, 0.5, 0.5, 1.0, 0.3, 0.7)
     tokens_per_s: float = 225_000.0
+    slots: int = 64
+    accounts_every: int = 3
     view_ms: float = 50.0
     view_delay_ms: float = 80.0
     seed: int = 1
@@ -65,6 +71,23 @@
     )
 )
 
+# Twelve engines of a grown deployment; a small account floods beside two large ones that do not fit.
+FLOODED_DAY = ReplayDay(
+    (
+        RequestClass("rewrite", 40, 1000, 12_000, 3.7, 1.1, 5382, 200, 6610, 1.0, 384),
+        RequestClass("chat", 25, 600, 12_000, 2.2, 0.67, 198, 120, 628, 0.8, 294),
+        RequestClass("label", 70, 600, 3_000, 0.31, 0.093, 568, 350, 1800, 1.0, 24),
+    ),
+    engines=12,
+    accounts=12,
+    skew=2.0,
+    hot_accounts=1,
+    first_hot=8,
+    hot_factor=150.0,
+    slots=12,
+    view_ms=100.0,
+)
+
 
 @frozen
 class Mode:
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -5,9 +5,24 @@
 from attrs import evolve
 from edge_world import FAST, KEY, configuration, small_world
 
-from cicadaledge.edge import BoundSettings
+from cicadaledge.edge import (
+    Beliefs,
+    BoundSettings,
+    EdgeSettings,
+    ServerChanged,
+    ServerRemoved,
+)
+from cicadaledge.routing import ServerEntry, ServerState
+from cicadaledge.settings import Address
 from cicadaledge.standins import platform_route
 
+NOWHERE = Address("127.0.0.1", 1)
+SETTINGS = EdgeSettings(
+    "router-0", "zone-a", "north", {"zone-a": "north"}, NOWHERE, NOWHERE, NOWHERE, NOWHERE, NOWHERE
+)
+ENTRY = ServerEntry("desk-0", "desk", "h", 1, "zone-a", ServerState.READY, 6, 0.0, 1_000, 5)
+OTHER = evolve(ENTRY, server="desk-1")
+
 STRICT = BoundSettings(grace_ms=3_000, revoke_ms=900)
 TIGHT = evolve(FAST, revoke_margin_ms=100)
 
@@ -86,6 +101,18 @@
     asyncio.run(play())
 
 
+def test_a_late_heartbeat_does_not_cancel_a_removal_that_is_put_off():
+    """The removal was forgotten, and the server got requests until it ended."""
+    beliefs = Beliefs(SETTINGS)
+    beliefs.apply(ServerChanged(ENTRY), 0.0)
+    beliefs.apply(ServerChanged(evolve(OTHER, sequence=9)), 0.0)
+    beliefs.note_store_back(1_000.0)
+    beliefs.apply(ServerRemoved(ENTRY.server), 1_100.0)
+    beliefs.apply(ServerChanged(evolve(ENTRY, sequence=ENTRY.sequence - 1)), 1_200.0)
+    beliefs.settle_removals(1_000.0 + SETTINGS.timing.lapse_ms)
+    assert [one.server for one in beliefs.directory.usable("desk")] == [OTHER.server]
+
+
 def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back():
     async def play():
         async with small_world() as world:
--- a/tests/loadtool/test_replay.py
+++ b/tests/loadtool/test_replay.py
@@ -1,8 +1,9 @@
 """A heavy day played against the placing code: what callers and accounts get."""
 
+import pytest
 from attrs import evolve
 
-from cicadaledge.loadtool import HEAVY_DAY, MODES, Replay, ReplayResult, scaled
+from cicadaledge.loadtool import FLOODED_DAY, HEAVY_DAY, MODES, Replay, ReplayResult, scaled
 
 # A third of the heavy day before a third of its engines; queues need seconds to build up.
 DAY = evolve(scaled(HEAVY_DAY, 1 / 3), seconds=18.0, engines=3, routers=3, tokens_per_s=75_000.0)
@@ -29,3 +30,9 @@
 def test_a_replay_repeats():
     day = evolve(DAY, seconds=2.0)
     assert Replay(day, MODES[0]).run() == Replay(day, MODES[0]).run()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_sudden_flood_does_not_hold_an_account_below_half_of_what_others_get(seed):
+    """A small account turns into the largest; one held back for its past load got 0.30."""
+    assert Replay(evolve(FLOODED_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
