Admit accounts in proportion to their share, so that a flood serves them evenly

Cause: an account beyond its share met narrower bounds at the engines, and each of its requests tried them by itself. Rates that faded over 4 s and reached others after up to 3 s let a new flood have 1.37 million in its first second and held the former one down for what it had got before. Shares were taken from what engines are said to produce, about half of what they serve where parts are kept. Class: admission by a bound on the state of a shared resource where a rate for each claimant is due. Now each router places only share / asked of an account's requests (core-stateless fair queueing), drawn by chance, corrected by what it got; the share follows what the fleet served and a quarter more; rates cover 2 s and reach others each third view. The rest is refused at once, with a short Retry-After: a caller that comes back after 1 s cannot be served in time any more. An account that gets under 0.3 of its due may use four engines for a prefix. One test is replaced: it played 50,000 admitted tokens beside a capacity of 10,000 and expected the share to follow the latter, which is the fault. The new one checks shares, uses and parts of all accounts.

--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -28,6 +28,7 @@
     Chosen,
     LoadBook,
     Placer,
+    Refused,
     ServerHealth,
     ShareUse,
 )
@@ -148,10 +149,27 @@
         regions = _allowed_regions(route, account)
         work = Work(call, route, service, table, account, regions, call.started_ms + time_ms)
         if account is not None and service.engine is not None:
-            self._shares.note_asked(account.name, call.cost_tokens, clock_ms())
+            self._shares.note_asked(account.name, call.cost_tokens, call.started_ms)
+            self._check_share(work)
         self._retries.note_request(service.name, clock_ms())
         return work
 
+    def _check_share(self, work: Work) -> None:
+        """Refuse a request at once whose account asks more than its share.
+
+        Raises:
+            RefusalError: It is not among the part of the account's requests that is placed.
+        """
+        now_ms = clock_ms()
+        use = self._share_use(work, now_ms)
+        if self._chance.random() < use.admitted_part:
+            return
+        retry_ms = self._settings.placing.short_retry_ms
+        self._lines.not_placed(work, Refused("share is used up", retry_ms), use, now_ms)
+        raise RefusalError(
+            Code.NO_CAPACITY, "the account's share is used up", retry_after_ms=int(retry_ms)
+        )
+
     def _account(
         self, call: Call, route: Route, table: RoutingTable, current: bool
     ) -> Account | None:
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -25,7 +25,7 @@
 
 _FLEET_KEY = "cicadaledge-edge"
 _RETRY_S = 1.0  # entries matter to routers that start; the store may be away for long
-_ACCOUNTS_EVERY = 10  # views with account rates: rates change within seconds, loads at once
+_ACCOUNTS_EVERY = 3  # views with account rates: a flood must be seen within a second
 _CANDIDATES = 3  # routers of a zone that may become its relay; two may fail at once
 _DIAL_BACK_MS = 1_000.0  # a dial and its handshake across regions take a tenth of it
 _ABSENT_MS = 2_000.0  # a process that was restarted is linked again before
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -170,7 +170,10 @@
         request.tries += 1
         request.call.started_ms = now_ms
         router.shares.note_asked(request.account, request.call.cost_tokens, now_ms)
-        self._place(request, router, now_ms)
+        if self._chance.random() < self._use(request, router, now_ms).admitted_part:
+            self._place(request, router, now_ms)
+        else:
+            self._refuse(request, self._mode.settings.short_retry_ms, now_ms)
 
     def _place(self, request: ReplayRequest, router: _SimRouter, now_ms: float) -> None:
         kind = request.kind
@@ -178,9 +181,7 @@
             kind.name, "h", "/", RouteKind.STREAM, kind.deadline_ms, kind.aim_ms, 1,
             (ServiceWeight(_SERVICE, 1),),
         )  # fmt: skip
-        use = ShareUse()
-        if self._mode.shares:
-            use = router.shares.use(request.account, self._day.tokens_per_s, now_ms)
+        use = self._use(request, router, now_ms)
         choice = router.placer.choose(request.call, route, self._service, None, set(), use, now_ms)
         if isinstance(choice, Chosen):
             self._send(request, router, choice, now_ms)
@@ -189,6 +190,11 @@
         else:
             self._refuse(request, choice.retry_after_ms, now_ms)
 
+    def _use(self, request: ReplayRequest, router: _SimRouter, now_ms: float) -> ShareUse:
+        if not self._mode.shares:
+            return ShareUse()
+        return router.shares.use(request.account, self._day.tokens_per_s, now_ms)
+
     def _refuse(self, request: ReplayRequest, retry_after_ms: float, now_ms: float) -> None:
         left_ms = request.first_ms + request.kind.deadline_ms - now_ms
         if request.tries == 1 and retry_after_ms <= left_ms * _RETRY_PART:
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -28,11 +28,15 @@
             slow every stream down: 27 served most on the heaviest days, 20 and 64 less.
         aim_share: Part of a route's objective that the predicted first token may take.
         affine_tokens: Shared tokens from which a request goes only where they are kept.
+        spill_engines: Engines, first ones by rank, that may keep such a prefix while its account
+            gets far less than its due.
         spread_engines: Engines, first ones by rank, of which any other request goes where its
             prompt is read soonest; as many others are asked if these are full.
         region_crossing_ms: Added to the predicted time for a server of another region.
         fair_low: Use of share up to which an account is not held back.
         fair_high: Use of share from which the time for reading falls in inverse proportion.
+        held_back_reading: Part of that time open to any account that asks more than its share:
+            others find room beside it, and its answers come in time.
         beyond_share: Part of the time for reading prompts open to an account at `fair_high`.
         beyond_places: Least part of `running_limit` open to any account: a request that runs
             slows others by a hundredth, only reading its prompt holds them up.
@@ -51,10 +55,12 @@
     running_limit: int = 27
     aim_share: float = 0.7
     affine_tokens: int = 1_000
+    spill_engines: int = 4
     spread_engines: int = 9
     region_crossing_ms: float = 60.0
     fair_low: float = 0.9
     fair_high: float = 1.5
+    held_back_reading: float = 0.35
     beyond_share: float = 0.3
     beyond_places: float = 0.6
     even_slack: float = 1.5
@@ -214,12 +220,16 @@
         ranked = self._ranking.ranked(call, service.name, usable)
         shared_tokens = sum(part.tokens for part in call.shared_parts)
         if shared_tokens >= self._settings.affine_tokens:
-            ranked = ranked[:1]
+            ranked = ranked[: self._settings.spill_engines if use.is_short else 1]
+            compared = 1
+        else:
+            ranked = self._compared(ranked)
+            compared = self._settings.spread_engines
         openness = self._openness(use)
         best: Chosen | None = None
         first_limit: Limit | None = None
-        for place, entry in enumerate(self._compared(ranked)):
-            if place >= self._settings.spread_engines and best is not None:
+        for place, entry in enumerate(ranked):
+            if place >= compared and best is not None:
                 break
             weighed = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
             if isinstance(weighed, Limit):
@@ -304,15 +314,16 @@
     def _openness(self, use: ShareUse) -> _Openness:
         """Return the part of the bounds that is open to an account."""
         settings = self._settings
+        usual = settings.held_back_reading if use.admitted_part < 1.0 else 1.0
         if use.of_share <= settings.fair_low:
-            return _Openness(1.0, 1.0)
+            return _Openness(usual, 1.0)
         if use.of_share >= settings.fair_high:
             reading = settings.beyond_share * settings.fair_high / use.of_share
         else:
             along = (use.of_share - settings.fair_low) / (settings.fair_high - settings.fair_low)
             reading = 1.0 - along * (1.0 - settings.beyond_share)
         evenness = min(1.0, settings.even_slack / use.of_least) ** settings.even_exponent
-        return _Openness(reading, max(reading, settings.beyond_places * evenness))
+        return _Openness(min(usual, reading), max(reading, settings.beyond_places * evenness))
 
     def _retry_after_ms(self, totals: ServerTotals) -> float:
         """Return when half of the prompts that wait at an engine will have been read."""
--- a/src/cicadaledge/placing/_rates.py
+++ b/src/cicadaledge/placing/_rates.py
@@ -1,9 +1,11 @@
-"""Counts of events within a sliding window."""
+"""Counts and sums within a sliding window."""
 
 from __future__ import annotations
 
 from collections import deque
 
+_SLICES = 8  # the oldest one is dropped as a whole
+
 
 class RateWindow:
     """Counts events of the last *window_ms*.
@@ -25,3 +27,32 @@
         while self._times_ms and self._times_ms[0] <= now_ms - self._window_ms:
             self._times_ms.popleft()
         return len(self._times_ms)
+
+
+class TokenRate:
+    """Tokens a second over the last *window_ms*.
+
+    Unlike a fading average it forgets a flood as soon as the window has passed.
+
+    Args:
+        window_ms: Length of the window.
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        self._slice_ms = window_ms / _SLICES
+        self._slices: deque[tuple[int, float]] = deque()
+
+    def add(self, tokens: float, now_ms: float) -> None:
+        """Count tokens."""
+        current = int(now_ms // self._slice_ms)
+        if self._slices and self._slices[-1][0] == current:
+            tokens += self._slices.pop()[1]
+        self._slices.append((current, tokens))
+
+    def per_s(self, now_ms: float) -> float:
+        """Return the rate."""
+        first = int(now_ms // self._slice_ms) - _SLICES + 1
+        while self._slices and self._slices[0][0] < first:
+            self._slices.popleft()
+        covered_ms = now_ms - first * self._slice_ms
+        return sum(tokens for _, tokens in self._slices) * 1000.0 / covered_ms
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -5,13 +5,17 @@
 import math
 from collections.abc import Iterable
 
-from attrs import define, frozen
+from attrs import frozen
 
 from cicadaledge.placing._fleet import FleetLoad
+from cicadaledge.placing._rates import TokenRate
 from cicadaledge.wire import AccountUse
 
 _LEVEL_PERIOD_MS = 100.0  # a tenth of the time in which a share can change visibly
-_LEAST_RATE_PER_S = 1.0  # below one token a second an account counts as silent
+_RATE_WINDOW_PART = 0.5  # of the time for shares: a flood and its end are both seen within it
+_GROWTH = 1.25  # more is let through than was served, so that unused capacity is found
+_MOST_CORRECTION = 2.0  # for accounts whose engines refuse more than those of others
+_SHORT_PART = 0.3  # an account that gets less of its due may use more engines for a prefix
 _HELD_BACK_PART = 0.8  # an account that gets less of what it asks counts as held back
 _LARGE_PART = 0.5  # of a share; accounts that ask for less are refused by chance at times
 
@@ -36,31 +40,36 @@
         of_share: As a multiple of its max-min share; 0 if there is enough for all.
         of_least: As a multiple of what the least served of the large accounts gets that are
             held back, or of the share if that is more; 1 at least.
+        admitted_part: Part of its requests that may be placed at all.
+        is_short: Whether it gets far less than it asks, up to its share.
     """
 
     of_share: float = 0.0
     of_least: float = 1.0
+    admitted_part: float = 1.0
+    is_short: bool = False
 
 
-@define
-class _Rate:
-    asked_per_s: float = 0.0
-    admitted_per_s: float = 0.0
-    updated_ms: float = 0.0
+class _Rates:
+    """Rates of one account at this router."""
+
+    def __init__(self, window_ms: float) -> None:
+        self.asked = TokenRate(window_ms)
+        self.admitted = TokenRate(window_ms)
 
 
 class AccountShares:
     """Token rates of accounts, own and heard, against their max-min share.
 
     Args:
-        window_ms: Time constant of the rates.
+        window_ms: Time within which accounts get their shares.
         others: The other routers' rates.
     """
 
     def __init__(self, window_ms: float, others: FleetLoad) -> None:
-        self._window_ms = window_ms
+        self._window_ms = window_ms * _RATE_WINDOW_PART
         self._others = others
-        self._own: dict[str, _Rate] = {}
+        self._own: dict[str, _Rates] = {}
         self._level_per_s = math.inf
         self._least_per_s = math.inf
         self._asked_per_s: dict[str, float] = {}
@@ -83,38 +92,47 @@
 
     def note_asked(self, account: str, tokens: int, now_ms: float) -> None:
         """Count a request that an account makes."""
-        self._rate(account, now_ms).asked_per_s += tokens * 1000.0 / self._window_ms
+        self._rates(account).asked.add(tokens, now_ms)
 
     def note_admitted(self, account: str, tokens: int, now_ms: float) -> None:
         """Count a request that was sent to a server."""
-        self._rate(account, now_ms).admitted_per_s += tokens * 1000.0 / self._window_ms
+        self._rates(account).admitted.add(tokens, now_ms)
 
     def own_uses(self, now_ms: float) -> list[AccountUse]:
         """Return this router's rates, for its peers."""
         uses = []
-        for account in list(self._own):
-            rate = self._rate(account, now_ms)
-            if rate.asked_per_s < _LEAST_RATE_PER_S:
+        for account, rates in list(self._own.items()):
+            asked_per_s = rates.asked.per_s(now_ms)
+            admitted_per_s = rates.admitted.per_s(now_ms)
+            if not asked_per_s and not admitted_per_s:
                 del self._own[account]
                 continue
-            uses.append(AccountUse(account, rate.asked_per_s, rate.admitted_per_s))
+            uses.append(AccountUse(account, asked_per_s, admitted_per_s))
         return uses
 
     def use(self, account: str, capacity_per_s: float, now_ms: float) -> ShareUse:
         """Return how much an account gets.
 
         Args:
-            capacity_per_s: Tokens that all accounts may have together; 0 for no limit.
+            capacity_per_s: What the engines are said to produce together; 0 for no limit. They
+                serve more where they keep shared parts.
         """
         if capacity_per_s <= 0:
             return ShareUse()
         if now_ms - self._level_ms >= _LEVEL_PERIOD_MS:
             self._update_level(capacity_per_s, now_ms)
-        if math.isinf(self._level_per_s):
-            return ShareUse()
+        asked_per_s = self._asked_per_s.get(account, 0.0)
         admitted_per_s = self._admitted_per_s.get(account, 0.0)
+        due_per_s = min(asked_per_s, self._level_per_s)
+        is_short = admitted_per_s < due_per_s * _SHORT_PART
+        if math.isinf(self._level_per_s):
+            return ShareUse(is_short=is_short)
         of_least = max(1.0, admitted_per_s / max(self._least_per_s, self._level_per_s))
-        return ShareUse(admitted_per_s / self._level_per_s, of_least)
+        admitted_part = 1.0
+        if asked_per_s > due_per_s:
+            correction = min(due_per_s / max(admitted_per_s, 1.0), _MOST_CORRECTION)
+            admitted_part = min(1.0, due_per_s / asked_per_s * max(1.0, correction))
+        return ShareUse(admitted_per_s / self._level_per_s, of_least, admitted_part, is_short)
 
     def _update_level(self, capacity_per_s: float, now_ms: float) -> None:
         asked: dict[str, float] = {}
@@ -124,7 +142,8 @@
             admitted[use.account] = admitted.get(use.account, 0.0) + use.admitted_per_s
         self._asked_per_s = asked
         self._admitted_per_s = admitted
-        self._level_per_s = fair_level(asked.values(), capacity_per_s)
+        served_per_s = max(capacity_per_s, _GROWTH * sum(admitted.values()))
+        self._level_per_s = fair_level(asked.values(), served_per_s)
         self._least_per_s = self._least_served(asked)
         self._level_ms = now_ms
 
@@ -143,12 +162,8 @@
     def _all_uses(self, now_ms: float) -> list[AccountUse]:
         return self.own_uses(now_ms) + self._others.account_uses(now_ms)
 
-    def _rate(self, account: str, now_ms: float) -> _Rate:
-        rate = self._own.get(account)
-        if rate is None:
-            rate = self._own[account] = _Rate(updated_ms=now_ms)
-        fade = math.exp(-max(0.0, now_ms - rate.updated_ms) / self._window_ms)
-        rate.asked_per_s *= fade
-        rate.admitted_per_s *= fade
-        rate.updated_ms = now_ms
-        return rate
+    def _rates(self, account: str) -> _Rates:
+        rates = self._own.get(account)
+        if rates is None:
+            rates = self._own[account] = _Rates(self._window_ms)
+        return rates
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -222,7 +222,7 @@
     assert taken[0] > taken[2] > taken[4]
 
 
-def test_an_account_is_compared_with_the_least_served_large_one_that_is_held_back():
+def test_shares_follow_what_is_served_and_the_least_served_account_gets_more_of_it():
     shares = AccountShares(4_000, FleetLoad())
     for step in range(400):
         now_ms = step * 50.0
@@ -230,12 +230,18 @@
             shares.note_asked(account, asked * 10, now_ms)
             shares.note_admitted(account, admitted * 10, now_ms)
     now_ms = 20_000.0
-    # Of 10,000 tokens a second the small one asks for 200, and the others share the rest.
+    # 50,000 tokens a second are served and a quarter more is let through; the small account
+    # asks for 200 of them, and the others share the rest.
+    share_per_s = (50_000 * 1.25 - 200) / 2
     flood = shares.use("flood", 10_000.0, now_ms)
-    assert flood.of_least == pytest.approx(4.0, rel=0.05)
-    assert shares.use("held", 10_000.0, now_ms).of_least == 1.0
-    assert shares.use("small", 10_000.0, now_ms).of_share < 0.1
-    assert flood.of_share == pytest.approx(flood.of_least * 10_000 / 4_900, rel=0.1)
+    held = shares.use("held", 10_000.0, now_ms)
+    small = shares.use("small", 10_000.0, now_ms)
+    assert flood.of_share == pytest.approx(40_000 / share_per_s, rel=0.05)
+    assert flood.of_least == pytest.approx(flood.of_share)
+    assert flood.admitted_part == pytest.approx(share_per_s / 100_000, rel=0.05)
+    assert held.of_share == pytest.approx(10_000 / share_per_s, rel=0.05)
+    assert (held.of_least, held.admitted_part) == (1.0, 1.0)
+    assert (small.of_share, small.admitted_part) == (0.0, 1.0)
 
 
 def test_accounts_in_a_flood_converge_to_equal_rates():
@@ -388,3 +394,27 @@
             pool.load.start(Placement(f"e{number}", 0, 0), 0.0)
     held = [pool.place(call(1, shared=200)) for _ in range(7)]
     assert "e69" in {one.server.server for one in held if isinstance(one, Chosen)}
+
+
+def test_a_flood_is_cut_to_the_share_and_let_through_again_when_it_ends():
+    shares = AccountShares(4_000, FleetLoad())
+    for step in range(200):
+        now_ms = step * 50.0
+        for account, asked in (("flood", 3_000), ("plain", 300)):
+            shares.note_asked(account, asked, now_ms)
+            shares.note_admitted(account, 250, now_ms)
+    # 66,000 tokens a second are asked and 12,000 allowed: about 6,000 are the share.
+    assert 0.1 <= shares.use("flood", 12_000.0, 10_000.0).admitted_part <= 0.15
+    assert shares.use("plain", 12_000.0, 10_000.0).admitted_part == 1.0
+    for step in range(50):
+        shares.note_asked("flood", 100, 10_000.0 + step * 50.0)
+    assert shares.use("flood", 12_000.0, 12_500.0).admitted_part == 1.0
+
+
+def test_an_account_that_gets_less_than_its_due_may_use_more_engines_for_a_prefix():
+    """One hot prefix of a small account cannot be served by one engine."""
+    pool = Pool(*(entry(name) for name in "abcdef"))
+    short = ShareUse(0.2, is_short=True)
+    results = [pool.place(call(n), use=short) for n in range(200)]
+    servers = {one.server.server for one in results if isinstance(one, Chosen)}
+    assert len(servers) == PlacingSettings().spill_engines
