Let only a newer heartbeat cancel a removal that is put off

A server that had left without a word could get requests until it ended (DRAIN): after an outage of the store removals are put off for 2 s, and any heartbeat of the server cancelled that, also one written before the removal and applied late, which the platform allows at any time. Nothing carried the removal out later. The directory already refused such a heartbeat; the beliefs now ask the same question before they cancel.

--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -136,7 +136,8 @@
         self._remove_now(server, now_ms)
 
     def _cancel_removal(self, entry: ServerEntry) -> None:
-        if self._held_removals.pop(entry.server, None) is not None:
+        if entry.server in self._held_removals and self.directory.is_newer(entry):
+            del self._held_removals[entry.server]
             _log.info(
                 "Removal is cancelled by a heartbeat.",
                 server=entry.server,
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -75,7 +75,7 @@
             self._note_change()
             return True
         newest = known.entry
-        if (entry.born_ms, entry.sequence) <= (newest.born_ms, newest.sequence):
+        if not self.is_newer(entry):
             return False
         changed = (
             known.removed_ms is not None
@@ -97,6 +97,14 @@
             self._usable[entry.service][entry.server] = entry
         return changed
 
+    def is_newer(self, entry: ServerEntry) -> bool:
+        """Return whether a heartbeat was written after the newest one that is known."""
+        known = self._known.get(entry.server)
+        if known is None:
+            return True
+        newest = known.entry
+        return (entry.born_ms, entry.sequence) > (newest.born_ms, newest.sequence)
+
     def remove(self, server: str, now_ms: float) -> bool:
         """Note that a server's entry is gone; return whether this is news."""
         known = self._known.get(server)
