Put removals off only where an entry can have lapsed, and use such servers last

Requests could reach a server for up to 4.4 s after its entry was removed (DRAIN allows 3 to 4): 0.8 s until the zone's relay reads, 2 s in which removals are put off after an outage, up to 0.8 s until the next page carried them out, and 1.6 s more where the relay has just gone silent. The 2 s began at every router of a zone also when only the relay had been turned away, though the others had read the store all the while. Now each router goes by its own gap: removals are put off only after 2 s without a page, as an entry lapses after three missed heartbeats; a server whose removal is put off gets requests only while no other one is left; removals are carried out by a timer.

--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -85,8 +85,10 @@
         """Return the age of the newest proof that the servers are current."""
         return now_ms - self._servers_proof_ms
 
-    def note_store_back(self, now_ms: float) -> None:
-        """Keep servers for a while whose entries lapsed while the store was away."""
+    def note_store_back(self, away_ms: float, now_ms: float) -> None:
+        """Keep servers for a while whose entries can have lapsed while the store was away."""
+        if away_ms < self._settings.timing.lapse_outage_ms:
+            return
         self._hold_removals_until_ms = now_ms + self._settings.timing.lapse_ms
 
     def settle_removals(self, now_ms: float) -> None:
@@ -130,6 +132,7 @@
         if now_ms < self._hold_removals_until_ms:
             if server not in self._held_removals:
                 self._held_removals[server] = self._hold_removals_until_ms
+                self.directory.doubt(server)
                 held_ms = self._hold_removals_until_ms - now_ms
                 _log.info("Removal is put off.", server=server, held_ms=round(held_ms))
             return
@@ -138,6 +141,7 @@
     def _cancel_removal(self, entry: ServerEntry) -> None:
         if entry.server in self._held_removals and self.directory.is_newer(entry):
             del self._held_removals[entry.server]
+            self.directory.trust(entry.server)
             _log.info(
                 "Removal is cancelled by a heartbeat.",
                 server=entry.server,
@@ -177,7 +181,7 @@
         """Note how fresh the configuration is."""
         self._beliefs.note_proof(proof_ms)
 
-    def note_store_back(self, now_ms: float) -> None:
+    def note_store_back(self, away_ms: float, now_ms: float) -> None:
         """Do nothing: the configuration does not lapse."""
 
 
@@ -191,12 +195,11 @@
         self._beliefs.keep_only(seen, now_ms)
 
     def note_read(self, proof_ms: float, now_ms: float) -> None:
-        """Carry out removals that were put off."""
+        """Note how fresh the servers are."""
         self._beliefs.servers_known = True
         self._beliefs.note_servers_proof(proof_ms)
-        self._beliefs.settle_removals(now_ms)
         self._beliefs.directory.forget_old(now_ms)
 
-    def note_store_back(self, now_ms: float) -> None:
+    def note_store_back(self, away_ms: float, now_ms: float) -> None:
         """Put removals off: entries may have lapsed meanwhile."""
-        self._beliefs.note_store_back(now_ms)
+        self._beliefs.note_store_back(away_ms, now_ms)
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -29,6 +29,7 @@
 _BACKLOG = 512  # connections that wait to be accepted; a burst of one zone's callers
 _UPKEEP_S = 1.0
 _CHECK_S = 0.05
+_SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
 _PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
 _METRICS_PATH = "/metrics"
 _OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
@@ -152,6 +153,7 @@
             *[follower.follow for follower in self._followers],
             self._peers.keep_announced,
             self._peers.keep_views,
+            self._settle_removals,
             self._keep_up,
         ]
 
@@ -212,6 +214,11 @@
 
         task.add_done_callback(done)
 
+    async def _settle_removals(self) -> None:
+        while True:
+            self._beliefs.settle_removals(clock_ms())
+            await asyncio.sleep(_SETTLE_S)
+
     async def _keep_up(self) -> None:
         while True:
             self._pool.close_idle()
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -54,8 +54,12 @@
     def note_read(self, proof_ms: float, now_ms: float) -> None:
         """Note that nothing newer was in the store at *proof_ms*."""
 
-    def note_store_back(self, now_ms: float) -> None:
-        """Note that the store was away until now."""
+    def note_store_back(self, away_ms: float, now_ms: float) -> None:
+        """Note that the store was away until now.
+
+        Args:
+            away_ms: Since the last page, read or relayed.
+        """
 
 
 class TopicFollower:
@@ -78,6 +82,7 @@
         self._offset: int | None = None
         self._failures = 0
         self._reads = 0
+        self._page_ms = clock_ms()
         news.add(self)
 
     @property
@@ -164,9 +169,11 @@
     def _note_success(self, *, after_outage: bool) -> None:
         if self._failures:
             _log.info("Store is back.", topic=self.topic, failures=self._failures)
+        now_ms = clock_ms()
         if after_outage or self._failures >= _FAILURES_TO_SLOW:
-            self._sink.note_store_back(clock_ms())
+            self._sink.note_store_back(now_ms - self._page_ms, now_ms)
         self._failures = 0
+        self._page_ms = now_ms
 
     async def _note_failure(self, error: Exception) -> None:
         self._failures += 1
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -150,7 +150,7 @@
         self._rank_zones()
         self._dial(now_ms)
 
-    def note_store_back(self, now_ms: float) -> None:
+    def note_store_back(self, away_ms: float, now_ms: float) -> None:
         """Do nothing: entries do not lapse."""
 
     def _rank_zones(self) -> None:
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -56,6 +56,8 @@
         stop_accept_ms: How long a leaving router takes new connections; the balancer needs
             two missed probes, a second apart.
         stop_margin_ms: Left of the grace when the last answers are broken off.
+        lapse_outage_ms: Shortest time without the store in which an entry can lapse: two of the
+            three heartbeats whose absence removes it.
         lapse_ms: How long removals wait after the store was away: entries of living servers
             are written again within 2 s.
     """
@@ -75,6 +77,7 @@
     revoke_margin_ms: float = field(default=500.0, validator=ge(0))
     stop_accept_ms: float = field(default=2_600.0, validator=ge(0))
     stop_margin_ms: float = field(default=400.0, validator=ge(0))
+    lapse_outage_ms: float = field(default=2_000.0, validator=ge(0))
     lapse_ms: float = field(default=2_000.0, validator=ge(0))
 
 
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -186,10 +186,10 @@
                 for name, entry in allowed.items()
                 if name not in tried and (regions is None or self._region_of(entry.zone) in regions)
             }
-        ejected = self._health.ejected(now_ms)
-        if not ejected:
+        avoided = self._health.ejected(now_ms) | self._directory.doubted()
+        if not avoided:
             return allowed
-        sound = {name: entry for name, entry in allowed.items() if name not in ejected}
+        sound = {name: entry for name, entry in allowed.items() if name not in avoided}
         return sound or allowed
 
     def _choose_plain(
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
         self._evacuated: set[str] = set()
+        self._doubted: set[str] = set()
         self._usable: dict[str, dict[str, ServerEntry]] = {}
         self._generation = 0
 
@@ -111,6 +112,7 @@
         if known is None or known.removed_ms is not None:
             return False
         known.removed_ms = now_ms
+        self._doubted.discard(server)
         self._note_change()
         return True
 
@@ -123,6 +125,18 @@
         self._note_change()
         return True
 
+    def doubt(self, server: str) -> None:
+        """Note that a server may be gone; it remains the last resort."""
+        self._doubted.add(server)
+
+    def trust(self, server: str) -> None:
+        """Note that a server that was doubted lives."""
+        self._doubted.discard(server)
+
+    def doubted(self) -> set[str]:
+        """Return the servers that may be gone; not to be changed."""
+        return self._doubted
+
     def names(self) -> set[str]:
         """Return the servers whose entries are there."""
         return {name for name, known in self._known.items() if known.removed_ms is None}
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -30,6 +30,7 @@
     ServerTopic,
     StoreClient,
 )
+from cicadaledge.routing import ServerEntry, ServerState
 from cicadaledge.settings import Address
 from cicadaledge.standins import PlatformRunner, PlatformStore, platform_pool, platform_route
 
@@ -46,6 +47,11 @@
     first_member_pauses_ms=(100.0, 200.0),
     news_silence_ms=400.0,
 )
+NOWHERE = Address(HOST, 1)
+SETTINGS = EdgeSettings(
+    "router-0", "zone-a", "north", ZONES, NOWHERE, NOWHERE, NOWHERE, NOWHERE, NOWHERE
+)
+ENTRY = ServerEntry("desk-0", "desk", "h", 1, "zone-a", ServerState.READY, 6, 0.0, 1_000, 5)
 FIRST_PORT = 21_000
 PORTS_PER_WORKER = 1_000
 _ports = itertools.count(os.getpid() % PORTS_PER_WORKER)
@@ -277,8 +283,10 @@
 
 
 __all__ = [
+    "ENTRY",
     "FAST",
     "KEY",
+    "SETTINGS",
     "Answer",
     "World",
     "configuration",
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -3,24 +3,17 @@
 import asyncio
 
 from attrs import evolve
-from edge_world import FAST, KEY, configuration, small_world
+from edge_world import ENTRY, FAST, KEY, SETTINGS, configuration, small_world
 
 from cicadaledge.edge import (
     Beliefs,
     BoundSettings,
-    EdgeSettings,
     ServerChanged,
     ServerRemoved,
 )
-from cicadaledge.routing import ServerEntry, ServerState
-from cicadaledge.settings import Address
 from cicadaledge.standins import platform_route
 
-NOWHERE = Address("127.0.0.1", 1)
-SETTINGS = EdgeSettings(
-    "router-0", "zone-a", "north", {"zone-a": "north"}, NOWHERE, NOWHERE, NOWHERE, NOWHERE, NOWHERE
-)
-ENTRY = ServerEntry("desk-0", "desk", "h", 1, "zone-a", ServerState.READY, 6, 0.0, 1_000, 5)
+LONG_MS = SETTINGS.timing.lapse_outage_ms
 OTHER = evolve(ENTRY, server="desk-1")
 
 STRICT = BoundSettings(grace_ms=3_000, revoke_ms=900)
@@ -106,7 +99,7 @@
     beliefs = Beliefs(SETTINGS)
     beliefs.apply(ServerChanged(ENTRY), 0.0)
     beliefs.apply(ServerChanged(evolve(OTHER, sequence=9)), 0.0)
-    beliefs.note_store_back(1_000.0)
+    beliefs.note_store_back(LONG_MS, 1_000.0)
     beliefs.apply(ServerRemoved(ENTRY.server), 1_100.0)
     beliefs.apply(ServerChanged(evolve(ENTRY, sequence=ENTRY.sequence - 1)), 1_200.0)
     beliefs.settle_removals(1_000.0 + SETTINGS.timing.lapse_ms)
--- a/tests/edge/test_news.py
+++ b/tests/edge/test_news.py
@@ -4,12 +4,15 @@
 import json
 
 from attrs import evolve
-from edge_world import FAST, KEY, small_world
+from edge_world import ENTRY, FAST, KEY, SETTINGS, small_world
 
 from cicadaledge.edge import (
+    Beliefs,
     BoundSettings,
     ChangePage,
     FollowTimes,
+    ServerChanged,
+    ServerRemoved,
     TopicFollower,
     ZoneChanged,
     ZoneNews,
@@ -52,7 +55,7 @@
     def __init__(self):
         self.zones = []
         self.proofs = []
-        self.outages = 0
+        self.outages = []
 
     def apply(self, change, now_ms):
         self.zones.append(change.zone)
@@ -63,8 +66,8 @@
     def note_read(self, proof_ms, now_ms):
         self.proofs.append(proof_ms)
 
-    def note_store_back(self, now_ms):
-        self.outages += 1
+    def note_store_back(self, away_ms, now_ms):
+        self.outages.append(away_ms)
 
 
 def follower_at(offset):
@@ -103,7 +106,20 @@
 def test_removals_after_an_outage_of_the_relay_are_put_off():
     follower, sink = follower_at(0)
     follower.take_news(news_of(0, ["a"], after_outage=True), 50.0)
-    assert sink.outages == 1
+    assert len(sink.outages) == 1
+
+
+def test_a_router_that_read_for_itself_meanwhile_had_no_outage():
+    """Removals were put off at all routers of a zone when only their relay was turned away."""
+    follower, sink = follower_at(0)
+    follower.take_news(news_of(0, ["a"]), 50.0)
+    follower.take_news(news_of(1, ["b"], after_outage=True), 60.0)
+    assert sink.outages[0] < SETTINGS.timing.lapse_outage_ms
+    beliefs = Beliefs(SETTINGS)
+    beliefs.apply(ServerChanged(ENTRY), 0.0)
+    beliefs.note_store_back(sink.outages[0], 100.0)
+    beliefs.apply(ServerRemoved(ENTRY.server), 200.0)
+    assert list(beliefs.directory.usable("desk")) == []
 
 
 def test_news_return_the_newest_stamp_heard_before_the_page_was_current():
