Judge relayed pages by their age, not by when they come

A router that follows its zone's relay read the store for itself only after 1.6 s without a page. A relay that is short of processor time can pass pages on often enough, and all of them seconds late; its zone then believed in servers that had left (DRAIN) for as long as it lagged. A page proves with the receiver's own clock when it was current; the router now counts 1.6 s from there. A page that proves nothing does not count. Evidence: test_old_news_do_not_keep_a_router_from_reading_for_itself fails on the former code.

--- a/src/cicadaledge/edge/_news.py
+++ b/src/cicadaledge/edge/_news.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -98,12 +99,23 @@
             return
         proof_ms = float(news.echo_ms) if news.echo_ms != _NO_STAMP else float("-inf")
         if reader.take_news(news, proof_ms):
-            self._fed_until_ms[news.topic] = clock_ms() + reader.silence_ms
+            self._note_fed(news.topic, proof_ms + reader.silence_ms)
             return
         _log.info("Relayed page does not fit; reading.", topic=news.topic, offset=news.first_offset)
         self._fed_until_ms[news.topic] = 0.0
         self._wakers[news.topic].set()
 
+    def _note_fed(self, topic: str, until_ms: float) -> None:
+        """Let this router read again when what the relay tells has grown old.
+
+        A relay that is short of processor time can pass pages on often, and all of them late.
+        """
+        now_ms = clock_ms()
+        former_ms = self._fed_until_ms.get(topic, 0.0)
+        if until_ms <= now_ms < former_ms:
+            _log.info("Relayed pages are old.", topic=topic, overdue_ms=_whole(now_ms - until_ms))
+        self._fed_until_ms[topic] = max(former_ms, until_ms)
+
     def feeds(self, topic: str) -> bool:
         """Return whether the relay's news of a topic are fresh."""
         return not self._is_relay and clock_ms() < self._fed_until_ms.get(topic, 0.0)
@@ -125,3 +137,8 @@
             if heard_ms <= proof_ms:
                 return sent_ms
         return _NO_STAMP
+
+
+def _whole(time_ms: float) -> int | None:
+    """Return whole milliseconds, or None for a page that proves nothing."""
+    return None if math.isinf(time_ms) else round(time_ms)
--- a/tests/edge/test_news.py
+++ b/tests/edge/test_news.py
@@ -132,6 +132,21 @@
     assert sent == [("b", 7_400), ("c", -1)]
 
 
+def test_old_news_do_not_keep_a_router_from_reading_for_itself():
+    """A relay short of processor time passed pages on often, and all of them late."""
+    news = ZoneNews(lambda peer, message: True)
+    follower = TopicFollower(Topic(), Sink(), TIMES, news)
+    follower._offset = 0
+    news.set_role([], is_relay=False)
+    old_ms = int(clock_ms() - TIMES.silence_ms)
+    news.take(evolve(news_of(0, ["a"]), echo_ms=old_ms))
+    assert not news.feeds("control")
+    news.take(evolve(news_of(1, ["b"]), echo_ms=-1))
+    assert not news.feeds("control")
+    news.take(evolve(news_of(2, ["c"]), echo_ms=int(clock_ms())))
+    assert news.feeds("control")
+
+
 def test_one_router_of_a_zone_reads_for_the_others():
     async def play():
         async with small_world(routers=3) as world:
