Ask for a small account's part beside a flood against the flood's own rate

Cause: the bound was a count within 9 s of real time, which falls with the machine's speed. The test now asks for twice as often, with the flood in the same run as the baseline, and that nothing is unanswered.

--- a/tests/fleet/test_fairness.py
+++ b/tests/fleet/test_fairness.py
@@ -135,4 +135,7 @@
     experiment = ExperimentSpec("", duration_s=12, settle_s=3, loads=loads)
     result = run_experiment("connections", experiment, spec, tmp_path, quiet=True)
     assert result.broken == []
-    assert result.accounts["ash"].requests >= 20
+    small, flood = result.accounts["ash"], result.accounts["big"]
+    assert small.unanswered == 0
+    # Two callers against 150: without room of their own they would wait as the flood's do.
+    assert small.requests / 2 >= 2 * flood.requests / 150
