Write answers and log lines in fewer system calls

A refusal took two sends for its answer and two writes for its log lines. A whole answer is sent in one piece; lines of a running loop are written together every 20 ms.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -41,11 +41,9 @@
 
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
-        self._connection.send_head(status, [*headers, (b"Content-Length", str(len(body)).encode())])
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        self._connection.send_whole(status, framed, body)
         self.started = True
-        if body:
-            self._connection.send_data(body)
-        self._connection.send_end()
         await self._connection.channel.drain()
 
     def start(self, status: int, headers: Headers) -> None:
@@ -244,10 +242,17 @@
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
+        self._send(self._head(status, headers))
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer, in one piece: each sending costs a system call."""
+        self._send(self._head(status, headers), h11.Data(data=body), h11.EndOfMessage())
+
+    def _head(self, status: int, headers: Headers) -> h11.Response:
         if self._service.closing and not any(name.lower() == b"connection" for name, _ in headers):
             headers = [*headers, (b"Connection", b"close")]
         reason = _REASONS.get(status, b"")
-        self._send(h11.Response(status_code=status, headers=headers, reason=reason))
+        return h11.Response(status_code=status, headers=headers, reason=reason)
 
     def send_data(self, data: bytes) -> None:
         """Send a piece of an answer's body."""
@@ -257,7 +262,7 @@
         """End an answer."""
         self._send(h11.EndOfMessage())
 
-    def _send(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
+    def _send(self, *events: h11.Event) -> None:
+        data = b"".join(self._h11.send(event) or b"" for event in events)
         if data:
             self.channel.write(data)
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -252,12 +252,14 @@
     """Run a router until it is told to stop."""
 
     async def main() -> None:
-        LineWriter(sys.stdout.fileno()).attach()
+        lines = LineWriter(sys.stdout.fileno())
+        lines.attach()
         router = EdgeRouter(settings, dialect, topics)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, router.stop)
         loop.add_signal_handler(signal.SIGHUP, router.reload)
         await router.run()
+        lines.flush()
 
     asyncio.run(main())
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -166,9 +166,7 @@
             return
         retry_ms = self._settings.placing.short_retry_ms
         self._lines.not_placed(work, Refused("share is used up", retry_ms), use, now_ms)
-        raise RefusalError(
-            Code.NO_CAPACITY, "the account's share is used up", retry_after_ms=int(retry_ms)
-        )
+        raise RefusalError(Code.NO_CAPACITY, "share is used up", retry_after_ms=int(retry_ms))
 
     def _account(
         self, call: Call, route: Route, table: RoutingTable, current: bool
--- a/src/cicadaledge/logs/_writer.py
+++ b/src/cicadaledge/logs/_writer.py
@@ -11,6 +11,8 @@
 import eliot
 
 _BACKLOG_BYTES = 262_144  # about a thousand lines; a reader that is further behind has stalled
+_BATCH_S = 0.02  # lines that wait for one system call; a killed process loses no more
+_WRITE_BYTES = 65_536  # what a pipe takes at once
 
 
 class LineWriter:
@@ -32,6 +34,7 @@
         self._queued_bytes = 0
         self._untold = 0
         self._waiting = False
+        self._planned = False
         os.set_blocking(descriptor, False)
 
     def attach(self) -> None:
@@ -50,19 +53,33 @@
             self._queue(note.encode() + b"\n")
             self._untold = 0
         self._queue(line)
-        if not self._waiting:
-            self._flush()
+        if not self._waiting and not self._planned:
+            self._plan()
 
     def _queue(self, line: bytes) -> None:
         self._lines.append(line)
         self._queued_bytes += len(line)
 
+    def flush(self) -> None:
+        """Write what is queued, as far as the reader takes it."""
+        self._flush()
+
+    def _plan(self) -> None:
+        try:
+            asyncio.get_running_loop().call_later(_BATCH_S, self._flush)
+        except RuntimeError:
+            self._flush()
+            return
+        self._planned = True
+
     def _flush(self) -> None:
+        self._planned = False
         while self._lines:
-            line = self._lines[0]
+            data = self._take()
             try:
-                written = os.write(self._descriptor, line)
+                written = os.write(self._descriptor, data)
             except BlockingIOError:
+                self._lines.appendleft(data)
                 self._wait()
                 return
             except OSError:
@@ -71,12 +88,19 @@
                 self._queued_bytes = 0
                 return
             self._queued_bytes -= written
-            if written < len(line):
-                self._lines[0] = line[written:]
-            else:
-                self._lines.popleft()
+            if written < len(data):
+                self._lines.appendleft(data[written:])
         self._stop_waiting()
 
+    def _take(self) -> bytes:
+        """Take lines out of the queue for one system call."""
+        taken = [self._lines.popleft()]
+        size = len(taken[0])
+        while self._lines and size + len(self._lines[0]) <= _WRITE_BYTES:
+            taken.append(self._lines.popleft())
+            size += len(taken[-1])
+        return b"".join(taken)
+
     def _wait(self) -> None:
         if self._waiting:
             return
--- a/tests/logs/test_writer.py
+++ b/tests/logs/test_writer.py
@@ -1,5 +1,6 @@
 """Logging never blocks, whatever the reader does."""
 
+import asyncio
 import json
 import os
 
@@ -45,3 +46,27 @@
     os.close(reader)
     lines.write({"message": "nobody reads this"})
     os.close(writer)
+
+
+def test_lines_of_a_running_loop_share_a_system_call(monkeypatch):
+    """Two calls for each refused request were a tenth of a flooded router's time."""
+    calls = []
+    write = os.write
+
+    def count(descriptor, data):
+        calls.append(len(data))
+        return write(descriptor, data)
+
+    async def play(lines):
+        for number in range(100):
+            lines.write({"number": number})
+        await asyncio.sleep(0.1)
+
+    reader, writer = os.pipe()
+    monkeypatch.setattr(os, "write", count)
+    asyncio.run(play(LineWriter(writer)))
+    assert len(calls) == 1
+    received = os.read(reader, 65_536).decode().splitlines()
+    assert [json.loads(line)["number"] for line in received] == list(range(100))
+    os.close(reader)
+    os.close(writer)
