--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -256,7 +256,11 @@
 
     def send_data(self, data: bytes) -> None:
         """Send a piece of an answer's body."""
-        self._send(h11.Data(data=data))
+        if data and self._h11.their_http_version == b"1.1":
+            # h11 keeps no state of chunks; framing them here takes a fifth of its time.
+            self.channel.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._send(h11.Data(data=data))
 
     def send_end(self) -> None:
         """End an answer."""
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import uvloop
+
 from cicadaledge.codes import Code
 from cicadaledge.edge._beliefs import Beliefs, ControlSink, ServerSink
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
@@ -262,4 +265,5 @@
         await router.run()
         lines.flush()
 
-    asyncio.run(main())
+    os.environ["UV_USE_IO_URING"] = "0"  # read by libuv when the loop is made
+    uvloop.run(main())
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -35,7 +35,7 @@
 from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable
 
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
-_HOLD_STEP_S = 0.025  # half of the time between two load views
+_HOLD_STEP_S = 0.05  # the shortest time between two load views
 _UNREACHED_TRIES = 3  # servers that cannot be reached before a request is refused
 _BUSY_RETRY_MS = 200.0  # a full server has a place after a fraction of a request's time
 _STALE_RETRY_MS = 1_000.0  # another router may read the store; this one needs seconds
