Probe servers that were not reached with one request at a time

Cause: an ejection ends after 700 ms, and until the first time-out of a connection, 500 ms later, every request that ranks the server first is sent there again. A server that was not reached now gets one request when its ejection ends, and no other until that one has an answer's head; each failure doubles the pause, up to 5.6 s (a circuit breaker that is half open). Evidence: test_a_server_that_is_never_reached_gets_one_request_at_a_time_and_ever_more_seldom fails on the former code. Class: the same as a retry storm, with the router as the client.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -13,7 +13,7 @@
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.errors import BackendError
-from cicadaledge.placing import Chosen, LoadBook
+from cicadaledge.placing import Chosen, LoadBook, ServerHealth
 from cicadaledge.routing import RouteKind
 
 if TYPE_CHECKING:
@@ -88,6 +88,7 @@
         dialect: Dialect,
         pool: ServerPool,
         load: LoadBook,
+        health: ServerHealth,
     ) -> None:
         self.resume_after: str | None = None
         self.first_ms: float | None = None
@@ -97,6 +98,7 @@
         self._dialect = dialect
         self._pool = pool
         self._load = load
+        self._health = health
 
     async def run(self) -> AttemptResult:
         """Return how it ended; an answer that was begun may be incomplete then."""
@@ -130,6 +132,7 @@
         ran_before = self._work.may_have_run
         self._work.may_have_run = True
         head, signs = await self._own_head(connection)
+        self._health.note_reached(self._chosen.server.server)
         if signs.not_run:
             await connection.body()
             self._work.may_have_run = ran_before
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -200,7 +200,9 @@
         unreached = 0
         while True:
             chosen = await self._place(work)
-            attempt = Attempt(work, chosen, writer, self._dialect, self._pool, self._load)
+            attempt = Attempt(
+                work, chosen, writer, self._dialect, self._pool, self._load, self._health
+            )
             attempt.resume_after = resume_after
             result = await self._run_attempt(work, chosen, attempt)
             if result.end is AttemptEnd.ANSWERED:
--- a/src/cicadaledge/placing/_health.py
+++ b/src/cicadaledge/placing/_health.py
@@ -11,12 +11,15 @@
 _OUTLIER_FACTOR = 2.0  # a service that fails everywhere has no outliers
 _EJECT_MS = 1_500.0  # a little over a heartbeat: by then the server list tells of a crash
 _UNREACHABLE_EJECT_MS = 700.0  # one lost packet must not cost a server for long
+_LONGEST_EJECT_MS = 5_600.0  # by then the server list tells of a server that is gone
 
 
 @define
 class _Record:
     failure_rate: float = 0.0
     ejected_until_ms: float = 0.0
+    unreached_in_row: int = 0
+    probed: bool = False
 
 
 class ServerHealth:
@@ -29,7 +32,25 @@
     def note_unreachable(self, server: str, now_ms: float) -> None:
         """Note that no connection could be opened."""
         record = self._records.setdefault(server, _Record())
-        self._eject(record, now_ms + _UNREACHABLE_EJECT_MS)
+        if record.probed or not record.unreached_in_row:
+            record.unreached_in_row += 1
+        record.probed = False
+        self._eject(record, now_ms + _unreached_eject_ms(record))
+
+    def note_sent(self, server: str, now_ms: float) -> None:
+        """Note a request to a server; one that was not reached before gets no other meanwhile."""
+        record = self._records.get(server)
+        if record is not None and record.unreached_in_row:
+            record.probed = True
+            self._eject(record, now_ms + _unreached_eject_ms(record))
+
+    def note_reached(self, server: str) -> None:
+        """Note that a server has begun to answer."""
+        record = self._records.get(server)
+        if record is not None and record.unreached_in_row:
+            record.unreached_in_row = 0
+            record.probed = False
+            record.ejected_until_ms = 0.0
 
     def note_answer(self, server: str, failed: bool, peers: list[str], now_ms: float) -> None:
         """Note how a request ended.
@@ -67,3 +88,9 @@
         ]
         usual = sorted(others)[len(others) // 2] if others else 0.0
         return record.failure_rate > max(_OUTLIER_RATE, usual * _OUTLIER_FACTOR)
+
+
+def _unreached_eject_ms(record: _Record) -> float:
+    """Return how long a server gets nothing that was not reached several times in a row."""
+    doubled_ms = _UNREACHABLE_EJECT_MS * 2.0 ** (record.unreached_in_row - 1)
+    return min(doubled_ms, _LONGEST_EJECT_MS)
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -427,3 +427,26 @@
     assert servers == {"b"}
     pool.directory.doubt("b")
     assert isinstance(pool.place(call(99, own=100)), Chosen)
+
+
+def test_a_server_that_is_never_reached_gets_one_request_at_a_time_and_ever_more_seldom():
+    """After each pause all requests of a flooded router ran into the same dark servers."""
+    pool = Pool(entry("dark"), entry("light"))
+    pool.health.note_unreachable("dark", SETTLED_MS)
+    sent_ms = []
+    failures: list[float] = []
+    for step in range(1_000):
+        now_ms = SETTLED_MS + step * 10.0
+        if failures and failures[0] <= now_ms:
+            pool.health.note_unreachable("dark", failures.pop(0))
+        choice = pool.place(call(step, subject=f"s{step}", shared=20, own=20), now_ms=now_ms)
+        if isinstance(choice, Chosen):
+            pool.load.end(choice.placement)
+            if choice.server.server == "dark":
+                sent_ms.append(now_ms)
+                failures.append(now_ms + 500.0)
+    assert 1 <= len(sent_ms) <= 4
+    pauses = [later - earlier for earlier, later in zip(sent_ms, sent_ms[1:], strict=False)]
+    assert pauses == sorted(pauses)
+    pool.health.note_reached("dark")
+    assert not pool.health.is_ejected("dark", SETTLED_MS + 10_000.0)
