Accept connections in a loop of our own, that goes on after errors of single ones

Cause: a server of uvloop closes its listening socket after an error of accept(); an aborted connection of a caller that has left is such an error. The standard loop logs most of them and goes on. Routers accept in a loop of their own now, callers and peers alike: errors are logged, and where descriptors are short it pauses for 0.1 s. Both loops carry the accepted sockets. Evidence: test_callers_that_have_gone_before_they_were_accepted_do_not_end_the_listener, on both loops. Two tests of links read the port from the new listener.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -28,6 +28,8 @@
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
 from cicadaledge.routing import Limits
+from cicadaledge.settings import Address
+from cicadaledge.wire import Listener
 
 _BACKLOG = 512  # connections that wait to be accepted; a burst of one zone's callers
 _UPKEEP_S = 1.0
@@ -121,17 +123,17 @@
     async def run(self) -> None:
         """Serve until `stop` is called."""
         await self._peers.listen()
-        callers = await self._listen(self._settings.callers, self._desk)
-        probes = await self._listen(self._settings.probes, self._probes)
-        metrics = await self._listen(self._settings.metrics, self._probes)
+        callers = self._listen(self._settings.callers, self._desk)
+        probes = self._listen(self._settings.probes, self._probes)
+        metrics = self._listen(self._settings.metrics, self._probes)
         parts = [asyncio.create_task(self._keep_running(part)) for part in self._parts()]
         _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
         await self._stopping.wait()
         await self._shut_down(callers)
         for part in parts:
             part.cancel()
-        for server in (probes, metrics):
-            server.close()
+        for listener in (probes, metrics):
+            listener.close()
         await self._peers.links.close()
         _log.info("Router has stopped.", router=self._settings.router, broken_off=self._desk.active)
 
@@ -193,13 +195,13 @@
             and self._beliefs.may_use_keys(clock_ms())
         )
 
-    async def _listen(self, address: Any, service: CallerService) -> asyncio.Server:
-        loop = asyncio.get_running_loop()
-
+    def _listen(self, address: Address, service: CallerService) -> Listener:
         def accept() -> Channel:
             return Channel(lambda channel: self._start(channel, service))
 
-        return await loop.create_server(accept, address.host, address.port, backlog=_BACKLOG)
+        listener = Listener(accept, backlog=_BACKLOG)
+        listener.start(address.host, address.port)
+        return listener
 
     def _start(self, channel: Channel, service: CallerService) -> None:
         connection = CallerConnection(channel, service)
@@ -232,7 +234,7 @@
             self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
             await asyncio.sleep(_UPKEEP_S)
 
-    async def _shut_down(self, callers: asyncio.Server) -> None:
+    async def _shut_down(self, callers: Listener) -> None:
         """Take connections until the balancer knows, then finish what was accepted."""
         timing = self._settings.timing
         started_ms = clock_ms()
--- a/src/cicadaledge/wire/__init__.py
+++ b/src/cicadaledge/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadaledge.wire._codec import FRAME_LIMIT_BYTES, NameTable, decode_message, encode_message
 from cicadaledge.wire._links import LinkStats, PeerLinks
+from cicadaledge.wire._listener import Listener
 from cicadaledge.wire._messages import (
     AccountCost,
     AccountUse,
@@ -58,6 +59,7 @@
     "LeaseReply",
     "LeaseRequest",
     "LinkStats",
+    "Listener",
     "LoadView",
     "NameTable",
     "Outcome",
--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -19,6 +19,7 @@
     decode_message,
     encode_message,
 )
+from cicadaledge.wire._listener import Listener
 from cicadaledge.wire._messages import Hello, Proof
 
 _LENGTH_BYTES = 4
@@ -90,19 +91,18 @@
         self._dialers: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._connected: set[tuple[str, int]] = set()
         self._retired: set[tuple[str, int]] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(self._make_protocol)
         self._handshakes = 0
 
     async def listen(self, host: str, port: int) -> None:
         """Accept links from peers."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._listener.start(host, port)
 
     async def close(self) -> None:
         """Close the listener, the dialers and all links."""
         for task in self._dialers.values():
             task.cancel()
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for link in list(self._links.values()):
             link.writer.close()
 
@@ -187,6 +187,9 @@
         self._retired.discard(address)
         self._dialers.pop(address, None)
 
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._accept)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await self._run(reader, writer, dialed=False)
 
--- /dev/null
+++ b/src/cicadaledge/wire/_listener.py
@@ -0,0 +1,91 @@
+"""Accepts connections, whatever becomes of a single one."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from cicadaledge.logs import PartLog
+
+_ACCEPTED_AT_ONCE = 64  # other work of the loop gets its turn between
+_FULL_PAUSE_S = 0.1  # descriptors come free as answers end
+_FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_log = PartLog("listener")
+
+
+class Listener:
+    """A listening socket.
+
+    The event loop's own servers may close for good after an error that concerns one connection,
+    such as a caller that has gone before it was accepted.
+
+    Args:
+        make_protocol: Makes the protocol of each connection.
+        backlog: Connections that wait to be accepted.
+    """
+
+    def __init__(
+        self, make_protocol: Callable[[], asyncio.BaseProtocol], *, backlog: int = 128
+    ) -> None:
+        self._make_protocol = make_protocol
+        self._backlog = backlog
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind((host, port))
+        self._sock.listen(self._backlog)
+        self._watch()
+
+    @property
+    def port(self) -> int:
+        """Port that was bound; of interest after a start on port 0."""
+        return int(self._sock.getsockname()[1])
+
+    def close(self) -> None:
+        """Accept nothing more; connections that were accepted go on."""
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._sock.fileno())
+            self._sock.close()
+
+    def _watch(self) -> None:
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(_ACCEPTED_AT_ONCE):
+            try:
+                sock, _address = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._note_error(error)
+                return
+            sock.setblocking(False)
+            task = asyncio.get_running_loop().create_task(self._connect(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _note_error(self, error: OSError) -> None:
+        _log.warning("Connection was not accepted.", error=str(error))
+        if error.errno in _FULL:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._sock.fileno())
+            loop.call_later(_FULL_PAUSE_S, self._watch)
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._make_protocol, sock)
+        except OSError as error:
+            self._note_error(error)
+            sock.close()
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -28,7 +28,7 @@
 
     async def start(self, delay_ms):
         await self.links.listen(HOST, 0)
-        port = self.links._server.sockets[0].getsockname()[1]
+        port = self.links._listener.port
         self.proxy = FaultProxy(Address(HOST, port))
         self.proxy.delay_ms = delay_ms
         await self.proxy.start()
--- /dev/null
+++ b/tests/wire/test_listener.py
@@ -0,0 +1,57 @@
+"""A listener goes on after errors that concern one connection."""
+
+import asyncio
+import errno
+import socket
+
+import uvloop
+
+from cicadaledge.wire import Listener
+
+HOST = "127.0.0.1"
+
+
+class Faulty:
+    """A listening socket whose first calls fail."""
+
+    def __init__(self, sock, errors):
+        self._sock = sock
+        self._errors = errors
+
+    def accept(self):
+        if self._errors:
+            number = self._errors.pop()
+            raise OSError(number, errno.errorcode[number])
+        return self._sock.accept()
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
+def test_callers_that_have_gone_before_they_were_accepted_do_not_end_the_listener():
+    """A flooded router took no connection any more, and said that it was ready."""
+
+    async def play():
+        accepted = []
+
+        class Protocol(asyncio.Protocol):
+            def connection_made(self, transport):
+                accepted.append(transport)
+
+        listener = Listener(Protocol)
+        with socket.socket() as one:
+            one.bind((HOST, 0))
+            port = one.getsockname()[1]
+        errors = [errno.EMFILE, errno.EPROTO, errno.ECONNABORTED]
+        listener._sock = Faulty(listener._sock, errors)
+        listener.start(HOST, port)
+        _, writer = await asyncio.open_connection(HOST, port)
+        async with asyncio.timeout(2.0):
+            while not accepted:
+                await asyncio.sleep(0.01)
+        assert errors == []
+        writer.close()
+        listener.close()
+
+    uvloop.run(play())
+    asyncio.run(play())
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -97,7 +97,7 @@
 
 async def connect(first, second):
     await first.links.listen("127.0.0.1", 0)
-    port = first.links._server.sockets[0].getsockname()[1]
+    port = first.links._listener.port
     second.links.dial("127.0.0.1", port)
     return port
 
