Fail the test command when a file cannot be imported

The command passes over listed failures and looked at reports of tests only; a file that cannot be imported has none. test_a_file_that_cannot_be_imported_fails_the_run fails before.

--- a/tests/run.py
+++ b/tests/run.py
@@ -33,6 +33,10 @@
         elif report.passed and report.when == "call":
             self.passed.add(report.nodeid)
 
+    def pytest_collectreport(self, report: pytest.CollectReport) -> None:
+        if report.failed:
+            self.failed.add(report.nodeid)
+
     def verdict(self, status: int) -> int:
         unlisted = self.failed - set(self.listed)
         healed = self.passed & set(self.listed)
