--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,9 @@
 """Shared fixtures."""
 
+import asyncio
+
 import pytest
+import uvloop
 from hypothesis import settings
 
 from cicadaledge.loadtool import Launcher
@@ -40,6 +43,18 @@
     return DeploymentSpec(**{**spec, **changes})
 
 
+@pytest.fixture(autouse=True)
+def edge_event_loop(request):
+    """Run the edge's tests on the event loop that its process runs on."""
+    if "edge" not in request.node.path.parts:
+        yield
+        return
+    former = asyncio.get_event_loop_policy()
+    uvloop.install()
+    yield
+    asyncio.set_event_loop_policy(former)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     """Return a function that starts a deployment, stopped after the test."""
