Log closed idle connections, callers that left before their request was read, and a late loop

A connection that ends before its request reaches the desk left no line, so the hypotheses of the incident could not be told apart. Now: one line when an idle connection is closed, with how late the loop was and whether the kernel still had bytes; the same as a count while leaving and when room is made; one line with the request's id for a caller that had gone; one line a second at most for a loop that comes back over 100 ms late, and its gauge.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -14,10 +14,12 @@
 from cicadaledge.codes import Code
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._http_client import Headers
+from cicadaledge.logs import PartLog
 from cicadaledge.routing import Limits
 
 _REASONS = {200: b"OK", 400: b"Bad Request", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 _LINGER_S = 1.0  # time for the peer to read the last answer before a reset could overtake it
+_log = PartLog("caller")
 
 
 class RequestHead:
@@ -90,6 +92,9 @@
     def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return headers and body of a refusal that needs no route."""
 
+    def note_left(self, head: RequestHead) -> None:
+        """Note that a request is not answered, as its caller left before it was read."""
+
 
 class _RequestError(Exception):
     """The caller sent something that is no proper request."""
@@ -145,9 +150,10 @@
         if received is None:
             return False
         await asyncio.sleep(0)  # lets an end that came behind the request be read
+        head, body = received
         if self.channel.ended:
+            self._service.note_left(head)
             return False
-        head, body = received
         writer = AnswerWriter(self)
         await self._service.answer(head, body, writer)
         if self.channel.gone or self._h11.our_state is not h11.DONE:
@@ -183,6 +189,14 @@
             async with asyncio.timeout(idle_timeout_ms / 1000):
                 data = await self.channel.read()
         except TimeoutError:
+            idle_ms = clock_ms() - self.idle_since_ms
+            unread = self.channel.has_unread or self.channel.is_readable()
+            _log.info(
+                "Idle connection is closed.",
+                idle_ms=round(idle_ms),
+                late_ms=round(idle_ms - idle_timeout_ms),
+                unread=unread,
+            )
             return None
         if not data:
             return None
--- a/src/cicadaledge/edge/_callers.py
+++ b/src/cicadaledge/edge/_callers.py
@@ -43,8 +43,17 @@
 
     def close_idle(self) -> None:
         """Close every connection that waits for a request."""
-        for connection in self._idle():
+        closed = self._idle()
+        unread = sum(connection.channel.is_readable() for connection in closed)
+        for connection in closed:
             connection.channel.close()
+        if closed:
+            _log.info(
+                "Idle connections are closed.",
+                closed=len(closed),
+                unread=unread,
+                callers=len(self._connections),
+            )
 
     def _make_room(self) -> None:
         """Close the connections that have been idle for longest."""
@@ -52,6 +61,7 @@
         closed = idle[: max(1, int(self.limit * _ROOM_PART))]
         if not closed:
             return
+        unread = sum(connection.channel.is_readable() for connection in closed)
         for connection in closed:
             connection.channel.close()
         _log.warning(
@@ -59,6 +69,7 @@
             callers=len(self._connections),
             limit=self.limit,
             closed=len(closed),
+            unread=unread,
         )
 
     def _idle(self) -> list[CallerConnection]:
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 import time
@@ -58,6 +59,14 @@
         """Whether bytes have arrived that nobody has read."""
         return bool(self._buffer)
 
+    def is_readable(self) -> bool:
+        """Whether the kernel has bytes, or the peer's end, that the loop has not read yet."""
+        if self._transport is None or self.gone:
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def ended(self) -> bool:
         """Whether the peer has closed its side, with or without a reset."""
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -34,6 +34,7 @@
 _BACKLOG = 128  # connections that wait: half a second's work, callers give up after one
 _UPKEEP_S = 1.0
 _CHECK_S = 0.05
+_LATE_MS = 100.0  # a turn of the loop this long delays each stream noticeably
 _SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
 _PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
 _METRICS_PATH = "/metrics"
@@ -74,6 +75,9 @@
         """Return the answer to a malformed probe."""
         return [], b""
 
+    def note_left(self, head: RequestHead) -> None:
+        """Do nothing: nobody waits for the answer."""
+
 
 class EdgeRouter:
     """One router process.
@@ -232,7 +236,21 @@
             self._metrics.set_state("active", self._desk.active)
             self._metrics.set_state("peers", len(self._peers.links.peers()))
             self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
-            await asyncio.sleep(_UPKEEP_S)
+            await self._rest()
+
+    async def _rest(self) -> None:
+        """Sleep until the next upkeep; log a loop that comes back late."""
+        started_ms = clock_ms()
+        await asyncio.sleep(_UPKEEP_S)
+        late_ms = clock_ms() - started_ms - _UPKEEP_S * 1000
+        self._metrics.set_state("loop_late_ms", late_ms)
+        if late_ms > _LATE_MS:
+            _log.warning(
+                "The loop is late.",
+                late_ms=round(late_ms),
+                callers=len(self._callers),
+                active=self._desk.active,
+            )
 
     async def _shut_down(self, callers: Listener) -> None:
         """Take connections until the balancer knows, then finish what was accepted."""
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -101,6 +101,15 @@
         body = _json(refusal_body(RefusalError(code, detail), None))
         return self._dialect.refusal_headers(None), body
 
+    def note_left(self, head: RequestHead) -> None:
+        """Note that a request is not answered, as its caller left before it was read."""
+        _log.info(
+            "Caller has left before its request was read.",
+            request_id=self._dialect.request_id(head.headers),
+            after_ms=round(clock_ms() - head.started_ms),
+        )
+        self._metrics.left()
+
     async def _answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         call = None
         work = None
--- a/src/cicadaledge/edge/_dialect.py
+++ b/src/cicadaledge/edge/_dialect.py
@@ -41,6 +41,9 @@
             ValueError: A header has no valid value.
         """
 
+    def request_id(self, headers: Headers) -> str | None:
+        """Return the id of a caller's request, or None."""
+
     def server_headers(
         self,
         call: Call,
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -71,6 +71,13 @@
             resume_after=named.get(b"last-event-id"),
         )
 
+    def request_id(self, headers: Headers) -> str | None:
+        """Return the id of a caller's request, or None."""
+        for name, value in headers:
+            if name.lower() == b"attempt-id":
+                return value.decode("latin-1").strip()
+        return None
+
     def server_headers(
         self,
         call: Call,
--- a/src/cicadaledge/standins/_http_service.py
+++ b/src/cicadaledge/standins/_http_service.py
@@ -52,6 +52,9 @@
         """Return the answer to something that is no request."""
         return [], b""
 
+    def note_left(self, head: RequestHead) -> None:
+        """Do nothing: nobody waits for the answer."""
+
     def _accept(self, channel: Channel) -> None:
         self.channels.append(channel)
         task = asyncio.get_running_loop().create_task(CallerConnection(channel, self).run())
