Close connections on what has arrived, not on what the process has read

What callers saw: requests on kept connections that ended without an answer. Cause: a turn of the loop runs its timers before its reads. After a long turn the idle time-out cancelled the read of a request that had arrived in time; the request was read whole in the same turn and its connection closed. The header time-out refused such requests with 408. Connections that were closed to make room, or while leaving, counted as idle when the process had read nothing, whatever waited in the kernel; new ones counted as idle before their first request could come. Class: a decision on a peer's silence, taken on the process's own and possibly late reading. Why it works: after a time-out the kernel is asked; while it has something, the loop reads first. That this is what the users saw is not shown yet.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -18,6 +18,7 @@
 from cicadaledge.routing import Limits
 
 _REASONS = {200: b"OK", 400: b"Bad Request", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+_FIRST_REQUEST_MS = 1_000.0  # callers send one as soon as they are connected, or try elsewhere
 _LINGER_S = 1.0  # time for the peer to read the last answer before a reset could overtake it
 _log = PartLog("caller")
 
@@ -114,13 +115,20 @@
 
     def __init__(self, channel: Channel, service: CallerService) -> None:
         self.channel = channel
-        self.idle = True
         self.idle_since_ms = clock_ms()
+        self._idle = True
+        self._is_new = True
         self._service = service
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=service.limits.header_bytes
         )
 
+    def is_idle(self, now_ms: float) -> bool:
+        """Return whether nothing was read of a request, and none is on its way at once."""
+        if self.channel.closing or not self._idle or self.channel.has_unread:
+            return False
+        return not self._is_new or now_ms - self.idle_since_ms > _FIRST_REQUEST_MS
+
     async def run(self) -> None:
         """Answer requests until the connection ends."""
         task = asyncio.current_task()
@@ -165,16 +173,15 @@
 
     async def _read_request(self) -> tuple[RequestHead, bytes] | None:
         limits = self._service.limits
-        self.idle = True
+        self._idle = True
         self.idle_since_ms = clock_ms()
         request = await self._first_event(limits.idle_timeout_ms)
         if request is None:
             return None
-        self.idle = False
+        self._idle = self._is_new = False
         started_ms = clock_ms()
         try:
-            async with asyncio.timeout(limits.header_timeout_ms / 1000):
-                return await self._read_rest(request, started_ms, limits)
+            return await self._read_rest(request, started_ms, limits)
         except TimeoutError:
             raise _RequestError(408, "the request did not arrive in time") from None
 
@@ -186,17 +193,11 @@
         if self._h11.trailing_data[0]:
             return b""
         try:
-            async with asyncio.timeout(idle_timeout_ms / 1000):
-                data = await self.channel.read()
+            data = await self.channel.read(idle_timeout_ms)
         except TimeoutError:
             idle_ms = clock_ms() - self.idle_since_ms
-            unread = self.channel.has_unread or self.channel.is_readable()
-            _log.info(
-                "Idle connection is closed.",
-                idle_ms=round(idle_ms),
-                late_ms=round(idle_ms - idle_timeout_ms),
-                unread=unread,
-            )
+            late_ms = idle_ms - idle_timeout_ms
+            _log.info("Idle connection is closed.", idle_ms=round(idle_ms), late_ms=round(late_ms))
             return None
         if not data:
             return None
@@ -206,7 +207,8 @@
     async def _read_rest(
         self, first: h11.Request | bytes, started_ms: float, limits: Limits
     ) -> tuple[RequestHead, bytes] | None:
-        request = first if isinstance(first, h11.Request) else await self._event()
+        until_ms = started_ms + limits.header_timeout_ms
+        request = first if isinstance(first, h11.Request) else await self._event(until_ms)
         if not isinstance(request, h11.Request):
             return None
         self._check_framing(request)
@@ -214,7 +216,7 @@
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
         pieces: list[bytes] = []
         size = 0
-        while isinstance(event := await self._event(), h11.Data):
+        while isinstance(event := await self._event(until_ms), h11.Data):
             size += len(event.data)
             if size > limits.body_bytes:
                 raise _RequestError(413, f"the body is over {limits.body_bytes} bytes")
@@ -230,9 +232,9 @@
         if names.count(b"host") != 1:
             raise _RequestError(400, "expected exactly one Host header")
 
-    async def _event(self) -> object:
+    async def _event(self, until_ms: float) -> object:
         while (event := self._next_event()) is h11.NEED_DATA:
-            data = await self.channel.read()
+            data = await self.channel.read(max(0.0, until_ms - clock_ms()))
             try:
                 self._h11.receive_data(data)
             except RuntimeError as error:
--- a/src/cicadaledge/edge/_callers.py
+++ b/src/cicadaledge/edge/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cicadaledge.edge._caller import CallerConnection
+from cicadaledge.edge._channel import clock_ms
 from cicadaledge.logs import PartLog
 
 _RESERVED = 200  # descriptors for files, the store and peers
@@ -43,38 +44,35 @@
 
     def close_idle(self) -> None:
         """Close every connection that waits for a request."""
-        closed = self._idle()
-        unread = sum(connection.channel.is_readable() for connection in closed)
-        for connection in closed:
-            connection.channel.close()
+        closed = self._close(self._idle(), most=len(self._connections))
         if closed:
-            _log.info(
-                "Idle connections are closed.",
-                closed=len(closed),
-                unread=unread,
-                callers=len(self._connections),
-            )
+            callers = len(self._connections)
+            _log.info("Idle connections are closed.", closed=closed, callers=callers)
 
     def _make_room(self) -> None:
         """Close the connections that have been idle for longest."""
         idle = sorted(self._idle(), key=lambda connection: connection.idle_since_ms)
-        closed = idle[: max(1, int(self.limit * _ROOM_PART))]
-        if not closed:
-            return
-        unread = sum(connection.channel.is_readable() for connection in closed)
-        for connection in closed:
-            connection.channel.close()
-        _log.warning(
-            "Too many callers; idle ones are closed.",
-            callers=len(self._connections),
-            limit=self.limit,
-            closed=len(closed),
-            unread=unread,
-        )
+        closed = self._close(idle, most=max(1, int(self.limit * _ROOM_PART)))
+        if closed:
+            _log.warning(
+                "Too many callers; idle ones are closed.",
+                callers=len(self._connections),
+                limit=self.limit,
+                closed=closed,
+            )
 
     def _idle(self) -> list[CallerConnection]:
-        return [
-            connection
-            for connection in self._connections
-            if connection.idle and not connection.channel.has_unread
-        ]
+        now_ms = clock_ms()
+        return [connection for connection in self._connections if connection.is_idle(now_ms)]
+
+    @staticmethod
+    def _close(idle: list[CallerConnection], most: int) -> int:
+        """Close connections for which the kernel has nothing either; return how many."""
+        closed = 0
+        for connection in idle:
+            if closed == most:
+                break
+            if not connection.channel.is_readable():
+                connection.channel.close()
+                closed += 1
+        return closed
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -61,7 +61,7 @@
 
     def is_readable(self) -> bool:
         """Whether the kernel has bytes, or the peer's end, that the loop has not read yet."""
-        if self._transport is None or self.gone:
+        if self._transport is None or self.closing:
             return False
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -72,16 +72,30 @@
         """Whether the peer has closed its side, with or without a reset."""
         return self._ended
 
+    @property
+    def closing(self) -> bool:
+        """Whether this side has closed the connection."""
+        return self._transport is not None and self._transport.is_closing()
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the peer has not taken yet."""
         return self.transport.get_write_buffer_size()
 
-    async def read(self) -> bytes:
-        """Return the next bytes; empty once the peer has ended its side."""
+    async def read(self, timeout_ms: float | None = None) -> bytes:
+        """Return the next bytes; empty once the peer has ended its side.
+
+        Raises:
+            TimeoutError: Nothing has arrived within *timeout_ms*, in the kernel neither.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = None if timeout_ms is None else loop.time() + timeout_ms / 1000
         while not self._buffer and not self._ended:
-            self._reader = asyncio.get_running_loop().create_future()
-            await self._reader
+            await self._wait_for_reading(end_s)
+            # The timers of a turn run before its reads, so that a busy loop may be late for both.
+            expired = end_s is not None and loop.time() >= end_s
+            if expired and not self._buffer and not self._ended and not self.is_readable():
+                raise TimeoutError
         data = bytes(self._buffer)
         self._buffer.clear()
         if self._reading_paused and not self.gone:
@@ -89,6 +103,17 @@
             self.transport.resume_reading()
         return data
 
+    async def _wait_for_reading(self, end_s: float | None) -> None:
+        """Return when something was read, or at a time of the loop."""
+        loop = asyncio.get_running_loop()
+        self._reader = loop.create_future()
+        timer = loop.call_at(end_s, self._wake_reader) if end_s is not None else None
+        try:
+            await self._reader
+        finally:
+            if timer is not None:
+                timer.cancel()
+
     def write(self, data: bytes) -> None:
         """Send bytes; those for a peer that has gone are dropped."""
         if not self.gone:
--- /dev/null
+++ b/tests/edge/test_caller.py
@@ -0,0 +1,165 @@
+"""Connections of callers, closed while requests are on their way."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+import uvloop
+from attrs import evolve
+
+from cicadaledge.edge import CallerConnection, Channel
+from cicadaledge.edge._callers import CallerConnections
+from cicadaledge.routing import Limits
+from cicadaledge.wire import Listener
+
+HOST = "127.0.0.1"
+REQUEST = b"POST /book HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2\r\n\r\n{}"
+RUNNERS = [uvloop.run, asyncio.run]
+
+
+class Answering:
+    """Answers each request at once."""
+
+    closing = False
+
+    def __init__(self, **limits):
+        self.limits = evolve(Limits(), **limits)
+
+    async def answer(self, head, body, writer):
+        await writer.whole(200, [], b"done")
+
+    def refuse(self, code, detail, status):
+        return [], detail.encode()
+
+    def note_left(self, head):
+        raise AssertionError("no caller leaves here")
+
+
+class Edge:
+    """A listener and the connections that it accepted."""
+
+    def __init__(self, service, callers=None):
+        self._service = service
+        self._callers = callers
+        self.tasks = []
+        self.listener = Listener(lambda: Channel(self._start))
+        self.listener.start(HOST, 0)
+
+    def _start(self, channel):
+        connection = CallerConnection(channel, self._service)
+        self.tasks.append(asyncio.get_running_loop().create_task(connection.run()))
+        if self._callers is not None:
+            self._callers.add(connection)
+
+    def connect(self):
+        sock = socket.create_connection((HOST, self.listener.port))
+        sock.settimeout(2.0)
+        return sock
+
+    async def exchange(self, sock):
+        sock.sendall(REQUEST)
+        return await self.receive(sock)
+
+    async def receive(self, sock):
+        """Return the status line, or how the connection ended."""
+        try:
+            data = await asyncio.to_thread(sock.recv, 65_536)
+        except OSError as error:
+            return type(error).__name__
+        return data.split(b"\r\n")[0] or "closed"
+
+    def close(self, *socks):
+        for sock in socks:
+            sock.close()
+        self.listener.close()
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_request_that_came_before_the_idle_timeout_is_answered_by_a_busy_loop(run):
+    """A flooded router read such requests and closed their connections without an answer."""
+
+    async def play():
+        edge = Edge(Answering(idle_timeout_ms=500.0))
+        callers = [edge.connect() for _ in range(20)]
+        for caller in callers:
+            assert await edge.exchange(caller) == b"HTTP/1.1 200 OK"
+        await asyncio.sleep(0.3)
+        for caller in callers:
+            caller.sendall(REQUEST)
+        time.sleep(0.4)
+        answers = [await edge.receive(caller) for caller in callers]
+        assert answers == [b"HTTP/1.1 200 OK"] * 20
+        edge.close(*callers)
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_an_idle_connection_is_closed_when_its_time_has_passed(run):
+    async def play():
+        edge = Edge(Answering(idle_timeout_ms=200.0))
+        caller = edge.connect()
+        assert await edge.exchange(caller) == b"HTTP/1.1 200 OK"
+        started = time.monotonic()
+        assert await edge.receive(caller) == "closed"
+        assert 0.15 < time.monotonic() - started < 1.0
+        edge.close(caller)
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_request_that_came_in_time_in_two_parts_is_not_timed_out_by_a_busy_loop(run):
+    async def play():
+        edge = Edge(Answering(header_timeout_ms=300.0))
+        caller = edge.connect()
+        caller.sendall(REQUEST[:20])
+        await asyncio.sleep(0.1)
+        caller.sendall(REQUEST[20:])
+        time.sleep(0.4)
+        assert await edge.receive(caller) == b"HTTP/1.1 200 OK"
+        slow = edge.connect()
+        slow.sendall(REQUEST[:20])
+        assert (await edge.receive(slow)).startswith(b"HTTP/1.1 408")
+        edge.close(caller, slow)
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_connection_whose_request_waits_in_the_kernel_is_not_idle(run):
+    """A router that made room for new callers reset requests that it had not read yet."""
+
+    async def play():
+        callers = CallerConnections(descriptors=220)
+        edge = Edge(Answering(), callers)
+        socks = [edge.connect() for _ in range(10)]
+        for sock in socks:
+            assert await edge.exchange(sock) == b"HTTP/1.1 200 OK"
+        for sock in socks:
+            sock.sendall(REQUEST)
+        callers.close_idle()
+        callers._make_room()
+        answers = [await edge.receive(sock) for sock in socks]
+        assert answers == [b"HTTP/1.1 200 OK"] * 10
+        callers.close_idle()
+        assert [await edge.receive(sock) for sock in socks] == ["closed"] * 10
+        edge.close(*socks)
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_new_connection_is_given_time_for_its_first_request(run):
+    async def play():
+        callers = CallerConnections(descriptors=4_096)
+        edge = Edge(Answering(), callers)
+        sock = edge.connect()
+        await asyncio.sleep(0.05)
+        callers.close_idle()
+        await asyncio.sleep(0.05)
+        assert await edge.exchange(sock) == b"HTTP/1.1 200 OK"
+        edge.close(sock)
+
+    run(play())
