Take the connections that wait when a leaving router closes its listener

What callers saw: requests sent to a router that leaves were reset. Cause: closing a listening socket resets what waits in its queue, up to 128 connections of which a busy loop accepts four a turn; accepted ones whose transport was not made yet were not counted as callers, so that the process could end before they were served. Why it works: the listener accepts all that wait before it closes, and returns when each has a connection that the shutdown waits for; those are answered or refused as not run.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -262,7 +262,8 @@
         self._peers.leaving = True
         await asyncio.sleep(timing.stop_accept_ms / 1000)
         self._desk.refusing = True
-        callers.close()
+        waited = await callers.drain()
+        _log.info("No more connections are taken.", waited=waited, callers=len(self._callers))
         while clock_ms() < end_ms:
             self._callers.close_idle()
             if not self._desk.active and not self._callers:
--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -51,8 +51,20 @@
         """Port that was bound; of interest after a start on port 0."""
         return int(self._sock.getsockname()[1])
 
+    async def drain(self) -> int:
+        """Accept all connections that wait, then close; return how many waited."""
+        waited = 0
+        for _ in range(self._backlog + 1):
+            if not self._accept_one():
+                break
+            waited += 1
+        self.close()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        return waited
+
     def close(self) -> None:
-        """Accept nothing more; connections that were accepted go on."""
+        """Accept nothing more, and reset the connections that wait; accepted ones go on."""
         if self._sock.fileno() >= 0:
             asyncio.get_running_loop().remove_reader(self._sock.fileno())
             self._sock.close()
@@ -63,17 +75,23 @@
 
     def _accept(self) -> None:
         for _ in range(_ACCEPTED_AT_ONCE):
-            try:
-                sock, _address = self._sock.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as error:
-                self._note_error(error)
+            if not self._accept_one():
                 return
-            sock.setblocking(False)
-            task = asyncio.get_running_loop().create_task(self._connect(sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+
+    def _accept_one(self) -> bool:
+        """Take a connection; return whether another may wait."""
+        try:
+            sock, _address = self._sock.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            self._note_error(error)
+            return error.errno not in _FULL
+        sock.setblocking(False)
+        task = asyncio.get_running_loop().create_task(self._connect(sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
 
     def _note_error(self, error: OSError) -> None:
         _log.warning("Connection was not accepted.", error=str(error))
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -1,6 +1,8 @@
 """Callers that leave, requests out of time, and routers that stop."""
 
 import asyncio
+import socket
+import time
 
 from edge_world import configuration, request_headers, small_world
 
@@ -95,3 +97,31 @@
             assert connection.channel.gone
 
     asyncio.run(play())
+
+
+def test_a_stopping_router_answers_requests_that_wait_to_be_accepted():
+    """A leaving router reset the connections that a busy loop had not accepted yet."""
+
+    async def play():
+        async with small_world() as world:
+            router = world.routers[0]
+            address = world.settings[0].callers
+            headers = b"".join(b"%b: %b\r\n" % item for item in request_headers())
+            request = b"GET /look/1 HTTP/1.1\r\n" + headers + b"\r\n"
+            router.stop()
+            async with asyncio.timeout(2.0):
+                while not router._desk.closing:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            socks = [socket.create_connection((address.host, address.port)) for _ in range(40)]
+            for sock in socks:
+                sock.settimeout(2.0)
+                sock.sendall(request)
+            time.sleep(0.1)
+            answers = [(await asyncio.to_thread(sock.recv, 4_096))[:12] for sock in socks]
+            assert set(answers) <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+            await asyncio.wait_for(world._tasks[0], 2.5)
+            for sock in socks:
+                sock.close()
+
+    asyncio.run(play())
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 
+import pytest
 import uvloop
 
 from cicadaledge.wire import Listener
@@ -83,3 +84,32 @@
 
     uvloop.run(play())
     asyncio.run(play())
+
+
+def test_connections_that_wait_when_a_listener_closes_are_taken():
+    """A leaving router reset requests that waited for a busy loop to accept them."""
+
+    async def play():
+        received = []
+
+        class Protocol(asyncio.Protocol):
+            def data_received(self, data):
+                received.append(data)
+
+        listener = Listener(Protocol)
+        listener.start(HOST, 0)
+        port = listener.port
+        callers = [socket.create_connection((HOST, port)) for _ in range(40)]
+        for one in callers:
+            one.sendall(b"request")
+        assert await listener.drain() == 40
+        async with asyncio.timeout(2.0):
+            while len(received) < len(callers):
+                await asyncio.sleep(0.01)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.to_thread(socket.create_connection, (HOST, port))
+        for one in callers:
+            one.close()
+
+    uvloop.run(play())
+    asyncio.run(play())
