End a leaving router only when the last bytes of its answers are sent

Cause: a caller counted as gone when the task of its connection ended; up to 64 KB could still wait in the process for a slow caller, and were lost with it. Evidence: the new test fails on the parent commit. Why it works: a caller is counted until its connection has ended, which comes after the last byte.

--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -142,6 +142,13 @@
             reset_on_close(sock)
         self._transport.abort()
 
+    def when_gone(self, call: Callable[[], None]) -> None:
+        """Call back when the connection has ended, at once if it has, with all bytes sent."""
+        if self.gone or self._transport is None:
+            call()
+        else:
+            self.on_gone = call
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket up to find silent connections."""
         self._transport = cast(asyncio.Transport, transport)
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -216,10 +216,10 @@
 
         def done(ended: asyncio.Task[None]) -> None:
             self._tasks.discard(ended)
-            self._callers.discard(connection)
             if not ended.cancelled() and ended.exception() is not None:
                 _log.warning("Connection has failed.", error=repr(ended.exception()))
                 channel.abort()
+            channel.when_gone(lambda: self._callers.discard(connection))
 
         task.add_done_callback(done)
 
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -99,6 +99,33 @@
     asyncio.run(play())
 
 
+def test_a_stopping_router_ends_only_when_its_last_bytes_are_sent():
+    """Bytes that wait for a slow caller are lost with the process."""
+
+    async def play():
+        async with small_world() as world:
+            router = world.routers[0]
+            world.runners[1].event = lambda run, number: b"id: %d\n\n" % number + b":" * 4_000_000
+            connection = await world.connect()
+            await world.call("/book/1", connection=connection)
+            assert connection.finish()
+            (accepted,) = router._callers._connections
+            accepted.channel.transport.set_write_buffer_limits(high=64_000_000)
+            connection.channel.transport.pause_reading()
+            router.stop()
+            await asyncio.sleep(0)
+            connection.send("POST", "/draft/1", request_headers(model=True), b"{}")
+            await asyncio.sleep(1.0)
+            assert router._desk.active == 0
+            assert not world._tasks[0].done()
+            connection.channel.transport.resume_reading()
+            await connection.head()
+            assert len(await connection.body()) > 16_000_000
+            await asyncio.wait_for(world._tasks[0], 2.0)
+
+    asyncio.run(play())
+
+
 def test_a_stopping_router_answers_requests_that_wait_to_be_accepted():
     """A leaving router reset the connections that a busy loop had not accepted yet."""
 
