Write log lines in pieces that a pipe takes whole

Cause: up to 64 KB of lines went out in one system call; the reader kept 4 KB of it. Why it works: a pipe takes up to PIPE_BUF bytes as one, and pieces end between lines.

--- a/src/cicadaledge/logs/_writer.py
+++ b/src/cicadaledge/logs/_writer.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import select
 from collections import deque
 from typing import Any
 
@@ -12,7 +13,7 @@
 
 _BACKLOG_BYTES = 262_144  # about a thousand lines; a reader that is further behind has stalled
 _BATCH_S = 0.02  # lines that wait for one system call; a killed process loses no more
-_WRITE_BYTES = 65_536  # what a pipe takes at once
+_WRITE_BYTES = select.PIPE_BUF  # a pipe takes this much whole, and readers cut no line
 
 
 class LineWriter:
