Tell the peer of a close at once, not at the end of the loop's turn

What callers saw: requests on kept connections that ended without an answer at busy routers. Cause: asyncio and uvloop carry out a close at the end of their turn. At a router whose turns take 50 to 200 ms, requests arrived after the decision to close and before the peer heard of it, and were dropped with the connection. Why it works: the end of the stream is sent with the decision; what crosses it is the time on the wire only.

--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import select
 import socket
 import struct
@@ -28,6 +30,15 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
+def _end_sending(transport: asyncio.Transport) -> None:
+    """Send the end of the stream; transports of uvloop offer no socket that can do it."""
+    # Without a descriptor to spare, or a peer, the close at the end of the turn is all there is.
+    with contextlib.suppress(OSError):
+        descriptor = os.dup(transport.get_extra_info("socket").fileno())
+        with socket.socket(fileno=descriptor) as sock:
+            sock.shutdown(socket.SHUT_WR)
+
+
 class Channel(asyncio.Protocol):
     """One TCP connection.
 
@@ -126,9 +137,16 @@
             await self._writer
 
     def close(self) -> None:
-        """Close after what was written has been sent."""
-        if self._transport is not None:
-            self._transport.close()
+        """Close after what was written has been sent.
+
+        The event loops carry out a close at the end of their turn, which may be long; the peer is
+        told at once, so that it sends nothing more meanwhile.
+        """
+        if self._transport is None or self.closing:
+            return
+        if not self.unsent_bytes:
+            _end_sending(self._transport)
+        self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection; the peer sees that the exchange is not complete.
--- a/tests/edge/test_channel.py
+++ b/tests/edge/test_channel.py
@@ -1,8 +1,11 @@
 """A channel that is given up is reset, so that nothing that waits in it arrives later."""
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from cicadaledge.edge import Channel
 
@@ -61,3 +64,31 @@
         server.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("run", [uvloop.run, asyncio.run])
+def test_a_closed_channel_tells_its_peer_at_once_while_the_loop_is_busy(run):
+    """Requests that came between the decision and the end of a long turn were reset."""
+
+    async def play():
+        channels = []
+        server = await asyncio.get_running_loop().create_server(
+            lambda: Channel(channels.append), "127.0.0.1", 0
+        )
+        with socket.create_connection(server.sockets[0].getsockname()) as caller:
+            caller.settimeout(2.0)
+            await asyncio.sleep(0.05)
+            receiving = asyncio.get_running_loop().run_in_executor(None, _time_of_end, caller)
+            await asyncio.sleep(0.05)
+            closed_s = time.monotonic()
+            channels[0].close()
+            time.sleep(0.4)
+            assert await receiving - closed_s < 0.2
+        server.close()
+
+    run(play())
+
+
+def _time_of_end(sock):
+    assert sock.recv(1) == b""
+    return time.monotonic()
