End callers that dribble their request in, also on a late loop

What callers saw: nothing; a caller that goes on sending single bytes was never ended, so that a few could hold all connections of a busy router. Since the header time-out asks the kernel before it ends a request, and on a loop with turns of 50 ms a byte every 10 ms is always there. Why it works: what has arrived in time is still read late, but for at most one more time-out.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -234,7 +234,11 @@
 
     async def _event(self, until_ms: float) -> object:
         while (event := self._next_event()) is h11.NEED_DATA:
-            data = await self.channel.read(max(0.0, until_ms - clock_ms()))
+            left_ms = until_ms - clock_ms()
+            # A late loop may read what came in time, but not for ever what comes meanwhile.
+            if left_ms < -self._service.limits.header_timeout_ms:
+                raise TimeoutError
+            data = await self.channel.read(max(0.0, left_ms))
             try:
                 self._h11.receive_data(data)
             except RuntimeError as error:
--- a/tests/edge/test_caller.py
+++ b/tests/edge/test_caller.py
@@ -1,6 +1,7 @@
 """Connections of callers, closed while requests are on their way."""
 
 import asyncio
+import select
 import socket
 import time
 
@@ -127,6 +128,28 @@
     run(play())
 
 
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_caller_that_sends_a_head_byte_by_byte_is_ended_by_a_busy_loop(run):
+    """Each look into the kernel after the time-out found one byte more."""
+
+    async def play():
+        edge = Edge(Answering(header_timeout_ms=200.0))
+        caller = edge.connect()
+        caller.sendall(REQUEST[:20])
+        started = time.monotonic()
+        while not (closed := select.select([caller], [], [], 0)[0]):
+            if time.monotonic() - started > 2.0:
+                break
+            caller.sendall(b"a")
+            time.sleep(0.02)
+            await asyncio.sleep(0)
+        assert closed
+        assert (await edge.receive(caller)).startswith(b"HTTP/1.1 408")
+        edge.close(caller)
+
+    run(play())
+
+
 @pytest.mark.parametrize("run", RUNNERS)
 def test_a_connection_whose_request_waits_in_the_kernel_is_not_idle(run):
     """A router that made room for new callers reset requests that it had not read yet."""
