Answer a request that meets an internal error

Cause: an error that nobody expects, such as a route to a service that the configuration does not have, or an account whose name does not fit a header, ended the task of the connection. Evidence: the new test fails on the parent commit; the log then has the line 'Connection has failed'.

--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -122,6 +122,10 @@
                 await work.failure.send(writer)
                 return
             await self._send_refusal(refusal, call, writer)
+        except Exception as error:  # noqa: BLE001 - the caller gets a code, not a closed connection
+            request_id = call.request_id if call else None
+            _log.warning("Request met an internal error.", request_id=request_id, error=repr(error))
+            await self._send_refusal(RefusalError(Code.INTERNAL), call, writer)
         except asyncio.CancelledError:
             waited_ms = round(clock_ms() - head.started_ms)
             request_id = call.request_id if call else None
--- a/tests/edge/test_carrying.py
+++ b/tests/edge/test_carrying.py
@@ -156,3 +156,25 @@
             assert world.runners[0].runs == []
 
     asyncio.run(play())
+
+
+def test_a_request_that_meets_an_internal_error_is_answered():
+    """Its connection was reset, with nothing said."""
+
+    async def play():
+        async with small_world() as world:
+            plain = configuration(version=2)
+            plain["routes"].append(platform_route("gone", "nowhere", "safe"))
+            plain["tenants"].append(
+                {"name": "\u0219tefan", "apiKeys": ["second-key"], "allowedRegions": []}
+            )
+            world.store.put("keyed.op", "config", plain)
+            await asyncio.sleep(0.4)
+            connection = await world.connect()
+            for target, key in (("/gone/1", KEY), ("/look/2", "second-key")):
+                answer = await world.call(target, key=key, connection=connection)
+                assert (answer.status, connection.finish()) == (500, True)
+            assert (await world.call("/look/3", connection=connection)).status == 200
+            connection.abort()
+
+    asyncio.run(play())
