Tell callers that ended their side that their request was not run

What callers saw: a connection that is closed with neither answer nor refusal, 0.4 to 1.2 s after a whole request, on a router whose loop takes 200 ms a turn; several at once, as connections are accepted in batches. Cause: a request whose caller has ended its side before it was read is not sent, and its connection was closed in silence. A caller that only ended its sending side waits for an answer; to it, and to whoever watches the connection, a request that was read whole was lost. Whether the users' callers end their side in this way is not shown. Why it works: until its request is read, a connection stays open for writing when its peer ends its side. From then on the end of a caller stops the work, as before.

--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -150,6 +150,7 @@
 
     async def _serve_one(self) -> bool:
         """Answer one request; return whether another may follow."""
+        self.channel.keeps_half_open = True
         try:
             received = await self._read_request()
         except _RequestError as error:
@@ -161,7 +162,9 @@
         head, body = received
         if self.channel.ended:
             self._service.note_left(head)
+            await self._refuse(Code.QUEUE_TIMEOUT, "the caller has left before", 503)
             return False
+        self.channel.keeps_half_open = False  # from here on its end stops the work
         writer = AnswerWriter(self)
         await self._service.answer(head, body, writer)
         if self.channel.gone or self._h11.our_state is not h11.DONE:
@@ -255,11 +258,14 @@
         if self.channel.gone or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.channel.abort()
             return
-        writer = AnswerWriter(self)
-        headers, body = self._service.refuse(Code.BAD_REQUEST, str(error), error.status)
-        await writer.whole(error.status, [*headers, (b"Connection", b"close")], body)
+        await self._refuse(Code.BAD_REQUEST, str(error), error.status)
         await asyncio.sleep(_LINGER_S)
 
+    async def _refuse(self, code: Code, detail: str, status: int) -> None:
+        headers, body = self._service.refuse(code, detail, status)
+        closing = [*headers, (b"Connection", b"close")]
+        await AnswerWriter(self).whole(status, closing, body)
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
         self._send(self._head(status, headers))
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -44,9 +44,13 @@
 
     Args:
         on_open: Called with the channel when the peer has connected.
+
+    Attributes:
+        keeps_half_open: Whether a peer that has ended its side can still be written to.
     """
 
     def __init__(self, on_open: Callable[[Channel], None] | None = None) -> None:
+        self.keeps_half_open = False
         self.on_gone: Callable[[], None] | None = None
         self.gone = False
         self.reset = False
@@ -190,10 +194,10 @@
         self._wake_reader()
 
     def eof_received(self) -> bool:
-        """Treat a closed sending side as a closed connection."""
+        """Treat a closed sending side as a closed connection, unless it is to be kept."""
         self._ended = True
         self._wake_reader()
-        return False
+        return self.keeps_half_open
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake whoever reads or writes, and tell the owner."""
--- a/tests/edge/test_caller.py
+++ b/tests/edge/test_caller.py
@@ -186,3 +186,34 @@
         edge.close(sock)
 
     run(play())
+
+
+class Leaving(Answering):
+    """Notes the callers that leave before their request was read."""
+
+    def __init__(self):
+        super().__init__()
+        self.left = []
+
+    def note_left(self, head):
+        self.left.append(head.target)
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_caller_that_ends_its_side_before_its_request_is_read_is_told_that_it_was_not_run(run):
+    """Its connection was closed with nothing said, as if the request had been lost."""
+
+    async def play():
+        service = Leaving()
+        edge = Edge(service)
+        callers = [edge.connect() for _ in range(8)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+            caller.shutdown(socket.SHUT_WR)
+        answers = [await edge.receive(caller) for caller in callers]
+        assert answers == [b"HTTP/1.1 503 Service Unavailable"] * 8
+        assert [await edge.receive(caller) for caller in callers] == ["closed"] * 8
+        assert service.left == ["/book"] * 8
+        edge.close(*callers)
+
+    run(play())
