Judge a revoked key's and a moved route's window also by the run in the soak

Cause: for acts that are judged by sending, the window ended by the time of sending alone, so that a request that crossed the undoing was broken although the configuration in force allowed its run. Why it is as strict: the end of the window is read just before the undoing is written, in one step of the loop, so a run up to it cannot be allowed by the newer version; each request that was sent after the limit and runs inside the window is still found. What is left out is allowed. Both sides of each edge have a test, also for acts that are judged by arrival. Ruled out: the same mistake in drain and evacuation, which take limit and end by the arrival.

--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -91,8 +91,8 @@
         servers: Servers that must get nothing more; None for all.
         key: Key that is concerned; None for all.
         limit_ms: From the acknowledgement on.
-        until_ms: When it was undone.
-        by_sending: Judge when the caller sent the request, not when it arrived.
+        until_ms: Just before its undoing was sent; a later run may be allowed by that.
+        by_sending: The limit is for the caller's sending of the request, not for its arrival.
         everywhere: Holds for routers out of touch, too.
     """
 
@@ -235,11 +235,10 @@
                 continue
             if act.key is not None and sent.key != act.key:
                 continue
-            at_ms = sent.sent_ms if act.by_sending else run.at_ms
-            if not act.acked_ms + act.limit_ms < at_ms < act.until_ms:
+            late_ms = (sent.sent_ms if act.by_sending else run.at_ms) - act.acked_ms
+            if late_ms <= act.limit_ms or run.at_ms >= act.until_ms:
                 continue
             if act.everywhere or self.in_touch(sent.router, act.acked_ms, run.at_ms):
-                late_ms = at_ms - act.acked_ms
                 found.append(
                     f"{act.what}: {server} ran {run.request_id} of {sent.router} {late_ms:.0f} ms"
                     " after the acknowledgement"
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -110,6 +110,40 @@
     assert judge([a_request()], [a_run()], [act], [(0.0, 9_000.0)]) == ["revocation"]
 
 
+REVOCATION = Act("revocation", 4_000.0, 5_000.0, key=KEY, by_sending=True, everywhere=True)
+MOVE = Act("move", 4_000.0, 5_000.0, frozenset({"desk-0"}), by_sending=True)
+DRAIN = Act("drain", 4_000.0, 5_000.0, frozenset({"desk-0"}))
+
+
+@pytest.mark.parametrize("act", [REVOCATION, MOVE])
+def test_a_request_on_its_way_while_an_act_is_undone_may_run_after_that(act):
+    undone = evolve(act, until_ms=10_005.0)
+    assert judge([a_request()], [a_run(at_ms=10_006.0)], [undone]) == []
+    assert judge([a_request()], [a_run(at_ms=10_005.0)], [undone]) == []
+    assert judge([a_request()], [a_run(at_ms=10_004.0)], [undone]) == [act.what]
+
+
+@pytest.mark.parametrize("act", [REVOCATION, MOVE])
+@pytest.mark.parametrize(
+    ("sent_ms", "is_late"), [(8_999.0, False), (9_000.0, False), (9_001.0, True)]
+)
+def test_only_what_was_sent_after_the_limit_is_late(act, sent_ms, is_late):
+    undone = evolve(act, until_ms=10_020.0)
+    assert judge([a_request(sent_ms=sent_ms)], [a_run()], [undone]) == [act.what] * is_late
+    assert judge([a_request(sent_ms=sent_ms)], [a_run(at_ms=10_020.0)], [undone]) == []
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "is_late"),
+    [(8_999.0, False), (9_000.0, False), (9_001.0, True), (10_019.0, True), (10_020.0, False)],
+)
+def test_only_what_arrives_between_the_limit_and_the_undoing_is_late(at_ms, is_late):
+    undone = evolve(DRAIN, until_ms=10_020.0)
+    assert (
+        judge([a_request(sent_ms=8_000.0)], [a_run(at_ms=at_ms)], [undone]) == ["drain"] * is_late
+    )
+
+
 def many(count, sent, run):
     return (
         [evolve(sent, request_id=f"r{n}") for n in range(count)],
