Let the soak find requests that a router closes without an answer and without running them

Now: a request whose connection ends without an answer later than 200 ms (the users' lossSlackMs) after it was sent is found, each one, run or not, at routers in touch and around graceful stops. One that is closed sooner may cross the close of an idle connection; those that ran are counted as before. Disturbed routers and callers that leave stay out. An end is timed by the turn of the callers' loop before the one that noticed it, so that their own late reading is not put on a router. So that the situation arises at all, the idle time-out of the soak is 1 s, and one pause in twenty of a caller ends about it.

--- a/src/cicadaledge/soak/_callers.py
+++ b/src/cicadaledge/soak/_callers.py
@@ -12,7 +12,7 @@
 from cicadaledge.errors import BackendError
 from cicadaledge.routing import RouteKind
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Sent
-from cicadaledge.soak._world import SoakWorld
+from cicadaledge.soak._world import IDLE_TIMEOUT_MS, SoakWorld
 from cicadaledge.standins import CallerRequest, answer_seal
 
 _PATIENCE_S = 6.0  # an answer later than this breaks the promise about time-outs
@@ -20,6 +20,9 @@
 _LEAVE_SHARE = 0.05  # callers that leave before the answer
 _SUBJECTS = 20  # shared parts of prompts
 _THINK_S = (0.02, 0.15)
+_REST_SHARE = 0.05  # pauses that last about the idle time-out
+_REST_S = (0.7 * IDLE_TIMEOUT_MS / 1000, 1.05 * IDLE_TIMEOUT_MS / 1000)
+_TICK_S = 0.01  # how exactly an end is timed while the callers' own loop is late
 
 
 @frozen
@@ -53,9 +56,11 @@
     seed: int
     _numbers: itertools.count[int] = field(factory=itertools.count)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
+    _ticks_ms: tuple[float, float] = field(factory=lambda: (clock_ms(), clock_ms()))
 
     def start(self) -> None:
         """Let the callers begin."""
+        self._tasks.append(asyncio.create_task(self._tick()))
         for place in range(self.world.size.callers):
             chance = random.Random(f"{self.seed}/{place}")
             self._tasks.append(asyncio.create_task(self._call_for_ever(chance)))
@@ -66,6 +71,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _tick(self) -> None:
+        """Note when the loop reads; an end noticed now came after the tick before the last."""
+        while True:
+            self._ticks_ms = (self._ticks_ms[1], clock_ms())
+            await asyncio.sleep(_TICK_S)
+
     async def _call_for_ever(self, chance: random.Random) -> None:
         while True:
             name = chance.choice(list(self.world.routers))
@@ -79,7 +90,8 @@
                 continue
             try:
                 while await self._call(connection, name, chance):
-                    await asyncio.sleep(chance.uniform(*_THINK_S))
+                    rests = chance.random() < _REST_SHARE
+                    await asyncio.sleep(chance.uniform(*(_REST_S if rests else _THINK_S)))
             finally:
                 connection.abort()
 
@@ -115,6 +127,7 @@
         except asyncio.CancelledError:
             sent.left_ms = clock_ms()
             raise
+        sent.open_ms = max(sent.sent_ms, self._ticks_ms[0])
         sent.ended_ms = clock_ms()
         return sent.complete and connection.finish()
 
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -89,8 +89,8 @@
         servers = list(self.world.servers.values())
         return servers[fault.pick % len(servers)]
 
-    def _disturb(self, names: list[str], from_ms: float, *, is_planned: bool = False) -> None:
-        self.world.ledger.disturb(names, from_ms, clock_ms(), is_planned=is_planned)
+    def _disturb(self, names: list[str], from_ms: float, *, is_lossless: bool = False) -> None:
+        self.world.ledger.disturb(names, from_ms, clock_ms(), is_lossless=is_lossless)
 
     async def kill(self, fault: PlannedFault) -> None:
         """Kill a router's process and start it again."""
@@ -143,7 +143,7 @@
                 self.world.ledger.exits.append(f"stop: {router.name} ended with {status}")
                 process.kill()
             self.world.start_router(router)
-            self._disturb([router.name], begin_ms, is_planned=True)
+            self._disturb([router.name], begin_ms, is_lossless=True)
 
     async def hang_up(self, fault: PlannedFault) -> None:
         """Tell a router that its settings file has changed."""
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -29,6 +29,7 @@
         evacuation_ms: The same for a zone.
         revoke_ms: From the removal of a key to the last request with it.
         apply_ms: From a configuration to the last request handled by an older one.
+        loss_slack_ms: From a request's last byte to the last close that may cross it.
     """
 
     contact_ms: float = 4_000.0
@@ -40,6 +41,7 @@
     retry_slack: float = 20.0
     retry_window_ms: float = 10_000.0
     grace_ms: float = 8_000.0
+    loss_slack_ms: float = 200.0
 
     def for_routers(self) -> BoundSettings:
         """Return the bounds that the routers are told."""
@@ -59,6 +61,7 @@
     Args:
         router: Router that it was sent to.
         left_ms: When the caller left before the end.
+        open_ms: Up to when the callers' loop had read and seen no end of the connection.
     """
 
     request_id: str
@@ -75,6 +78,7 @@
     received: bytes = b""
     complete: bool = False
     left_ms: float | None = None
+    open_ms: float | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -110,7 +114,7 @@
 class _Span:
     from_ms: float
     until_ms: float
-    is_planned: bool
+    is_lossless: bool
 
 
 @define
@@ -132,20 +136,20 @@
     _harmed: dict[str, list[_Span]] = field(factory=dict)
 
     def disturb(
-        self, routers: Iterable[str], from_ms: float, until_ms: float, *, is_planned: bool = False
+        self, routers: Iterable[str], from_ms: float, until_ms: float, *, is_lossless: bool = False
     ) -> None:
         """Note that routers were disturbed for a while.
 
         Args:
-            is_planned: Whether it was a graceful stop, which must lose nothing.
+            is_lossless: Whether it must lose nothing, as a graceful stop.
         """
         for name in routers:
-            span = _Span(from_ms, until_ms, is_planned)
+            span = _Span(from_ms, until_ms, is_lossless)
             self._disturbed.setdefault(name, []).append(span)
 
     def harm(self, server: str, from_ms: float, until_ms: float) -> None:
         """Note that the links to a server were harmed for a while."""
-        self._harmed.setdefault(server, []).append(_Span(from_ms, until_ms, is_planned=False))
+        self._harmed.setdefault(server, []).append(_Span(from_ms, until_ms, is_lossless=False))
 
     def _is_held_up(self, server: str, at_ms: float) -> bool:
         """Return whether what a server received may have been held on its way."""
@@ -156,16 +160,18 @@
         )
 
     def in_touch(
-        self, router: str, from_ms: float, until_ms: float, *, or_stopping: bool = False
+        self, router: str, from_ms: float, until_ms: float, *, or_lossless: bool = False
     ) -> bool:
         """Return whether a router was in touch all the time.
 
         Args:
-            or_stopping: Pass over graceful stops.
+            or_lossless: Pass over disturbances that must lose nothing.
         """
         first_ms = from_ms - self.bounds.contact_ms
         return all(
-            span.until_ms < first_ms or span.from_ms > until_ms or (or_stopping and span.is_planned)
+            span.until_ms < first_ms
+            or span.from_ms > until_ms
+            or (or_lossless and span.is_lossless)
             for span in self._disturbed.get(router, ())
         )
 
@@ -266,17 +272,24 @@
         return []
 
     def _lost(self, by_id: dict[str, list[tuple[str, Run]]]) -> list[str]:
-        """Count the requests that were passed on and ended without any answer."""
-        lost = []
+        """Find requests that were closed without any answer, and count those just sent."""
+        found = []
+        crossed = []
         for sent in self.sent.values():
             if sent.status is not None or sent.left_ms is not None or sent.ended_ms is None:
                 continue
-            runs = by_id.get(sent.request_id, [])
-            if runs and self.in_touch(sent.router, sent.sent_ms, sent.ended_ms, or_stopping=True):
-                lost.append(f"{sent.request_id} of {sent.router}")
-        if len(lost) > _FEW:
-            return [f"lost: {len(lost)} requests ended without an answer, the first {lost[0]}"]
-        return []
+            if not self.in_touch(sent.router, sent.sent_ms, sent.ended_ms, or_lossless=True):
+                continue
+            name = f"{sent.request_id} of {sent.router}"
+            open_ms = (sent.open_ms or sent.sent_ms) - sent.sent_ms
+            if open_ms > self.bounds.loss_slack_ms:
+                found.append(f"lost: {name} ended without an answer after {open_ms:.0f} ms")
+            elif by_id.get(sent.request_id):
+                crossed.append(name)
+        if len(crossed) > _FEW:
+            lost = f"{len(crossed)} requests that ran ended without an answer"
+            found.append(f"lost: {lost}, the first {crossed[0]}")
+        return found
 
     def _held(self) -> list[str]:
         """Count the requests without a final answer well after their route's time-out."""
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -43,6 +43,7 @@
 _EVENT_GAP_S = 0.03
 _PROGRAM = "from cicadaledge.platform import main; main()"
 _OK = 200
+IDLE_TIMEOUT_MS = 1_000  # short, so that callers send again about it in a round of seconds
 KEYS = ("key-of-banksia", "key-of-wattle", "key-of-waratah")
 ACCOUNTS = dict(zip(KEYS, ("banksia", "wattle", "waratah"), strict=True))
 
@@ -165,7 +166,11 @@
                 ),
             ],
             "services": [{"name": "desk"}, {"name": "till"}, platform_pool("pool")],
-            "limits": {"maxBodyBytes": 100_000, "tokensPerS": 0},
+            "limits": {
+                "maxBodyBytes": 100_000,
+                "idleTimeoutMs": IDLE_TIMEOUT_MS,
+                "tokensPerS": 0,
+            },
             "tenants": [platform_account(ACCOUNTS[key], [key]) for key in self.keys],
         }
 
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -165,10 +165,45 @@
     requests, runs = many(4, sent, a_run())
     ledger.sent = {one.request_id: one for one in requests}
     ledger.runs = [("desk-0", run) for run in runs]
-    ledger.disturb(["router-0"], 9_000.0, 9_500.0, is_planned=True)
+    ledger.disturb(["router-0"], 9_000.0, 9_500.0, is_lossless=True)
     assert [line.split(":")[0] for line in ledger.broken()] == ["lost"]
 
 
+CLOSED = a_request(status=None, complete=False, seal=None, received=b"", ended_ms=10_400.0)
+
+
+@pytest.mark.parametrize(("open_ms", "is_lost"), [(10_200.0, False), (10_201.0, True)])
+def test_a_request_closed_unanswered_after_the_slack_is_found_also_when_it_did_not_run(
+    open_ms, is_lost
+):
+    sent = evolve(CLOSED, open_ms=open_ms)
+    assert judge([sent], []) == ["lost"] * is_lost
+    assert judge([sent], [a_run()]) == ["lost"] * is_lost
+
+
+def test_requests_that_ran_and_were_closed_within_the_slack_are_counted():
+    sent = evolve(CLOSED, open_ms=10_200.0)
+    assert judge(*many(3, sent, a_run())) == []
+    assert judge(*many(4, sent, a_run())) == ["lost"]
+
+
+def test_requests_closed_by_a_disturbed_router_or_left_by_their_caller_are_not_lost():
+    sent = evolve(CLOSED, open_ms=10_390.0)
+    assert judge([sent], [], disturbed=[(5_999.0, 6_000.0)]) == []
+    assert judge([sent], [], disturbed=[(10_399.0, 10_500.0)]) == []
+    assert judge([sent], [], disturbed=[(5_000.0, 5_999.0), (10_401.0, 10_500.0)]) == ["lost"]
+    assert judge([evolve(sent, left_ms=10_399.0)], []) == []
+
+
+def test_a_graceful_stop_does_not_excuse_a_request_that_did_not_run():
+    ledger = Ledger(SoakBounds(), {KEY: "banksia"})
+    ledger.sent = {"r1": evolve(CLOSED, open_ms=10_390.0)}
+    ledger.disturb(["router-0"], 9_000.0, 10_500.0, is_lossless=True)
+    assert [line.split(":")[0] for line in ledger.broken()] == ["lost"]
+    ledger.disturb(["router-0"], 6_000.0, 6_100.0)
+    assert ledger.broken() == []
+
+
 def test_answers_well_after_the_time_out_are_found():
     sent = a_request(ended_ms=14_600.0, status=504, seal=None, received=b"")
     assert judge(*many(4, sent, a_run())) == ["held"]
