Add busy loops and stops amid bursts of new callers to the soak's faults

What was missed: requests that routers read late and closed, and those in the queue of a closing listener, need a loop that is busy for longer than the slack of 200 ms; no fault of the soak made one. Now: `busy` lets a router's process stand still for 0.1 to 0.4 s again and again; `busy-stop` does so through a graceful stop, with 30 new callers each time. Both must lose nothing, by the judge; for all other promises their router counts as disturbed. They are drawn apart (0 to 2 a seed), so that the other faults of a seed stay as they were; the seeds that once failed run without them. Of the new tests of the callers, the one for their late loop fails when an end is timed by the turn that noticed it.

--- a/src/cicadaledge/soak/_callers.py
+++ b/src/cicadaledge/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 
@@ -71,6 +72,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def burst(self, router: str, count: int) -> None:
+        """Let further callers connect to a router now and send one request each."""
+        for _ in range(count):
+            chance = random.Random(f"{self.seed}/burst/{len(self._tasks)}")
+            self._tasks.append(asyncio.create_task(self._call_once(router, chance)))
+
     async def _tick(self) -> None:
         """Note when the loop reads; an end noticed now came after the tick before the last."""
         while True:
@@ -80,11 +87,8 @@
     async def _call_for_ever(self, chance: random.Random) -> None:
         while True:
             name = chance.choice(list(self.world.routers))
-            address = self.world.routers[name].callers
             try:
-                connection = await HttpConnection.open(
-                    address.host, address.port, name, _CONNECT_MS
-                )
+                connection = await self._connection(name)
             except BackendError:
                 await asyncio.sleep(chance.uniform(*_THINK_S))
                 continue
@@ -95,6 +99,18 @@
             finally:
                 connection.abort()
 
+    async def _call_once(self, router: str, chance: random.Random) -> None:
+        with contextlib.suppress(BackendError):
+            connection = await self._connection(router)
+            try:
+                await self._call(connection, router, chance)
+            finally:
+                connection.abort()
+
+    async def _connection(self, router: str) -> HttpConnection:
+        address = self.world.routers[router].callers
+        return await HttpConnection.open(address.host, address.port, router, _CONNECT_MS)
+
     async def _call(self, connection: HttpConnection, router: str, chance: random.Random) -> bool:
         """Send one request and note what comes; return whether the connection can be kept."""
         kind = chance.choice(_KINDS)
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -5,21 +5,26 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from attrs import define, field, frozen
 
 from cicadaledge.edge import clock_ms
+from cicadaledge.soak._callers import Callers
 from cicadaledge.soak._ledger import Act
 from cicadaledge.soak._proxy import FaultProxy
 from cicadaledge.soak._world import RouterProcess, SoakServer, SoakWorld
 from cicadaledge.standins import EXTRA_ANSWER, RunnerFaults
 
 _COUNTS = (2, 9)
+_BUSY_COUNTS = (0, 2)
 _DELAY_MS = 120.0  # twice a round trip between regions
 _STORM_VERSIONS = 6
 _EXIT_POLL_S = 0.05
+_BUSY_S = (0.1, 0.4)  # how long a loop is busy, and free after that
+_BUSY_STOP_S = 4.0  # well past the time for which a leaving router takes connections
+_BURST = 30  # new connections at a time, below the queue of a listener
 
 
 @frozen
@@ -38,36 +43,46 @@
     pick: int
 
 
-def draw_faults(seed: int, count: int | None, within_s: float) -> list[PlannedFault]:
+def draw_faults(
+    seed: int, count: int | None, within_s: float, *, busy: bool = False
+) -> list[PlannedFault]:
     """Return the faults of a seed, by time.
 
     Args:
         count: How many; None draws this, too: few leave routers in touch, many overlap.
+        busy: Add some of `BUSY_KINDS`, drawn apart: the others are those of the seed without.
     """
     chance = random.Random(seed)
     if count is None:
         count = chance.randint(*_COUNTS)
-    faults = [
-        PlannedFault(
-            chance.choice(sorted(KINDS)),
-            round(chance.uniform(0.0, within_s), 2),
-            round(chance.uniform(0.3, 4.5), 2),
-            chance.randrange(1_000_000),
-        )
-        for _ in range(count)
-    ]
+    faults = [_draw_fault(chance, KINDS, within_s) for _ in range(count)]
+    if busy:
+        apart = random.Random(f"{seed}/busy")
+        more = range(apart.randint(*_BUSY_COUNTS))
+        faults += [_draw_fault(apart, BUSY_KINDS, within_s) for _ in more]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_fault(chance: random.Random, kinds: Mapping[str, Any], within_s: float) -> PlannedFault:
+    return PlannedFault(
+        chance.choice(sorted(kinds)),
+        round(chance.uniform(0.0, within_s), 2),
+        round(chance.uniform(0.3, 4.5), 2),
+        chance.randrange(1_000_000),
+    )
+
+
 @define
 class FaultLine:
     """Carries out the faults of a round; those that hit the same object wait for each other.
 
     Args:
         world: The running deployment.
+        callers: Its callers.
     """
 
     world: SoakWorld
+    callers: Callers
     _locks: dict[str, asyncio.Lock] = field(factory=dict)
 
     async def run(self, faults: list[PlannedFault]) -> None:
@@ -76,7 +91,7 @@
 
     async def _run_one(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
-        await KINDS[fault.kind](self, fault)
+        await (KINDS | BUSY_KINDS)[fault.kind](self, fault)
 
     def _lock(self, name: str) -> asyncio.Lock:
         return self._locks.setdefault(name, asyncio.Lock())
@@ -128,6 +143,33 @@
 
     async def stop(self, fault: PlannedFault) -> None:
         """Stop a router gracefully and start it again."""
+        await self._stop(fault)
+
+    async def busy_stop(self, fault: PlannedFault) -> None:
+        """Stop a router gracefully while its loop is busy and bursts of new callers come."""
+        await self._stop(fault, busy_s=_BUSY_STOP_S)
+
+    async def busy(self, fault: PlannedFault) -> None:
+        """Let a router's loop be busy again and again, which must lose nothing."""
+        router = self._router(fault)
+        async with self._lock(router.name):
+            begin_ms = clock_ms()
+            await self._keep_busy(router, fault, fault.for_s)
+            self._disturb([router.name], begin_ms, is_lossless=True)
+
+    async def _keep_busy(
+        self, router: RouterProcess, fault: PlannedFault, for_s: float, burst: int = 0
+    ) -> None:
+        chance = random.Random(fault.pick)
+        end_ms = clock_ms() + for_s * 1000
+        while clock_ms() < end_ms:
+            router.signal(signal.SIGSTOP)
+            self.callers.burst(router.name, burst)
+            await asyncio.sleep(chance.uniform(*_BUSY_S))
+            router.signal(signal.SIGCONT)
+            await asyncio.sleep(chance.uniform(*_BUSY_S))
+
+    async def _stop(self, fault: PlannedFault, busy_s: float = 0.0) -> None:
         router = self._router(fault)
         async with self._lock(router.name):
             process = router.process
@@ -135,6 +177,7 @@
             was_ready = await self.world.is_ready(router)
             begin_ms = clock_ms()
             router.signal(signal.SIGTERM)
+            await self._keep_busy(router, fault, busy_s, _BURST)
             end_ms = begin_ms + self.world.ledger.bounds.grace_ms
             while process.poll() is None and clock_ms() < end_ms:
                 await asyncio.sleep(_EXIT_POLL_S)
@@ -346,3 +389,7 @@
         FaultLine.evacuate,
     )
 }
+BUSY_KINDS: dict[str, Callable[[FaultLine, PlannedFault], Awaitable[None]]] = {
+    "busy": FaultLine.busy,
+    "busy-stop": FaultLine.busy_stop,
+}
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -28,12 +28,14 @@
         seed: Draws faults and load.
         faults: How many faults; None draws it by the seed.
         within_s: Time within which they begin.
+        busy: Whether faults of busy loops are drawn, too.
         size: Size of the deployment.
     """
 
     seed: int
     faults: int | None = None
     within_s: float = 8.0
+    busy: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -60,13 +62,13 @@
 
 
 async def _run(plan: SoakPlan, directory: Path) -> SoakResult:
-    faults = draw_faults(plan.seed, plan.faults, plan.within_s)
+    faults = draw_faults(plan.seed, plan.faults, plan.within_s, busy=plan.busy)
     world = SoakWorld(plan.size, directory)
     async with world.running():
         callers = Callers(world, plan.seed)
         callers.start()
         await asyncio.sleep(_WARM_S)
-        await FaultLine(world).run(faults)
+        await FaultLine(world, callers).run(faults)
         if not await world.all_ready(_RECOVERY_S):
             world.ledger.exits.append("recovery: not all routers were ready in time")
         begin_ms = clock_ms()
--- /dev/null
+++ b/tests/soak/test_callers.py
@@ -0,0 +1,54 @@
+"""Callers time the end of their connections so that the judge can tell who was late."""
+
+import asyncio
+import socket
+import time
+from types import SimpleNamespace
+
+from cicadaledge.settings import Address
+from cicadaledge.soak import Callers, Ledger, SoakBounds
+
+
+def closed_request(end_connection):
+    """Return one request whose router reads it and then ends the connection."""
+
+    async def play():
+        async def serve(reader, writer):
+            await reader.readuntil(b"}")
+            await end_connection(writer.get_extra_info("socket"))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        router = SimpleNamespace(callers=Address(*server.sockets[0].getsockname()))
+        ledger = Ledger(SoakBounds(), {"key-of-banksia": "banksia"})
+        size = SimpleNamespace(callers=0)
+        callers = Callers(SimpleNamespace(routers={"r": router}, ledger=ledger, size=size), seed=1)
+        callers.start()
+        callers.burst("r", 1)
+        while not ledger.sent or next(iter(ledger.sent.values())).ended_ms is None:
+            await asyncio.sleep(0.01)
+        await callers.stop()
+        server.close()
+        return ledger
+
+    return asyncio.run(play())
+
+
+def test_a_connection_that_is_closed_late_counts_as_open_until_then():
+    async def late(sock):
+        await asyncio.sleep(0.4)
+        sock.shutdown(socket.SHUT_WR)
+
+    (line,) = closed_request(late).broken()
+    assert line.startswith("lost: s1-0 of r ended without an answer")
+
+
+def test_a_late_loop_of_the_callers_is_not_put_on_the_router():
+    async def busy_afterwards(sock):
+        sock.shutdown(socket.SHUT_WR)
+        time.sleep(0.4)
+
+    ledger = closed_request(busy_afterwards)
+    (sent,) = ledger.sent.values()
+    assert sent.ended_ms - sent.sent_ms > 390.0
+    assert ledger.broken() == []
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cicadaledge.soak import KINDS, SoakPlan, SoakSize, draw_faults, run_round
+from cicadaledge.soak import BUSY_KINDS, KINDS, SoakPlan, SoakSize, draw_faults, run_round
 
 FIRST_PORT = 30_000
 PORTS_PER_SEED = 100
@@ -33,6 +33,16 @@
     assert drawn == set(KINDS)
 
 
+def test_faults_of_busy_loops_leave_those_of_a_seed_as_they_were():
+    drawn = set()
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0)
+        busy = draw_faults(seed, 7, 8.0, busy=True)
+        assert [fault for fault in busy if fault.kind in KINDS] == plain
+        drawn |= {fault.kind for fault in busy} - set(KINDS)
+    assert drawn == set(BUSY_KINDS)
+
+
 @pytest.mark.timeout(90)
 def test_a_short_round_keeps_all_promises(tmp_path):
     result = run_round(plan(1), tmp_path)
@@ -46,5 +56,5 @@
     first_port = FIRST_PORT + PORTS_PER_SEED * (20 + list(FAILED).index(seed))
     size = SoakSize(first_port=first_port)
     faults = None if seed in DRAWN else 7
-    result = run_round(SoakPlan(seed, faults=faults, size=size), tmp_path)
+    result = run_round(SoakPlan(seed, faults=faults, size=size, busy=False), tmp_path)
     assert result.broken == []
