Let the test of shared load see real links, and wait in looks in place of seconds

What was wrong with the check: a router that hears nobody takes the fleet's size from the list of members, and each of the others to run as much as itself. Its requests also ended by their own deadline at the 2 s within which the loads had to be seen, so that a loop that was late for 2 s failed it. Now: every router must be linked to each other one; requests are uneven (2, 1, 1, 0), so that no guess gives the sum; they run until the test ends them; the bounds are counted in looks, as many as the former seconds held on a loop that is on time.

--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -6,41 +6,56 @@
 
 from cicadaledge.edge import HttpConnection
 from cicadaledge.membership import rank
+from cicadaledge.standins import platform_route
+
+LOOK_S = 0.02
+LINK_LOOKS = 250  # five seconds of a loop that is on time, longer for one that is not
+VIEW_LOOKS = 100
+LONG_S = 60
+
+
+async def seen(condition, looks=VIEW_LOOKS):
+    """Wait for a condition as long as a number of looks takes, however slow the machine is."""
+    for _ in range(looks):
+        if condition():
+            return
+        await asyncio.sleep(LOOK_S)
+    raise AssertionError("it was not seen")
+
+
+def linked(router):
+    return set(router._peers.links.peers())
 
 
 def test_routers_of_all_zones_see_each_others_load():
     async def play():
         async with small_world(routers=0) as world:
-            for name, zone in [
-                ("a-1", "zone-a"),
-                ("a-2", "zone-a"),
-                ("b-1", "zone-b"),
-                ("b-2", "zone-b"),
-            ]:
+            zones = {"a-1": "zone-a", "a-2": "zone-a", "b-1": "zone-b", "b-2": "zone-b"}
+            route = platform_route("book", "desk", "unsafe", timeoutMs=LONG_S * 1000)
+            world.configure(routes=[route])
+            world.runners[0].gap_s = LONG_S
+            for name, zone in zones.items():
                 await world.add_router(name, zone)
-            world.runners[0].gap_s = 3.0
-
-            async def all_linked():
-                return all(router.fleet_size() == 4 for router in world.routers)
-
-            await world.until(all_linked)
+            routers = dict(zip(zones, world.routers, strict=True))
+            others = {name: zones.keys() - {name} for name in zones}
+            await seen(
+                lambda: all(
+                    linked(routers[name]) == others[name] and routers[name].fleet_size() == 4
+                    for name in zones
+                ),
+                LINK_LOOKS,
+            )
             connections: list[HttpConnection] = []
-            for place in range(4):
+            # Uneven, so that none comes to the sum by taking the others to be like itself.
+            for place in (0, 0, 1, 2):
                 connection = await world.connect(place)
-                connection.send("POST", f"/book/{place}", request_headers(), b"{}")
+                headers = request_headers(Deadline_Ms=str(LONG_S * 1000))
+                connection.send("POST", f"/book/{place}", headers, b"{}")
                 connections.append(connection)
-
-            async def all_seen():
-                return all(router.running_on("desk-0") == 4 for router in world.routers)
-
-            await world.until(all_seen, within_s=2.0)
+            await seen(lambda: all(router.running_on("desk-0") == 4 for router in world.routers))
             for connection in connections:
                 connection.abort()
-
-            async def none_seen():
-                return all(router.running_on("desk-0") == 0 for router in world.routers)
-
-            await world.until(none_seen, within_s=2.0)
+            await seen(lambda: all(router.running_on("desk-0") == 0 for router in world.routers))
 
     asyncio.run(play())
 
