Ask the kernel whether a server has accepted before it counts as out of reach

What callers saw: requests refused with 2006 (no server) by a router whose loop was late; the server was ejected for 0.7 s as well, and doubly with each further time. Cause: the time-out of connecting (500 ms) is a timer of the loop, and cancelled a connecting that the kernel had finished long before. Class: that of, a decision on a peer's silence taken on the process's own, late reading. uvloop also took turns to look an address up that was a number. Why it works: at the time-out the kernel is asked, and a connection that stands is used.

--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from cicadaledge.edge._channel import Channel, clock_ms, connect
+from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._connecting import connect
 from cicadaledge.errors import BackendError
 
 Headers = list[tuple[bytes, bytes]]
