Let the test of a burst of connections see the turn in which all were accepted

What was wrong with the check: it left its loop when all connections were made, before it noted that last turn; with all 60 accepted in one turn it saw no turn that made any. Now the last turn counts, and accepted connections are counted beside those that were made; the bound stays 8. It runs on uvloop and on asyncio's selector loop.

--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+from itertools import pairwise
 
 import pytest
 import uvloop
@@ -10,6 +11,7 @@
 from cicadaledge.wire import Listener
 
 HOST = "127.0.0.1"
+LOOPS = [uvloop.new_event_loop, asyncio.SelectorEventLoop]
 
 
 class Faulty:
@@ -29,6 +31,22 @@
         return getattr(self._sock, name)
 
 
+class Counting:
+    """A listening socket that counts what was accepted."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.accepted = 0
+
+    def accept(self):
+        pair = self._sock.accept()
+        self.accepted += 1
+        return pair
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
 def test_callers_that_have_gone_before_they_were_accepted_do_not_end_the_listener():
     """A flooded router took no connection any more, and said that it was ready."""
 
@@ -58,32 +76,34 @@
     asyncio.run(play())
 
 
-def test_a_burst_of_connections_leaves_other_work_its_turn():
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_burst_of_connections_leaves_other_work_its_turn(loop):
     """A flooded router saw for half a second not that callers had left."""
 
     async def play():
-        accepted = []
+        made = []
 
         class Protocol(asyncio.Protocol):
             def connection_made(self, transport):
-                accepted.append(transport)
+                made.append(transport)
 
         listener = Listener(Protocol)
+        listener._sock = Counting(listener._sock)
         listener.start(HOST, 0)
         callers = [socket.create_connection((HOST, listener.port)) for _ in range(60)]
-        turns = []
+        turns = [(0, 0)]
         async with asyncio.timeout(5.0):
-            while len(accepted) < len(callers):
-                turns.append(len(accepted))
+            while turns[-1] != (len(callers), len(callers)):
                 await asyncio.sleep(0)
-        most = max(later - earlier for earlier, later in zip(turns, turns[1:], strict=False))
-        assert most <= 8
+                turns.append((listener._sock.accepted, len(made)))
+        for counted in zip(*turns, strict=True):
+            assert max(later - earlier for earlier, later in pairwise(counted)) <= 8
         for one in callers:
             one.close()
         listener.close()
 
-    uvloop.run(play())
-    asyncio.run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
 def test_connections_that_wait_when_a_listener_closes_are_taken():
