End a router's tasks before it says that it has stopped, and wait for a log that is read late

Cause: the tasks of links and callers ran until the loop itself was torn down and cancelled them. Lines that the cancelled tasks wrote came after the last flush and were lost. That flush gave up where the pipe was full; this is the only way found to lose the last line, and is likely, not shown, to be what was seen. Now: links run in tasks of their own, and close waits for them; the router cancels the tasks of parts and callers and waits 0.1 s at most before its last line; each answer that is broken off has a line of its own ("Caller has left" would be untrue); the writer waits 0.1 s at most for a late reader, within the margin of 0.4 s that is left of the grace.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -36,6 +36,7 @@
 _CHECK_S = 0.05
 _LATE_MS = 100.0  # a turn of the loop this long delays each stream noticeably
 _SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
+_LAST_S = 0.1  # for tasks to end, and for the last lines: together half of the stop margin
 _PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
 _METRICS_PATH = "/metrics"
 _OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
@@ -134,12 +135,16 @@
         _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
         await self._stopping.wait()
         await self._shut_down(callers)
-        for part in parts:
-            part.cancel()
+        broken_off = self._desk.active
+        self._desk.breaking_off = True
         for listener in (probes, metrics):
             listener.close()
+        tasks = [*parts, *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=_LAST_S)
         await self._peers.links.close()
-        _log.info("Router has stopped.", router=self._settings.router, broken_off=self._desk.active)
+        _log.info("Router has stopped.", router=self._settings.router, broken_off=broken_off)
 
     def stop(self) -> None:
         """Leave gracefully; `run` returns when it is done."""
@@ -284,7 +289,7 @@
             loop.add_signal_handler(number, router.stop)
         loop.add_signal_handler(signal.SIGHUP, router.reload)
         await router.run()
-        lines.flush()
+        await lines.drain(_LAST_S)
 
     os.environ["UV_USE_IO_URING"] = "0"  # read by libuv when the loop is made
     uvloop.run(main())
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -65,6 +65,7 @@
     ) -> None:
         self.closing = False
         self.refusing = False
+        self.breaking_off = False
         self.active = 0
         self._settings = settings
         self._dialect = dialect
@@ -129,6 +130,9 @@
         except asyncio.CancelledError:
             waited_ms = round(clock_ms() - head.started_ms)
             request_id = call.request_id if call else None
+            if self.breaking_off:
+                _log.warning("Answer is broken off.", request_id=request_id, after_ms=waited_ms)
+                raise
             _log.info("Caller has left.", request_id=request_id, after_ms=waited_ms)
             self._metrics.left()
             raise
--- a/src/cicadaledge/logs/_writer.py
+++ b/src/cicadaledge/logs/_writer.py
@@ -61,9 +61,14 @@
         self._lines.append(line)
         self._queued_bytes += len(line)
 
-    def flush(self) -> None:
-        """Write what is queued, as far as the reader takes it."""
+    async def drain(self, limit_s: float) -> None:
+        """Write what is queued; wait at most *limit_s* for a reader that is behind."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
         self._flush()
+        while self._lines and loop.time() < end_s:
+            await asyncio.sleep(_BATCH_S)
+            self._flush()
 
     def _plan(self) -> None:
         try:
--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from cicadaledge.errors import FrameError
+from cicadaledge.logs import PartLog
 from cicadaledge.wire._codec import (
     FRAME_LIMIT_BYTES,
     NameTable,
@@ -29,6 +30,7 @@
 _NONCE_BYTES = 16
 _WRITE_BUFFER_LIMIT_BYTES = 8 * 1_048_576
 _HANDSHAKE_FRAME_LIMIT_BYTES = 1024
+_log = PartLog("links")
 
 
 @define
@@ -89,6 +91,7 @@
         self._on_down = on_down
         self._links: dict[str, _Link] = {}
         self._dialers: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._accepted: set[asyncio.Task[None]] = set()
         self._connected: set[tuple[str, int]] = set()
         self._retired: set[tuple[str, int]] = set()
         self._listener = Listener(self._make_protocol)
@@ -99,12 +102,13 @@
         self._listener.start(host, port)
 
     async def close(self) -> None:
-        """Close the listener, the dialers and all links."""
-        for task in self._dialers.values():
-            task.cancel()
+        """Close the listener, the dialers and all links, and wait until their tasks have ended."""
         self._listener.close()
-        for link in list(self._links.values()):
-            link.writer.close()
+        tasks = [*self._dialers.values(), *self._accepted]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
 
     def dial(self, host: str, port: int) -> None:
         """Keep a link to the address up until `undial`."""
@@ -190,8 +194,17 @@
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._accept)
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await self._run(reader, writer, dialed=False)
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # The stream's own task would print a traceback when it is cancelled.
+        running = self._run(reader, writer, dialed=False)
+        task = asyncio.get_running_loop().create_task(running)
+        self._accepted.add(task)
+        task.add_done_callback(self._end_accepted)
+
+    def _end_accepted(self, task: asyncio.Task[None]) -> None:
+        self._accepted.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.warning("Accepted link has failed.", error=repr(task.exception()))
 
     async def _run(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, dialed: bool
--- /dev/null
+++ b/tests/edge/router_process.py
@@ -0,0 +1,40 @@
+"""Runs a router as a process of its own: `router_process.py STORE CALLERS PROBES PEERS METRICS`."""
+
+import sys
+
+from edge_world import FAST, HOST, SETTINGS, evolve
+
+from cicadaledge.edge import BoundSettings, StoreTopics, run_edge_router
+from cicadaledge.platform import (
+    ControlTopic,
+    MemberTopic,
+    PlatformDialect,
+    ServerTopic,
+    StoreClient,
+)
+from cicadaledge.settings import Address
+
+NAME = "router-9"
+
+
+def main():
+    store, callers, probes, peers, metrics = (Address(HOST, int(port)) for port in sys.argv[1:])
+    settings = evolve(
+        SETTINGS,
+        router=NAME,
+        store=store,
+        callers=callers,
+        probes=probes,
+        peers=peers,
+        metrics=metrics,
+        bounds=BoundSettings(grace_ms=1_000),
+        timing=FAST,
+    )
+    client = StoreClient(store.host, store.port)
+    members = MemberTopic(client)
+    topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, registry=members)
+    run_edge_router(settings, PlatformDialect(), topics)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/edge/test_ending.py
@@ -0,0 +1,63 @@
+"""A router process ends in order, also when it breaks answers off."""
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+from edge_world import HOST, free_port, request_headers, small_world
+
+from cicadaledge.edge import HttpConnection
+from cicadaledge.standins import platform_route
+
+PROGRAM = Path(__file__).with_name("router_process.py")
+
+
+def test_a_router_that_breaks_answers_off_ends_without_tracebacks_and_says_so():
+    """Its tasks were cancelled with the loop: with tracebacks, and their lines were lost."""
+
+    async def play():
+        async with small_world(routers=0) as world:
+            route = platform_route("book", "desk", "unsafe", timeoutMs=30_000)
+            world.configure(routes=[route])
+            world.runners[0].gap_s = 30.0
+            for name in ("router-1", "router-2"):
+                await world.add_router(name)
+            ports = [world.store.port, *(free_port() for _ in range(4))]
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                *map(str, ports),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            written = asyncio.create_task(process.communicate())
+
+            async def linked():
+                return all(router.fleet_size() == 3 for router in world.routers) and all(
+                    "router-9" in router._peers.links.peers() for router in world.routers
+                )
+
+            await world.until(linked, within_s=20.0)
+            callers = [await HttpConnection.open(HOST, ports[1], "router-9", 1000) for _ in "ab"]
+            for caller in callers:
+                headers = request_headers(Deadline_Ms="30000")
+                caller.send("POST", "/book/1", headers, b"{}")
+
+            async def running():
+                return len(world.runners[0].runs) == len(callers)
+
+            await world.until(running)
+            process.send_signal(signal.SIGTERM)
+            output, errors = await asyncio.wait_for(written, 10.0)
+            lines = [json.loads(line) for line in output.splitlines()]
+            assert errors == b""
+            assert process.returncode == 0
+            said = [line["message"] for line in lines]
+            assert said.count("request: Answer is broken off.") == 2
+            assert said.count("peers: Peer is not linked.") == 2
+            assert said[-1] == "router: Router has stopped."
+            assert lines[-1]["broken_off"] == 2
+
+    asyncio.run(play())
--- a/tests/logs/test_writer.py
+++ b/tests/logs/test_writer.py
@@ -1,6 +1,7 @@
 """Logging never blocks, whatever the reader does."""
 
 import asyncio
+import contextlib
 import json
 import os
 
@@ -70,3 +71,45 @@
     assert [json.loads(line)["number"] for line in received] == list(range(100))
     os.close(reader)
     os.close(writer)
+
+
+def test_the_last_lines_wait_for_a_reader_that_is_behind():
+    """The last line of a router that ended was lost where its log was read late."""
+
+    async def play():
+        reader, writer = os.pipe()
+        lines = LineWriter(writer)
+        for number in range(2_000):
+            lines.write({"message": "x" * 100, "number": number})
+        assert lines.dropped == 0
+        draining = asyncio.create_task(lines.drain(10.0))
+        await asyncio.sleep(0.1)
+        assert not draining.done()
+        os.set_blocking(reader, False)
+        received = b""
+        while not draining.done():
+            await asyncio.sleep(0.01)
+            with contextlib.suppress(BlockingIOError):
+                received += os.read(reader, 1_000_000)
+        with contextlib.suppress(BlockingIOError):
+            received += os.read(reader, 1_000_000)
+        numbers = [json.loads(line)["number"] for line in received.splitlines()]
+        assert numbers == list(range(2_000))
+        os.close(reader)
+        os.close(writer)
+
+    asyncio.run(play())
+
+
+def test_a_stalled_reader_holds_the_end_up_for_its_limit_only():
+    async def play():
+        reader, writer = os.pipe()
+        lines = LineWriter(writer)
+        for _ in range(1_000):
+            lines.write({"message": "x" * 100})
+        async with asyncio.timeout(5.0):
+            await lines.drain(0.1)
+        os.close(reader)
+        os.close(writer)
+
+    asyncio.run(play())
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from cicadaledge.settings import Address
 from cicadaledge.soak import FaultProxy
@@ -34,6 +35,35 @@
         await self.proxy.start()
 
 
+LOOPS = [uvloop.new_event_loop, asyncio.SelectorEventLoop]
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_closed_links_leave_no_task_that_prints_a_traceback_when_it_is_cancelled(loop):
+    """A router that broke answers off printed tracebacks of its accepted links."""
+    printed = []
+
+    async def play():
+        asyncio.get_running_loop().set_exception_handler(lambda _, told: printed.append(told))
+        one, two = (PeerLinks(name, 1, "key", *[lambda *_: None] * 3) for name in "ab")
+        await two.listen(HOST, 0)
+        one.dial(HOST, two._listener.port)
+        async with asyncio.timeout(5.0):
+            while not (one.peers() and two.peers()):
+                await asyncio.sleep(0.01)
+        # The rest waits for a peer that does not read, so that its transport stays open.
+        two._links["a"].writer.write(b"-" * 8_000_000)
+        await two.close()
+        assert not two.peers()
+        assert two._accepted == set()
+        await one.close()
+        assert asyncio.all_tasks() == {asyncio.current_task()}
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
+    assert printed == []
+
+
 @pytest.mark.parametrize("second_after_s", [0.0, 0.03, 0.1])
 def test_links_dialed_from_both_sides_end_as_one(second_after_s):
     async def play():
