Bound what a router holds of the answers that it reads whole

What callers would see: a backend server that sends a body without end fills the router's memory; the process is killed and every request of it is cut. Cause: HttpConnection.body() read to the end whatever came: answers of plain services, failures, answers to other requests, bodies of refusals, and the store's answers. Mended by design: a plain answer longer than 256 KB, or that finds 16 MB held by all requests together, goes on as a relayed stream with back-pressure; its caller gets status, headers and body unchanged, and a reset where it breaks off; no other server is asked then. A failure over the bound, and refusals and answers to other requests over 64 KB, are cut: the attempt counts as lost. An answer of the store over 4 MB is an error of the store (its pages are 1 MB). Evidence: tests/edge/test_endless_answers.py. The calls of body() in tests name their limit now; their checks are as before.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -10,6 +10,7 @@
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._events import EventCutter
+from cicadaledge.edge._held import HeldBody, HeldBytes
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.errors import BackendError
@@ -21,6 +22,7 @@
     from cicadaledge.edge._work import Work
 
 _STRAY_ANSWERS = 2  # late answers to earlier requests that are passed over on one connection
+_PASSED_OVER_BYTES = 65_536  # refusals and late answers are short, and nobody gets them
 _OK = 200
 _FIRST_ERROR = 500
 
@@ -78,6 +80,7 @@
         work: The request.
         chosen: Where it goes.
         writer: Where the answer goes.
+        held: Bounds what is held of answers that are read whole.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         pool: ServerPool,
         load: LoadBook,
         health: ServerHealth,
+        held: HeldBytes,
     ) -> None:
         self.resume_after: str | None = None
         self.first_ms: float | None = None
@@ -99,6 +103,7 @@
         self._pool = pool
         self._load = load
         self._health = health
+        self._held = held
 
     async def run(self) -> AttemptResult:
         """Return how it ended; an answer that was begun may be incomplete then."""
@@ -134,7 +139,7 @@
         head, signs = await self._own_head(connection)
         self._health.note_reached(self._chosen.server.server)
         if signs.not_run:
-            await connection.body()
+            await connection.body(_PASSED_OVER_BYTES)
             self._work.may_have_run = ran_before
             reason = "another server has the address" if signs.wrong_server else "server is full"
             return AttemptResult(
@@ -156,7 +161,7 @@
                 return head, signs
             if signs.not_run and signs.request_id is None:
                 return head, signs
-            await connection.body()
+            await connection.body(_PASSED_OVER_BYTES)
             if not connection.skip_answer():
                 break
         raise BackendError(f"{connection.peer} answered another request", sent=True)
@@ -164,17 +169,40 @@
     async def _relay_whole(
         self, connection: HttpConnection, head: AnswerHead, signs: AnswerSigns
     ) -> AttemptResult:
-        body = await connection.body()
-        self._note_first()
-        answer = WholeAnswer(head.status, self._dialect.answer_headers(head), body)
-        if head.status >= _FIRST_ERROR or self._writer.started:
+        """Pass an answer on that is complete; one that is too long to hold, as it comes."""
+        failed = head.status >= _FIRST_ERROR or self._writer.started
+        with HeldBody(self._held) as body:
+            while (piece := await connection.piece()) is not None:
+                if body.add(piece):
+                    continue
+                if failed:
+                    raise BackendError(
+                        f"the failure of {connection.peer} is too long to hold", sent=True
+                    )
+                await self._relay_long(connection, head, body.take() + piece)
+                return AttemptResult(
+                    AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signs.cold_left_ms
+                )
+            self._note_first()
+            answer = WholeAnswer(head.status, self._dialect.answer_headers(head), body.copy())
+            if failed:
+                return AttemptResult(
+                    AttemptEnd.FAILED, "server failed", head.status, answer, signs.cold_left_ms
+                )
+            await answer.send(self._writer)
             return AttemptResult(
-                AttemptEnd.FAILED, "server failed", head.status, answer, signs.cold_left_ms
+                AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signs.cold_left_ms
             )
-        await answer.send(self._writer)
-        return AttemptResult(
-            AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signs.cold_left_ms
-        )
+
+    async def _relay_long(self, connection: HttpConnection, head: AnswerHead, begun: bytes) -> None:
+        """Pass on what was read of an answer, then the rest as it comes."""
+        self._note_first()
+        self._work.is_bound = True
+        self._start_answer(head)
+        await self._writer.piece(begun)
+        while (piece := await connection.piece()) is not None:
+            await self._writer.piece(piece)
+        self._writer.end()
 
     async def _relay_stream(self, connection: HttpConnection, head: AnswerHead) -> None:
         """Pass events on as they come.
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -14,6 +14,7 @@
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._dialect import Dialect
+from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._request_lines import RequestLines
@@ -77,6 +78,7 @@
         self._pool = pool
         self._callers = callers
         self._metrics = metrics
+        self._held = HeldBytes()
         self._retries = RetryBudget(settings.bounds)
         self._chance = random.Random()
         self._lines = RequestLines(beliefs, load, shares)
@@ -218,7 +220,14 @@
         while True:
             chosen = await self._place(work)
             attempt = Attempt(
-                work, chosen, writer, self._dialect, self._pool, self._load, self._health
+                work,
+                chosen,
+                writer,
+                self._dialect,
+                self._pool,
+                self._load,
+                self._health,
+                self._held,
             )
             attempt.resume_after = resume_after
             result = await self._run_attempt(work, chosen, attempt)
@@ -333,7 +342,7 @@
             return False
         if result.end is not AttemptEnd.NOT_RUN and not work.route.idempotent:
             return False
-        if writer.started and not work.route.resumable:
+        if work.is_bound or (writer.started and not work.route.resumable):
             return False
         routers = self._load.routers(clock_ms())
         return self._retries.take(work.service.name, routers, clock_ms())
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -111,16 +111,18 @@
             return None
         raise self._broken("ended within an answer")
 
-    async def body(self) -> bytes:
+    async def body(self, limit_bytes: int) -> bytes:
         """Return the rest of the answer's body.
 
         Raises:
-            BackendError: The connection broke before the end.
+            BackendError: The connection broke before the end, or the body is over the limit.
         """
-        pieces = []
+        body = bytearray()
         while (piece := await self.piece()) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+            if len(body) > limit_bytes:
+                raise self._broken(f"is over {limit_bytes} bytes")
+        return bytes(body)
 
     def skip_answer(self) -> bool:
         """Go on to an answer behind the one that was read; return whether that can be done.
--- a/src/cicadaledge/edge/_work.py
+++ b/src/cicadaledge/edge/_work.py
@@ -20,6 +20,7 @@
         account: The account that it belongs to, or None where none is needed.
         regions: Regions that may run it, or None for all.
         until_ms: When its time runs out.
+        is_bound: Whether the caller got a part of an answer that no other server can end.
         failure: The newest failure that a server itself answered with.
     """
 
@@ -33,6 +34,7 @@
     tried: set[str] = field(factory=set)
     attempts: int = 0
     may_have_run: bool = False
+    is_bound: bool = False
     failure: WholeAnswer | None = None
 
     @property
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -33,6 +33,7 @@
 _CALL_TIMEOUT_MS = 900.0  # three tries fit into the time in which a configuration must apply
 _CONNECT_TIMEOUT_MS = 700.0  # one lost packet at connecting costs a new try
 _IDLE_MS = 10_000.0  # the store closes idle connections after a longer time
+_ANSWER_LIMIT_BYTES = 4 * 1_048_576  # the store's pages are 1 MB, half as much again in base64
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _TABLE_KEY = "config"
@@ -133,7 +134,7 @@
                 host = f"{self._host}:{self._port}".encode()
                 connection.send(method, target, [(b"Host", host)], body)
                 head = await connection.head()
-                data = await connection.body()
+                data = await connection.body(_ANSWER_LIMIT_BYTES)
         except (BackendError, TimeoutError) as error:
             if connection is not None:
                 connection.abort()
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -11,6 +11,8 @@
 from cicadaledge.standins._http_service import HttpService
 
 _FOREVER_S = 3600.0
+_ENDLESS_LIMIT_BYTES = 96 * 1_048_576  # far over every limit, and a test's memory still holds it
+_ENDLESS_SLICE_BYTES = 65_536
 
 
 @define
@@ -20,6 +22,7 @@
     Args:
         at_ms: When it arrived.
         answer: Body of the whole answer.
+        sent_bytes: What was sent of an endless answer.
         ended_ms: When the server stopped working on it.
     """
 
@@ -33,6 +36,7 @@
     answer: bytes = b""
     finished: bool = False
     gone: bool = False
+    sent_bytes: int = 0
     ended_ms: float | None = None
 
 
@@ -48,6 +52,7 @@
         silent: Never answer.
         break_after: Reset the stream after so many events, in the middle of the next.
         raw: Send these bytes in place of an answer.
+        endless: Send these bytes behind `raw` as often as the router takes them.
         trailing: Send these bytes behind the answer.
     """
 
@@ -58,6 +63,7 @@
     silent: bool = False
     break_after: int | None = None
     raw: bytes | None = None
+    endless: bytes = b""
     trailing: bytes = b""
 
 
@@ -134,6 +140,7 @@
             await asyncio.sleep(_FOREVER_S)
         if faults.raw is not None:
             writer.send_raw(faults.raw)
+            await self._send_endless(run, writer)
             writer.close()
             return
         if faults.stray:
@@ -148,6 +155,17 @@
         if faults.trailing:
             writer.send_raw(faults.trailing)
 
+    async def _send_endless(self, run: Run, writer: AnswerWriter) -> None:
+        if not self.faults.endless:
+            return
+        data = self.faults.endless * (_ENDLESS_SLICE_BYTES // len(self.faults.endless) + 1)
+        channel = writer._connection.channel
+        while run.sent_bytes < _ENDLESS_LIMIT_BYTES and not channel.gone:
+            writer.send_raw(data)
+            run.sent_bytes += len(data)
+            await channel.drain()
+            await asyncio.sleep(0)
+
     async def _plain(self, run: Run, writer: AnswerWriter) -> None:
         await asyncio.sleep(self.gap_s)
         if self.faults.reset:
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -196,7 +196,7 @@
         try:
             connection.send("GET", target, [(b"Host", b"x")], b"")
             head = await connection.head()
-            return Answer(head.status, head, await connection.body())
+            return Answer(head.status, head, await connection.body(1_048_576))
         finally:
             connection.abort()
 
--- /dev/null
+++ b/tests/edge/test_endless_answers.py
@@ -0,0 +1,152 @@
+"""Backend servers and stores that send bytes without end."""
+
+import asyncio
+
+import pytest
+from edge_world import request_headers, small_world
+
+from cicadaledge.edge._held import HeldBody, HeldBytes
+from cicadaledge.standins import RunnerFaults
+
+MEGABYTE = 1_048_576
+# What sockets, the stand-in's own buffer and one request's share of the router hold.
+ON_THE_WAY_BYTES = 24 * MEGABYTE
+MINE = b"Attempt-Id: mine\r\nResponse-Seal: seal\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = b"%x\r\n%b\r\n" % (8192, b"x" * 8192)
+HEADERS = {"Attempt_Id": "mine"}
+
+
+async def send(world, target, *, deadline_ms=1500, model=False):
+    """Send a request whose caller reads nothing yet."""
+    connection = await world.connect()
+    named = request_headers(model=model, Attempt_Id="mine", Deadline_Ms=str(deadline_ms))
+    connection.send("POST", target, named, b"{}")
+    return connection
+
+
+async def is_cut(run):
+    return run.gone
+
+
+def test_an_endless_plain_answer_waits_for_its_caller():
+    async def play():
+        async with small_world() as world:
+            runner = world.runners[0]
+            raw = b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED
+            runner.faults = RunnerFaults(raw=raw, endless=PIECE)
+            connection = await send(world, "/book/1")
+            connection.channel.transport.pause_reading()
+            await asyncio.sleep(1.0)
+            assert runner.runs[0].sent_bytes < ON_THE_WAY_BYTES
+            connection.abort()
+
+    asyncio.run(play())
+
+
+def test_an_endless_plain_answer_never_looks_complete():
+    async def play():
+        async with small_world() as world:
+            raw = b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED
+            world.runners[0].faults = RunnerFaults(raw=raw, endless=PIECE)
+            answer = await world.call("/book/1", headers={**HEADERS, "Deadline_Ms": "700"})
+            assert (answer.status, answer.head.get(b"Response-Seal")) == (200, "seal")
+            assert not answer.complete
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("size", [1_000, 300_000, 5_000_000])
+@pytest.mark.parametrize("target", ["/book/1", "/look/1"])
+def test_a_long_plain_answer_reaches_the_caller_whole(target, size):
+    async def play():
+        async with small_world() as world:
+            body = bytes(range(250)) * (size // 250)
+            raw = b"HTTP/1.1 404 Not Found\r\n%bContent-Length: %d\r\n\r\n" % (MINE, size)
+            world.runners[0].faults = RunnerFaults(raw=raw + body)
+            answer = await world.call(target, headers=HEADERS)
+            assert (answer.status, answer.head.get(b"Response-Seal")) == (404, "seal")
+            assert answer.complete
+            assert answer.body == body
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("target", ["/book/1", "/look/1"])
+def test_a_long_plain_answer_that_ends_early_never_looks_complete(target):
+    async def play():
+        async with small_world(desks=2) as world:
+            raw = b"HTTP/1.1 200 OK\r\n%bContent-Length: 900000\r\n\r\n" % MINE + b"x" * 800_000
+            for runner in world.runners[:2]:
+                runner.faults = RunnerFaults(raw=raw)
+            answer = await world.call(target, headers=HEADERS)
+            assert not answer.complete
+            assert set(answer.body) == {ord("x")}
+            assert sum(len(runner.runs) for runner in world.runners[:2]) == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(b"HTTP/1.1 500 Internal Server Error\r\n" + MINE, id="failure"),
+        pytest.param(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n", id="not-run"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n", id="other-request"),
+    ],
+)
+def test_an_endless_answer_that_is_not_passed_on_is_cut(head):
+    async def play():
+        async with small_world() as world:
+            runner = world.runners[0]
+            runner.faults = RunnerFaults(raw=head + CHUNKED, endless=PIECE)
+            answer = await world.call("/book/1", headers=HEADERS)
+            assert answer.status == 502
+            await world.until(lambda: is_cut(runner.runs[0]))
+            assert runner.runs[0].sent_bytes < ON_THE_WAY_BYTES
+
+    asyncio.run(play())
+
+
+def test_after_an_endless_failure_another_server_answers_a_safe_request():
+    async def play():
+        async with small_world(desks=2) as world:
+            raw = b"HTTP/1.1 500 Internal Server Error\r\n" + MINE + CHUNKED
+            world.runners[0].faults = RunnerFaults(raw=raw, endless=PIECE)
+            for number in range(4):
+                answer = await world.call(f"/look/{number}", headers=HEADERS)
+                assert answer.body == f"desk-1 /look/{number}".encode()
+
+    asyncio.run(play())
+
+
+def test_answers_are_whole_where_no_more_can_be_held():
+    async def play():
+        async with small_world() as world:
+            held = world.routers[0]._desk._held
+            held.all_bytes = 100_000
+            body = b"x" * 60_000
+            raw = b"HTTP/1.1 200 OK\r\n%bContent-Length: 60000\r\n\r\n" % MINE + body
+            world.runners[0].faults = RunnerFaults(raw=raw)
+            answers = await asyncio.gather(
+                *(world.call("/look/1", headers=HEADERS) for _ in range(6))
+            )
+            assert {(answer.status, answer.body) for answer in answers} == {(200, body)}
+            assert all(answer.complete for answer in answers)
+            assert held.used_bytes == 0
+
+    asyncio.run(play())
+
+
+def test_a_held_body_counts_until_its_end():
+    held = HeldBytes(all_bytes=10, answer_bytes=6)
+    with HeldBody(held) as one, HeldBody(held) as other:
+        assert one.add(b"x" * 6)
+        assert not one.add(b"x")
+        assert other.add(b"y" * 4)
+        assert not other.add(b"y")
+        assert one.copy() == b"x" * 6
+        assert held.used_bytes == 10
+        assert one.take() == b"x" * 6
+        assert other.add(b"yy")
+    assert held.used_bytes == 0
