Cut answers that begin with interim ones without end

A server that sends 1xx answers without end kept a request until its time ran out (504), and the router read all the while (test "interim answers" in tests/edge/test_endless_answers.py: failed before with 504, now 502 after the ninth). The attempt counts as lost. Not faults, shown by the same test, which passed before: a header, headers, a chunk extension or a trailer without end (h11 stops at 64 KB) and blank lines before the head (no HTTP).

--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -15,6 +15,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 _HEAD_LIMIT_BYTES = 65_536
+_INTERIM_ANSWERS = 8  # usual servers send one or two 1xx answers before the real one
 _DEFAULT_IDLE_MS = 4_000.0  # shorter than the idle time-out of usual servers
 _IDLE_MARGIN_MS = 1_000.0  # a whole-second Keep-Alive may have run out half a round trip ago
 
@@ -90,13 +91,14 @@
         Raises:
             BackendError: The connection broke or carried something else.
         """
-        while True:
+        for _ in range(_INTERIM_ANSWERS + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
                 self._note_connection(event)
                 return AnswerHead(event.status_code, event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("ended without an answer")
+        raise self._broken(f"came behind over {_INTERIM_ANSWERS} interim ones")
 
     async def piece(self) -> bytes | None:
         """Return the next bytes of the answer's body, or None at its end.
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -150,3 +150,27 @@
         assert one.take() == b"x" * 6
         assert other.add(b"yy")
     assert held.used_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("raw", "endless"),
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\nX: ", b"x" * 1024, id="header"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", id="headers"),
+        pytest.param(b"", b"HTTP/1.1 100 Continue\r\n\r\n", id="interim answers"),
+        pytest.param(b"", b"\r\n", id="blank lines"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED + b"5;x=", b"x", id="extension"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED + b"0\r\n", b"X: y\r\n", id="trailer"),
+    ],
+)
+def test_a_head_without_end_is_cut(raw, endless):
+    async def play():
+        async with small_world() as world:
+            runner = world.runners[0]
+            runner.faults = RunnerFaults(raw=raw, endless=endless)
+            answer = await world.call("/book/1", headers={**HEADERS, "Deadline_Ms": "3000"})
+            assert answer.status == 502
+            await world.until(lambda: is_cut(runner.runs[0]))
+            assert runner.runs[0].sent_bytes < ON_THE_WAY_BYTES
+
+    asyncio.run(play())
