Let other requests run while an answer of tiny chunks is read

What has arrived of an answer (256 KB and more) was read without a pause: a trial with chunks of one byte held the loop for 195 to 268 ms at a time, again and again. Now the loop gets a turn after 64 events. Test: 10,000 chunks took 1 turn before, over 100 now.

--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import h11
 
 from cicadaledge.edge._channel import Channel, clock_ms
@@ -16,6 +18,7 @@
 
 _HEAD_LIMIT_BYTES = 65_536
 _INTERIM_ANSWERS = 8  # usual servers send one or two 1xx answers before the real one
+_EVENTS_PER_TURN = 64  # about a millisecond of reading the tiniest chunks
 _DEFAULT_IDLE_MS = 4_000.0  # shorter than the idle time-out of usual servers
 _IDLE_MARGIN_MS = 1_000.0  # a whole-second Keep-Alive may have run out half a round trip ago
 
@@ -53,6 +56,7 @@
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES)
         self._idle_ms = _DEFAULT_IDLE_MS
         self._closing = False
+        self._events = 0
         self._request: h11.Request | None = None
 
     @classmethod
@@ -165,6 +169,9 @@
         self.channel.abort()
 
     async def _next(self) -> object:
+        self._events += 1
+        if self._events % _EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)  # what has arrived can hold thousands of events
         try:
             while (event := self._h11.next_event()) is h11.NEED_DATA:
                 data = await self.channel.read()
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -5,9 +5,11 @@
 import pytest
 from edge_world import request_headers, small_world
 
+from cicadaledge.edge import Channel, HttpConnection
 from cicadaledge.edge._held import HeldBody, HeldBytes
 from cicadaledge.standins import RunnerFaults
 
+HOST = "127.0.0.1"
 MEGABYTE = 1_048_576
 # What sockets, the stand-in's own buffer and one request's share of the router hold.
 ON_THE_WAY_BYTES = 24 * MEGABYTE
@@ -174,3 +176,32 @@
             assert runner.runs[0].sent_bytes < ON_THE_WAY_BYTES
 
     asyncio.run(play())
+
+
+def test_tiny_chunks_do_not_hold_the_loop():
+    async def play():
+        accepted = []
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Channel(accepted.append), HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await HttpConnection.open(HOST, port, "server", 1000)
+        connection.send("GET", "/", [(b"Host", b"x")], b"")
+        raw = b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+        async with asyncio.timeout(2.0):
+            while not accepted:
+                await asyncio.sleep(0.01)
+            accepted[0].write(raw)
+            while len(connection.channel._buffer) < len(raw):
+                await asyncio.sleep(0.01)
+        await connection.head()
+        reading = loop.create_task(connection.body(100_000))
+        turns = 0
+        while not reading.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert reading.result() == b"x" * 10_000
+        assert turns > 100
+        connection.abort()
+        server.close()
+
+    asyncio.run(play())
