Pass an event on as it comes that is too long to keep

An event without end of a resumable stream was kept whole until the request's time ran out, and copied anew with each piece. Over 64 KB it is passed on as it comes; no other server can go on with that stream then, and an end of it before its time is a reset. Pieces are searched once. Tests: test_an_endless_event_of_a_resumable_stream_is_not_kept failed before (the caller got none of it), as did the ones on a part of an event and on the limit. That an endless event fills the memory in a second was not seen: copying it slowed the old code down so much that it held the loop instead.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -208,7 +208,7 @@
         """Pass events on as they come.
 
         Where another server may go on with the stream, whole events only, and the last id is
-        kept in `resume_after`.
+        kept in `resume_after`, until an event is too long to hold.
         """
         cutter = EventCutter() if self._work.route.resumable else None
         while (piece := await connection.piece()) is not None:
@@ -217,6 +217,8 @@
             data = cutter.feed(piece) if cutter else piece
             if cutter and cutter.last_id is not None:
                 self.resume_after = cutter.last_id
+            if cutter and cutter.is_split:
+                self._work.is_bound = True
             if data:
                 await self._writer.piece(data)
         self._start_answer(head)
--- a/src/cicadaledge/edge/_events.py
+++ b/src/cicadaledge/edge/_events.py
@@ -4,33 +4,50 @@
 
 _END = b"\n\n"
 _ID_FIELD = b"id:"
+_LIMIT_BYTES = 65_536  # an event holds a few tokens
 
 
 class EventCutter:
     """Passes whole events on and keeps the beginning of the next one.
 
     A stream that goes on at another server must go on at an event's boundary.
+
+    Args:
+        limit_bytes: Most bytes of an event; from a longer one on, bytes pass as they come.
+
+    Attributes:
+        is_split: Whether a part of an event was passed on, so that no other server can go on.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int = _LIMIT_BYTES) -> None:
         self.last_id: str | None = None
-        self._rest = b""
+        self.is_split = False
+        self._limit_bytes = limit_bytes
+        self._rest = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events up to now."""
-        buffer = self._rest + data
-        end = buffer.rfind(_END)
-        if end < 0:
-            self._rest = buffer
-            return b""
-        end += len(_END)
-        self._rest = buffer[end:]
-        self._note_last_id(buffer[:end])
-        return buffer[:end]
+        if self.is_split:
+            return data
+        unseen = max(0, len(self._rest) + 1 - len(_END))
+        self._rest += data
+        end = self._rest.rfind(_END, unseen)
+        if end >= 0:
+            end += len(_END)
+            events = bytes(self._rest[:end])
+            self._note_last_id(events)
+            del self._rest[:end]
+        else:
+            events = b""
+        if len(self._rest) > self._limit_bytes:
+            self.is_split = True
+            return events + self.take_rest()
+        return events
 
     def take_rest(self) -> bytes:
         """Return what follows the last whole event."""
-        rest, self._rest = self._rest, b""
+        rest = bytes(self._rest)
+        self._rest.clear()
         return rest
 
     def _note_last_id(self, events: bytes) -> None:
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -6,6 +6,7 @@
 from edge_world import request_headers, small_world
 
 from cicadaledge.edge import Channel, HttpConnection
+from cicadaledge.edge._events import EventCutter
 from cicadaledge.edge._held import HeldBody, HeldBytes
 from cicadaledge.standins import RunnerFaults
 
@@ -205,3 +206,87 @@
         server.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("target", ["/chat/1", "/draft/1"])
+def test_an_endless_event_of_a_stream_waits_for_its_caller(target):
+    async def play():
+        async with small_world() as world:
+            runner = world.runners[1]
+            raw = b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED
+            runner.faults = RunnerFaults(raw=raw, endless=PIECE)
+            connection = await send(world, target, model=True)
+            connection.channel.transport.pause_reading()
+            await asyncio.sleep(1.0)
+            assert runner.runs[0].sent_bytes < ON_THE_WAY_BYTES
+            connection.abort()
+
+    asyncio.run(play())
+
+
+def test_an_endless_event_of_a_resumable_stream_is_not_kept():
+    async def play():
+        async with small_world() as world:
+            raw = b"HTTP/1.1 200 OK\r\n" + MINE + CHUNKED
+            world.runners[1].faults = RunnerFaults(raw=raw, endless=PIECE)
+            timed = {**HEADERS, "Deadline_Ms": "700"}
+            answer = await world.call("/chat/1", headers=timed, model=True)
+            assert not answer.complete
+            assert len(answer.body) > MEGABYTE
+
+    asyncio.run(play())
+
+
+def test_a_long_event_of_a_resumable_stream_is_passed_on_whole():
+    async def play():
+        async with small_world() as world:
+            body = b"id: 1\ndata: %b\n\nid: 2\ndata: short\n\n" % (b"x" * 500_000)
+            raw = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n" % (MINE, len(body))
+            world.runners[1].faults = RunnerFaults(raw=raw + body)
+            answer = await world.call("/chat/1", headers=HEADERS, model=True)
+            assert answer.complete
+            assert answer.body == body
+
+    asyncio.run(play())
+
+
+def test_a_stream_that_breaks_off_behind_a_part_of_an_event_goes_on_nowhere():
+    """What follows at another server would be glued to the part."""
+
+    async def play():
+        async with small_world(pools=2) as world:
+            body = b"id: 1\ndata: piece 1\n\nid: 2\ndata: " + b"x" * 500_000
+            raw = b"HTTP/1.1 200 OK\r\n%bContent-Length: 900000\r\n\r\n" % MINE + body
+            for runner in world.runners[1:]:
+                runner.faults = RunnerFaults(raw=raw)
+            answer = await world.call("/chat/1", headers=HEADERS, model=True)
+            assert not answer.complete
+            assert body.startswith(answer.body)
+            assert sum(len(runner.runs) for runner in world.runners[1:]) == 1
+
+    asyncio.run(play())
+
+
+def test_an_event_that_comes_in_tiny_pieces_is_read_once():
+    cutter = EventCutter()
+    for _ in range(30_000):
+        assert cutter.feed(b"x") == b""
+    assert cutter.feed(b"\n") == b""
+    assert cutter.feed(b"\nid: 7") == b"x" * 30_000 + b"\n\n"
+    assert cutter.last_id is None
+    assert cutter.feed(b"\n\nrest") == b"id: 7\n\n"
+    assert cutter.last_id == "7"
+    assert cutter.take_rest() == b"rest"
+
+
+def test_an_event_over_the_limit_is_passed_on_as_it_comes():
+    cutter = EventCutter(limit_bytes=10)
+    assert cutter.feed(b"id: 1\n\nid: 2\n") == b"id: 1\n\n"
+    assert not cutter.is_split
+    assert cutter.feed(b"data") == b""
+    assert cutter.feed(b"data") == b"id: 2\ndatadata"
+    assert cutter.is_split
+    assert cutter.feed(b"x") == b"x"
+    assert cutter.feed(b"\n\nid: 3\n\nid") == b"\n\nid: 3\n\nid"
+    assert cutter.last_id == "1"
+    assert cutter.take_rest() == b""
