Bound the pages of the store's newest records

A store that says "hasMore" without end kept a router reading and keeping pages for ever: each call has a time-out, all of them together had none. Over 16 MB the reading is an error of the store and is tried again later. Test: failed before by its own time-out after 5 s.

--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -34,6 +34,7 @@
 _CONNECT_TIMEOUT_MS = 700.0  # one lost packet at connecting costs a new try
 _IDLE_MS = 10_000.0  # the store closes idle connections after a longer time
 _ANSWER_LIMIT_BYTES = 4 * 1_048_576  # the store's pages are 1 MB, half as much again in base64
+_NEWEST_LIMIT_BYTES = 16 * 1_048_576  # entries of 600 servers and 380 routers are far below
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _TABLE_KEY = "config"
@@ -96,14 +97,18 @@
         Pages are no snapshot: what changes meanwhile is read again from the returned offset.
 
         Raises:
-            StoreError: The store did not answer.
+            StoreError: The store did not answer, or its pages have no end.
         """
         sent_ms = clock_ms()
+        size = 0
         records: list[_KeyedRecord] = []
         end: int | None = None
         query: dict[str, Any] = {"topic": topic, "part": 0}
         while True:
             data = await self._call("GET", "log-newest", query, b"", 0)
+            size += len(data)
+            if size > _NEWEST_LIMIT_BYTES:
+                raise StoreError(f"the pages of {topic} are over {_NEWEST_LIMIT_BYTES} bytes")
             page = json.loads(data)
             end = page["endOffset"] if end is None else end
             for item in page["items"]:
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -1,13 +1,16 @@
 """Backend servers and stores that send bytes without end."""
 
 import asyncio
+import base64
+import json
 
 import pytest
 from edge_world import request_headers, small_world
 
-from cicadaledge.edge import Channel, HttpConnection
+from cicadaledge.edge import Channel, HttpConnection, StoreError
 from cicadaledge.edge._events import EventCutter
 from cicadaledge.edge._held import HeldBody, HeldBytes
+from cicadaledge.platform import StoreClient
 from cicadaledge.standins import RunnerFaults
 
 HOST = "127.0.0.1"
@@ -290,3 +293,65 @@
     assert cutter.feed(b"\n\nid: 3\n\nid") == b"\n\nid: 3\n\nid"
     assert cutter.last_id == "1"
     assert cutter.take_rest() == b""
+
+
+class EndlessStore:
+    """Accepts connections and answers each request with the same bytes, or without end."""
+
+    def __init__(self, raw, endless=b""):
+        self.sent_bytes = 0
+        self._raw = raw
+        self._endless = endless * (65_536 // max(1, len(endless)) + 1)
+        self._tasks = set()
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Channel(self._accept), HOST, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def _accept(self, channel):
+        task = asyncio.get_running_loop().create_task(self._run(channel))
+        self._tasks.add(task)
+
+    async def _run(self, channel):
+        while await channel.read():
+            channel.write(self._raw)
+            while self._endless and not channel.gone and self.sent_bytes < 96 * MEGABYTE:
+                channel.write(self._endless)
+                self.sent_bytes += len(self._endless)
+                await channel.drain()
+                await asyncio.sleep(0)
+
+    async def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def test_an_endless_answer_of_the_store_is_cut():
+    async def play():
+        store = EndlessStore(b"HTTP/1.1 200 OK\r\n" + CHUNKED, PIECE)
+        client = StoreClient(HOST, await store.start())
+        with pytest.raises(StoreError, match="over"):
+            await client.read("keyed.op", 0, 0)
+        await asyncio.sleep(0.1)
+        assert store.sent_bytes < ON_THE_WAY_BYTES
+        await store.stop()
+
+    asyncio.run(play())
+
+
+def test_pages_of_the_store_without_end_are_an_error():
+    async def play():
+        value = base64.b64encode(b"x" * 600_000).decode()
+        page = {"items": [{"key": "k", "value": value}], "hasMore": True, "endOffset": 7}
+        body = json.dumps(page).encode()
+        store = EndlessStore(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        client = StoreClient(HOST, await store.start())
+        async with asyncio.timeout(5.0):
+            with pytest.raises(StoreError, match="over"):
+                await client.newest("keyed.op")
+        await store.stop()
+
+    asyncio.run(play())
