Hold less of what a peer sends ahead

Reading paused over 256 KB, one read returned all of it, and each reader copied it again: with answers that their callers do not take, a request cost up to a megabyte of a router's memory. Reading pauses over 64 KB now, and one read returns at most 64 KB.

--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from typing import cast
 
-_READ_PAUSE_BYTES = 262_144  # a quarter of a megabyte: one caller cannot fill the memory
+_READ_PAUSE_BYTES = 65_536  # beside what one read brings; hundreds of peers may be ahead at once
+_READ_BYTES = 65_536  # whoever reads copies it once or twice
 _KEEPALIVE_IDLE_S = 1  # a silent connection is found within about 3 s
 _KEEPALIVE_PERIOD_S = 1
 _KEEPALIVE_PROBES = 2
@@ -111,9 +112,9 @@
             expired = end_s is not None and loop.time() >= end_s
             if expired and not self._buffer and not self._ended and not self.is_readable():
                 raise TimeoutError
-        data = bytes(self._buffer)
-        self._buffer.clear()
-        if self._reading_paused and not self.gone:
+        data = bytes(self._buffer[:_READ_BYTES])
+        del self._buffer[:_READ_BYTES]
+        if self._reading_paused and not self.gone and len(self._buffer) <= _READ_PAUSE_BYTES:
             self._reading_paused = False
             self.transport.resume_reading()
         return data
--- a/tests/edge/test_channel.py
+++ b/tests/edge/test_channel.py
@@ -92,3 +92,33 @@
 def _time_of_end(sock):
     assert sock.recv(1) == b""
     return time.monotonic()
+
+
+def test_a_channel_that_nobody_reads_holds_little():
+    """Hundreds of peers that send ahead at once would fill the memory of a small VM."""
+
+    async def play():
+        received: list[Channel] = []
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Channel(received.append), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        _, channel = await loop.create_connection(Channel, "127.0.0.1", port)
+        sent = bytes(range(256)) * 4_096
+        async with asyncio.timeout(2.0):
+            while not received:
+                await asyncio.sleep(0.01)
+        for start in range(0, len(sent), 16_384):
+            channel.write(sent[start : start + 16_384])
+            await asyncio.sleep(0.001)
+        assert len(received[0]._buffer) <= 2 * 65_536
+        got = b""
+        async with asyncio.timeout(2.0):
+            while len(got) < len(sent):
+                piece = await received[0].read()
+                assert len(piece) <= 65_536
+                got += piece
+        assert got == sent
+        channel.abort()
+        server.close()
+
+    asyncio.run(play())
