Send no request on a connection that its server has ended

What callers would see: 502 "may have run" for unsafe requests, at times when a router is busy. Cause: whether an idle connection can carry a request was decided by what the process had read. A server's close, or its stray bytes, that wait in the kernel while the loop is busy were not seen. Mended: the pool asks the kernel (one system call) about the connection that it is about to hand out; the upkeep asks nothing.

--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -159,11 +159,15 @@
         return True
 
     def is_usable(self, idle_limit_ms: float) -> bool:
-        """Return whether an idle connection may carry another request."""
+        """Return whether an idle connection may carry another request, by what was read."""
         idle_ms = clock_ms() - self.used_ms
         limit_ms = min(idle_limit_ms, self._idle_ms)
         return not self.channel.gone and not self.channel.has_unread and idle_ms < limit_ms
 
+    def is_ready(self, idle_limit_ms: float) -> bool:
+        """Return whether it may carry another request, by what waits in the kernel, too."""
+        return self.is_usable(idle_limit_ms) and not self.channel.is_readable()
+
     def abort(self) -> None:
         """Reset the connection, so that the server stops working for it."""
         self.channel.abort()
--- a/src/cicadaledge/edge/_server_pool.py
+++ b/src/cicadaledge/edge/_server_pool.py
@@ -39,7 +39,7 @@
         idle = self._idle.get((server.server, server.born_ms), deque())
         while idle:
             connection = idle.pop()
-            if connection.is_usable(limit_ms):
+            if connection.is_ready(limit_ms):
                 return connection
             connection.channel.close()
         return await HttpConnection.open(
--- /dev/null
+++ b/tests/edge/test_server_pool.py
@@ -0,0 +1,96 @@
+"""Connections to backend servers, judged by what has arrived and not by what was read."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+import uvloop
+from edge_world import ENTRY, FAST, evolve
+
+from cicadaledge.edge._server_pool import ServerPool
+
+HOST = "127.0.0.1"
+RUNNERS = [uvloop.run, asyncio.run]
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class ThreadedServer:
+    """A backend server that runs beside the loop; its connections are handed to the test."""
+
+    def __init__(self):
+        self.socks = []
+        self._listener = socket.create_server((HOST, 0))
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        try:
+            while True:
+                sock, _ = self._listener.accept()
+                self.socks.append(sock)
+                threading.Thread(target=self._answer, args=(sock,), daemon=True).start()
+        except OSError:
+            pass
+
+    def _answer(self, sock):
+        try:
+            while sock.recv(65_536):
+                sock.sendall(ANSWER)
+        except OSError:
+            pass
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in self.socks:
+            sock.close()
+
+
+async def exchange(pool, entry):
+    """Return the answer to a request that cannot be repeated."""
+    connection = await pool.take(entry, repeatable=False)
+    connection.send("POST", "/book/1", [(b"Host", b"x")], b"{}")
+    await connection.head()
+    body = await connection.body(100)
+    pool.give_back(entry, connection)
+    return body
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+@pytest.mark.parametrize("what", ["close", "stray bytes"])
+def test_a_connection_that_a_server_ended_while_the_loop_was_busy_gets_no_request(run, what):
+    """An unsafe request that was sent there was lost."""
+
+    async def play():
+        server = ThreadedServer()
+        entry = evolve(ENTRY, host=HOST, port=server.port)
+        pool = ServerPool(FAST)
+        assert await exchange(pool, entry) == b"done"
+        if what == "close":
+            server.socks[0].shutdown(socket.SHUT_RDWR)
+        else:
+            server.socks[0].sendall(b"HTTP/1.1 408 Late\r\nContent-Length: 0\r\n\r\n")
+        time.sleep(0.05)
+        assert await exchange(pool, entry) == b"done"
+        assert len(server.socks) == 2
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_sound_connection_is_used_again(run):
+    async def play():
+        server = ThreadedServer()
+        entry = evolve(ENTRY, host=HOST, port=server.port)
+        pool = ServerPool(FAST)
+        for _ in range(3):
+            assert await exchange(pool, entry) == b"done"
+            time.sleep(0.05)
+        assert len(server.socks) == 1
+        server.close()
+
+    run(play())
