Reach a server that accepted in time while the loop was busy

After its time the loop gets 16 turns to finish what has arrived; a peer that accepts nothing is given up as before. Tests: test_a_server_that_accepted_while_the_loop_was_busy_is_reached failed before on uvloop and asyncio; test_a_server_that_accepts_nothing_is_not_waited_for passes before and after.

--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import cast
 
 _READ_PAUSE_BYTES = 65_536  # beside what one read brings; hundreds of peers may be ahead at once
@@ -17,6 +17,7 @@
 _KEEPALIVE_IDLE_S = 1  # a silent connection is found within about 3 s
 _KEEPALIVE_PERIOD_S = 1
 _KEEPALIVE_PROBES = 2
+_LATE_TURNS = 16  # opening a connection takes five turns, a short answer as many
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 _USER_TIMEOUT_MS = 4_000  # unacknowledged bytes mean a lost path after the bound of contact
 
@@ -225,18 +226,25 @@
             self._reader.set_result(None)
 
 
-async def connect(host: str, port: int, timeout_ms: float) -> Channel:
-    """Return a channel to an address.
+@contextlib.asynccontextmanager
+async def timeout_after_reads(timeout_ms: float) -> AsyncIterator[None]:
+    """Raise TimeoutError after a time, but only once what has arrived by then was read.
 
-    Raises:
-        OSError: The peer refused, or did not answer within *timeout_ms*.
+    The timers of a turn run before its reads, so that a busy loop may be late for both.
     """
     loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_ms / 1000):
-            _, channel = await loop.create_connection(Channel, host, port)
-    except TimeoutError as error:
-        raise OSError(
-            f"{host}:{port} did not accept a connection in {timeout_ms:.0f} ms"
-        ) from error
-    return channel
+    handle: asyncio.Handle | None = None
+
+    def expire(turns: int) -> None:
+        nonlocal handle
+        if turns:
+            handle = loop.call_soon(expire, turns - 1)
+        else:
+            limit.reschedule(loop.time())
+
+    async with asyncio.timeout(None) as limit:
+        handle = loop.call_later(timeout_ms / 1000, expire, _LATE_TURNS)
+        try:
+            yield
+        finally:
+            handle.cancel()
--- a/tests/edge/test_server_pool.py
+++ b/tests/edge/test_server_pool.py
@@ -9,7 +9,9 @@
 import uvloop
 from edge_world import ENTRY, FAST, evolve
 
+from cicadaledge.edge import HttpConnection
 from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.errors import BackendError
 
 HOST = "127.0.0.1"
 RUNNERS = [uvloop.run, asyncio.run]
@@ -94,3 +96,42 @@
         server.close()
 
     run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_server_that_accepted_while_the_loop_was_busy_is_reached(run):
+    """A good server was declared not reached."""
+
+    async def play():
+        server = ThreadedServer()
+        loop = asyncio.get_running_loop()
+        opening = loop.create_task(HttpConnection.open(HOST, server.port, "desk-0", 100))
+        loop.call_soon(loop.call_soon, time.sleep, 0.3)
+        connection = await opening
+        assert not connection.channel.gone
+        connection.abort()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("run", RUNNERS)
+def test_a_server_that_accepts_nothing_is_not_waited_for(run):
+    async def play():
+        full = socket.socket()
+        full.bind((HOST, 0))
+        full.listen(0)
+        fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+            fillers.append(filler)
+        started = time.monotonic()
+        with pytest.raises(BackendError):
+            await HttpConnection.open(HOST, full.getsockname()[1], "desk-0", 200)
+        assert 0.15 < time.monotonic() - started < 1.0
+        for sock in (full, *fillers):
+            sock.close()
+
+    run(play())
