Do not count the store as away because the loop was busy

Two decisions on the store's silence were taken on the process's own, late reading: a call's time-out ran before the read of an answer that had come, and a call was sent on a connection whose end waited in the kernel. Both counted as a failure of the store and closed all idle connections. Mended as at the server pool and connect().

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -2,7 +2,7 @@
 
 from cicadaledge.edge._beliefs import Beliefs, ServerSink
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, RequestHead
-from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close
+from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close, timeout_after_reads
 from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._follow import FollowTimes, TopicFollower, TopicSink
@@ -63,4 +63,5 @@
     "clock_ms",
     "reset_on_close",
     "run_edge_router",
+    "timeout_after_reads",
 ]
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -24,6 +24,7 @@
     TableChanged,
     ZoneChanged,
     clock_ms,
+    timeout_after_reads,
 )
 from cicadaledge.errors import BackendError
 from cicadaledge.platform._decode import decode_server, decode_table
@@ -134,7 +135,7 @@
         target = f"{_PATH}{call}?{urlencode(query)}"
         connection = None
         try:
-            async with asyncio.timeout((_CALL_TIMEOUT_MS + wait_ms) / 1000):
+            async with timeout_after_reads(_CALL_TIMEOUT_MS + wait_ms):
                 connection = await self._take()
                 host = f"{self._host}:{self._port}".encode()
                 connection.send(method, target, [(b"Host", host)], body)
@@ -168,7 +169,7 @@
     async def _take(self) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable(_IDLE_MS):
+            if connection.is_ready(_IDLE_MS):
                 return connection
             connection.channel.close()
         return await HttpConnection.open(self._host, self._port, "the store", _CONNECT_TIMEOUT_MS)
