Ask the kernel before a peer counts as silent

A router that was held up between two of its own steps took its peers for silent on what it had read: it dropped their links and could become a second relay of its zone, although their signs of life waited in the kernel. Only peers that seem silent are asked about. A loop that is late for the step itself was not a fault: a trial that blocked it elsewhere passed on the old code, as reads come first then.

--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -228,7 +228,9 @@
     def _is_heard(self, name: str, now_ms: float) -> bool:
         limit_ms = self._settings.timing.relay_silence_ms
         heard_ms = self._heard_ms.get(name)
-        return heard_ms is not None and now_ms - heard_ms < limit_ms and name not in self._leaving
+        if heard_ms is None or name in self._leaving:
+            return False
+        return now_ms - heard_ms < limit_ms or self.links.is_readable(name)
 
     def _send_views(self, *, with_accounts: bool) -> set[str]:
         """Send the load to whom it concerns, and return them."""
@@ -274,8 +276,10 @@
 
     def _drop_silent(self) -> None:
         now_ms = clock_ms()
+        limit_ms = self._settings.timing.peer_silence_ms
         for peer in self.links.peers():
-            if now_ms - self._heard_ms.get(peer, now_ms) > self._settings.timing.peer_silence_ms:
+            silent_ms = now_ms - self._heard_ms.get(peer, now_ms)
+            if silent_ms > limit_ms and not self.links.is_readable(peer):
                 _log.warning("Peer is silent.", peer=peer)
                 self.links.drop(peer)
 
--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -6,6 +6,7 @@
 import hashlib
 import hmac
 import secrets
+import select
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -144,6 +145,15 @@
         link = self._links.get(peer)
         return link.incarnation if link else None
 
+    def is_readable(self, peer: str) -> bool:
+        """Return whether the kernel has bytes of a peer, or its end, not read yet."""
+        link = self._links.get(peer)
+        if link is None or link.writer.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(link.writer.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def drop(self, peer: str) -> None:
         """Close the link to a peer that is silent."""
         link = self._links.get(peer)
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -1,12 +1,16 @@
 """Routers find each other and share their load."""
 
 import asyncio
+import os
+import time
 
-from edge_world import request_headers, small_world
+from edge_world import FAST, evolve, request_headers, small_world
 
-from cicadaledge.edge import HttpConnection
+from cicadaledge.edge import HttpConnection, clock_ms
 from cicadaledge.membership import rank
 from cicadaledge.standins import platform_route
+from cicadaledge.wire import LoadView, ViewScope
+from cicadaledge.wire._codec import encode_message
 
 LOOK_S = 0.02
 LINK_LOOKS = 250  # five seconds of a loop that is on time, longer for one that is not
@@ -79,3 +83,53 @@
             await world.until(two, within_s=6.0)
 
     asyncio.run(play())
+
+
+def test_a_router_whose_loop_was_busy_does_not_take_its_peers_for_silent():
+    """It dropped all links and became the relay of its zone."""
+
+    async def play():
+        names = rank("relay/zone-a", ["a-1", "a-2"])
+        timing = evolve(FAST, peer_silence_ms=900, relay_silence_ms=600, idle_view_ms=100)
+        async with small_world(routers=0) as world:
+            for name in names:
+                await world.add_router(name, timing=timing)
+
+            async def linked():
+                return all(router.fleet_size() == 2 for router in world.routers)
+
+            await world.until(linked)
+            await asyncio.sleep(0.3)
+            busy = world.routers[1]._peers
+            assert busy._relays["zone-a"] == names[0]
+            dropped = []
+            busy.links.drop = dropped.append
+            roles = []
+            busy.news.set_role = lambda peers, *, is_relay: roles.append(is_relay)
+            choose_relays = busy._choose_relays
+
+            def choose_late():
+                for _ in range(12):
+                    time.sleep(0.1)
+                    send_sign_of_life(world.routers[0], names[1])
+                    send_sign_of_life(world.routers[1], names[0])
+                busy._choose_relays = choose_relays
+                choose_relays()
+
+            for _ in range(2):
+                busy._choose_relays = choose_late
+                await asyncio.sleep(0.3)
+            assert dropped == []
+            assert roles
+            assert True not in roles
+
+    asyncio.run(play())
+
+
+def send_sign_of_life(router, peer):
+    """Send one to a peer without the loop, as another process would."""
+    link = router._peers.links._links[peer]
+    view = LoadView(int(clock_ms()), int(ViewScope.NOBODY), 0, False, [], [])
+    frame = encode_message(view, link.sent_names)
+    sock = link.writer.get_extra_info("socket")
+    os.write(sock.fileno(), len(frame).to_bytes(4, "big") + frame)
