Say why a late time-out lets the loop go on

Corrects the wording of "Reach a server that accepted in time": the loop need not run timers before reads; but taking in what has arrived needs several turns, and the time-out cancels after one.

--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -230,7 +230,7 @@
 async def timeout_after_reads(timeout_ms: float) -> AsyncIterator[None]:
     """Raise TimeoutError after a time, but only once what has arrived by then was read.
 
-    The timers of a turn run before its reads, so that a busy loop may be late for both.
+    Taking it in needs several turns of the loop, a timer one: a busy loop is late for both.
     """
     loop = asyncio.get_running_loop()
     handle: asyncio.Handle | None = None
