Measure what a refused and a relayed request cost a router at the edge

The real CallDesk and CallerConnection with sockets, store and servers as stand-ins in memory; processor time, 4,000 requests a repeat, 7 repeats.

--- /dev/null
+++ b/benchmarks/request_costs.py
@@ -0,0 +1,279 @@
+"""Measures what a refused and a relayed request cost a router at the edge.
+
+The parts are those of a router; sockets, the store and the servers are stand-ins in memory, so
+system calls for callers' and servers' bytes are not counted. Figures are processor time.
+
+Run: python benchmarks/request_costs.py [--profile refused|relayed]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import cProfile
+import json
+import os
+import pstats
+import statistics
+import time
+from collections.abc import Callable
+
+import uvloop
+
+from cicadaledge.edge import EdgeSettings
+from cicadaledge.edge._beliefs import Beliefs
+from cicadaledge.edge._caller import CallerConnection
+from cicadaledge.edge._callers import CallerConnections
+from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._desk import CallDesk
+from cicadaledge.edge._http_client import HttpConnection
+from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._source import ServerChanged, TableChanged
+from cicadaledge.logs import LineWriter
+from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
+from cicadaledge.platform import PlatformDialect
+from cicadaledge.platform._decode import decode_server, decode_table
+from cicadaledge.settings import Address
+from cicadaledge.standins import platform_pool, platform_route
+from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
+
+SERVERS = 60
+ROUTERS = 10
+ACCOUNTS = 12
+CAPACITY_PER_S = 1e12  # more than the quiet account can ask of a stand-in that answers at once
+REFUSED_PER_TURN = 100  # what a flooded router answers in one turn of its loop
+RELAYED_PER_TURN = 20
+REQUESTS = 4_000
+REPEATS = 7
+FLOODED = "account-0"
+QUIET = "account-1"
+NOWHERE = Address("127.0.0.1", 1)
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %b\r\n"
+    b"Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+EVENT = b"id: %d\ndata: token\n\n"
+EVENTS = 8
+
+
+class MemoryTransport(asyncio.Transport):
+    """Hands what is written to a function."""
+
+    def __init__(self, on_write: Callable[[bytes], None]) -> None:
+        super().__init__()
+        self._on_write = on_write
+        self._closing = False
+
+    def write(self, data: bytes) -> None:  # type: ignore[override]
+        self._on_write(data)
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def close(self) -> None:
+        self._closing = True
+
+    def abort(self) -> None:
+        self._closing = True
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+class MemoryPool(ServerPool):
+    """Opens connections to servers that answer at once, in events that come one by one."""
+
+    async def take(self, server, *, repeatable):  # type: ignore[no-untyped-def]
+        idle = self._idle.get((server.server, server.born_ms))
+        if idle:
+            return idle.pop()
+        channel = Channel()
+
+        def answer(request: bytes) -> None:
+            name = request.split(b"Attempt-Id: ", 1)[1].split(b"\r\n", 1)[0]
+            loop = asyncio.get_running_loop()
+            loop.call_soon(channel.data_received, ANSWER % name)
+            self._send_event(channel, 0)
+
+        channel.connection_made(MemoryTransport(answer))
+        return HttpConnection(channel, server.server)
+
+    def _send_event(self, channel: Channel, number: int) -> None:
+        event = EVENT % number
+        data = b"%x\r\n%b\r\n" % (len(event), event) if number < EVENTS else b"0\r\n\r\n"
+        loop = asyncio.get_running_loop()
+        loop.call_soon(channel.data_received, data)
+        if number < EVENTS:
+            loop.call_soon(self._send_event, channel, number + 1)
+
+
+class Router:
+    """The serving parts of one router, with servers and peers that do not change."""
+
+    def __init__(self) -> None:
+        settings = EdgeSettings(
+            "router-0", "zone-a", "north", {"zone-a": "north"}, *[NOWHERE] * 5, descriptors=65_536
+        )
+        now_ms = clock_ms()
+        beliefs = Beliefs(settings)
+        beliefs.apply(TableChanged(decode_table(json.dumps(self._configuration()).encode())), 0)
+        for number in range(SERVERS):
+            beliefs.apply(ServerChanged(self._entry(f"server-{number}")), now_ms - 60_000)
+        beliefs.servers_known = True
+        self._beliefs = beliefs
+        self._fleet = FleetLoad("router-0")
+        self._fleet.set_roles("router-1", is_relay=False, members=ROUTERS, turn_ms=50)
+        load = LoadBook(self._fleet)
+        shares = AccountShares(settings.bounds.share_window_ms, self._fleet)
+        health = ServerHealth()
+        self.callers = CallerConnections(settings.descriptors)
+        self.desk = CallDesk(
+            settings,
+            PlatformDialect(),
+            beliefs,
+            load,
+            shares,
+            health,
+            Placer(settings.placing, beliefs.directory, load, health, settings.region_of, "north"),
+            MemoryPool(settings.timing),
+            self.callers,
+            EdgeMetrics(),
+        )
+        self._load, self._shares = load, shares
+
+    @staticmethod
+    def _configuration() -> dict[str, object]:
+        return {
+            "version": 1,
+            "routes": [platform_route("draft", "pool", "streaming", timeoutMs=15_000)],
+            "services": [platform_pool("pool")],
+            "limits": {"maxBodyBytes": 100_000, "tokensPerS": CAPACITY_PER_S},
+            "tenants": [
+                {"name": f"account-{number}", "apiKeys": [f"key-{number}"]}
+                for number in range(ACCOUNTS)
+            ],
+        }
+
+    @staticmethod
+    def _entry(server: str):  # type: ignore[no-untyped-def]
+        plain = {
+            "address": "127.0.0.1:1",
+            "service": "pool",
+            "zone": "zone-a",
+            "state": "ready",
+            "slots": 64,
+            "coldRemainingMs": 0,
+            "born": 5,
+            "seqNo": 1,
+        }
+        return decode_server(server, json.dumps(plain).encode())
+
+    def hear(self) -> None:
+        """Take what the store and the relay say each few milliseconds."""
+        now_ms = clock_ms()
+        self._beliefs.note_proof(now_ms)
+        self._beliefs.note_servers_proof(now_ms)
+        self._load.own_uses(now_ms)
+        self._shares.own_uses(now_ms)
+        servers = [ServerUse(f"server-{number}", 9, 2_000, 20_000, 9) for number in range(SERVERS)]
+        accounts = [AccountUse(f"account-{number}", 9e3, 9e3) for number in range(2, ACCOUNTS)]
+        accounts.append(AccountUse(FLOODED, 1e20, 2e5))
+        view = LoadView(int(now_ms), int(ViewScope.ALL_BUT_RECEIVER), 9, False, servers, accounts)
+        self._fleet.take("router-1", view, now_ms)
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, router: Router, on_answer: Callable[[bytes], None]) -> None:
+        self.channel = Channel()
+        self.channel.connection_made(MemoryTransport(on_answer))
+        connection = CallerConnection(self.channel, router.desk)
+        router.callers.add(connection)
+        self.task = asyncio.get_running_loop().create_task(connection.run())
+
+
+def request(account: str, number: int) -> bytes:
+    """Return a request of the platform's shape."""
+    return (
+        "POST /draft/2f HTTP/1.1\r\nHost: site.example\r\n"
+        f"Attempt-Id: 9c41d07be2a3{number:08x}\r\nModel: m\r\nToken-Usage: 1460,80\r\n"
+        f"Prompt-Prefix: 5c1e07a2:800,91bd{number % 200:04x}:410,e4402b7d:250\r\nDeadline-Ms: 15000\r\n"
+        f"Authorization: Token key-{account.removeprefix('account-')}\r\n"
+        "Content-Length: 24\r\n\r\n" + '{"prompt": "once there"}'
+    ).encode()
+
+
+async def play(router: Router, account: str, per_turn: int, requests: int, is_end: bytes) -> float:
+    """Return microseconds of processor time for each request.
+
+    Args:
+        is_end: Found in the last bytes of each answer.
+    """
+    left = 0
+    done = asyncio.Event()
+
+    def on_answer(data: bytes) -> None:
+        nonlocal left
+        left -= is_end in data
+        if not left:
+            done.set()
+
+    callers = [Caller(router, on_answer) for _ in range(per_turn)]
+    await asyncio.sleep(0)
+    used_s = 0.0
+    for first in range(0, requests, per_turn):
+        router.hear()
+        sent = [request(account, first + place) for place in range(per_turn)]
+        left = per_turn
+        done.clear()
+        started_s = time.process_time()
+        for caller, data in zip(callers, sent, strict=True):
+            caller.channel.data_received(data)
+        async with asyncio.timeout(10):
+            await done.wait()
+        await asyncio.sleep(0)
+        used_s += time.process_time() - started_s
+    for caller in callers:
+        caller.task.cancel()
+    await asyncio.gather(*(caller.task for caller in callers))
+    return used_s / requests * 1e6
+
+
+async def play_refused(requests: int) -> float:
+    """Return the cost of a request that is refused at once."""
+    return await play(Router(), FLOODED, REFUSED_PER_TURN, requests, b"share is used up")
+
+
+async def play_relayed(requests: int) -> float:
+    """Return the cost of a short streamed answer, the server's part in memory included."""
+    return await play(Router(), QUIET, RELAYED_PER_TURN, requests, b"0\r\n\r\n")
+
+
+KINDS = {"refused": play_refused, "relayed": play_relayed}
+
+
+async def measure(profiled: str | None) -> None:
+    """Print the figures, or the profile of one kind of request."""
+    LineWriter(os.open(os.devnull, os.O_WRONLY)).attach()
+    if profiled:
+        await KINDS[profiled](400)
+        profile = cProfile.Profile()
+        profile.enable()
+        await KINDS[profiled](REQUESTS)
+        profile.disable()
+        pstats.Stats(profile).sort_stats("tottime").print_stats(45)
+        return
+    print(f"request, median us, least us, of {REPEATS} repeats")
+    for name, play_kind in KINDS.items():
+        await play_kind(400)
+        each_us = [await play_kind(REQUESTS) for _ in range(REPEATS)]
+        told = " ".join(f"{one:.0f}" for one in each_us)
+        print(f"{name:9} {statistics.median(each_us):7.1f} {min(each_us):7.1f}   {told}")
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--profile", choices=KINDS)
+    uvloop.run(measure(parser.parse_args().profile))
