Look once at which headers concern the connection, and count refusals without labels

The dialect built the set of a connection's own headers anew for each header of a request, and put every name into lower case three times. The counter of refusals encoded its labels to JSON four times for each; now a plain counter is kept and set when the metrics are read. Which headers go on and what /metrics shows do not change.

--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import resource
+from collections import Counter
 
 import aioprometheus
 from aioprometheus.renderer import render
@@ -16,6 +17,7 @@
     def __init__(self) -> None:
         registry = aioprometheus.Registry()
         self._registry = registry
+        self._refused: Counter[str] = Counter()
         self._refusals = aioprometheus.Counter(
             "cicadaledge_refusals_total", "Refusals by code.", registry=registry
         )
@@ -47,7 +49,7 @@
 
     def refused(self, code: int) -> None:
         """Count a refusal."""
-        self._refusals.inc({"code": str(code)})
+        self._refused[str(code)] += 1
 
     def attempted(self, end: str) -> None:
         """Count a sending."""
@@ -71,6 +73,8 @@
 
     def text(self) -> tuple[bytes, dict[str, str]]:
         """Return the rendered metrics and their headers."""
+        for code, count in self._refused.items():
+            self._refusals.set({"code": code}, count)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.set_state("cpu_seconds", usage.ru_utime + usage.ru_stime)
         self.set_state("peak_resident_kb", usage.ru_maxrss)
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -50,17 +50,21 @@
         self, method: str, target: str, headers: Headers, body: bytes, started_ms: float
     ) -> Call:
         """Return a caller's request in the product's terms."""
-        named = {name.lower(): value.decode("latin-1").strip() for name, value in headers}
         names = [name.lower() for name, _ in headers]
+        values = [value.decode("latin-1").strip() for _, value in headers]
+        named = dict(zip(names, values, strict=True))
         if names.count(b"attempt-id") != 1 or not named[b"attempt-id"]:
             raise ValueError("expected exactly one Attempt-Id header")
+        dropped = _named_in(named)
         tokens_in, tokens_out = _token_usage(named.get(b"token-usage"))
         return Call(
             request_id=named[b"attempt-id"],
             method=method,
             host=named.get(b"host", ""),
             target=target,
-            headers=[item for item in headers if item[0].lower() not in _named_in(named)],
+            headers=[
+                item for item, name in zip(headers, names, strict=True) if name not in dropped
+            ],
             body=body,
             started_ms=started_ms,
             deadline_ms=_milliseconds(named.get(b"deadline-ms")),
@@ -120,7 +124,9 @@
 
 def _named_in(named: dict[bytes, str]) -> frozenset[bytes]:
     """Return the headers that concern this connection, those it names itself included."""
-    listed = named.get(b"connection", "")
+    listed = named.get(b"connection")
+    if not listed:
+        return _HOP_HEADERS
     own = frozenset(token.strip().lower().encode("latin-1") for token in listed.split(","))
     return _HOP_HEADERS | (own - {b"", b"close", b"keep-alive", b"attempt-id", b"host"})
 
