Encode log lines with orjson

Lines stay ASCII: where orjson writes other characters, json writes the line as before, so that U+0085 or U+2028 in a caller's header cannot end a line for readers that split at them (guarded by a test, which the former encoder also passes). Numbers over 64 bits and keys that are no text go the former way too. A number that is not finite becomes null instead of Infinity, which was no JSON.

--- a/src/cicadaledge/logs/_writer.py
+++ b/src/cicadaledge/logs/_writer.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import eliot
+import orjson
 
 _BACKLOG_BYTES = 262_144  # about a thousand lines; a reader that is further behind has stalled
 _BATCH_S = 0.02  # lines that wait for one system call; a killed process loses no more
@@ -44,7 +45,7 @@
 
     def write(self, message: dict[str, Any]) -> None:
         """Queue one message; return at once."""
-        line = json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n"
+        line = _encode(message) + b"\n"
         if self._queued_bytes + len(line) > self._backlog_bytes:
             self.dropped += 1
             self._untold += 1
@@ -121,3 +122,14 @@
         if self._waiting:
             asyncio.get_running_loop().remove_writer(self._descriptor)
             self._waiting = False
+
+
+def _encode(message: dict[str, Any]) -> bytes:
+    """Return a message as ASCII, so that no reader finds the end of a line within it."""
+    try:
+        line = orjson.dumps(message, default=str, option=orjson.OPT_PASSTHROUGH_DATACLASS)
+    except TypeError:
+        line = b""  # a number or a key that only the slower encoder takes
+    if not line or not line.isascii():
+        line = json.dumps(message, default=str, separators=(",", ":")).encode()
+    return line
--- a/tests/logs/test_writer.py
+++ b/tests/logs/test_writer.py
@@ -113,3 +113,15 @@
         os.close(writer)
 
     asyncio.run(play())
+
+
+def test_a_field_of_a_caller_cannot_end_a_line():
+    reader, writer = os.pipe()
+    lines = LineWriter(writer)
+    sent = {"request_id": "a\x85b\u2028c\nd\xe9", "many": 2**70, "at": {1: 2}}
+    lines.write(sent)
+    lines.write({"last": None})
+    received = os.read(reader, 65_536).decode().splitlines()
+    assert [json.loads(line) for line in received] == [sent | {"at": {"1": 2}}, {"last": None}]
+    os.close(reader)
+    os.close(writer)
