--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -109,7 +109,7 @@
         end_s = None if timeout_ms is None else loop.time() + timeout_ms / 1000
         while not self._buffer and not self._ended:
             await self._wait_for_reading(end_s)
-            # The timers of a turn run before its reads, so that a busy loop may be late for both.
+            # After a long turn a timer can fire before what has arrived meanwhile is read.
             expired = end_s is not None and loop.time() >= end_s
             if expired and not self._buffer and not self._ended and not self.is_readable():
                 raise TimeoutError
