--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -50,6 +50,15 @@
     assert result.statuses["200"] > 50
 
 
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [7214, 7245])  # both lost requests once
+def test_busy_routers_lose_no_request(seed, tmp_path):
+    result = run_round(plan(seed, faults=0), tmp_path)
+    assert {fault.kind for fault in result.faults} == set(BUSY_KINDS)
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", FAILED)
 def test_seeds_that_once_failed_hold(seed, tmp_path):
