--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -18,9 +18,7 @@
 from cicadaledge.routing import Limits
 
 _REASONS = {200: b"OK", 400: b"Bad Request", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
-_IDLE_MARGIN_MS = (
-    1_000.0  # a request sent within the time-out may wait for the loop, or a lost packet
-)
+_IDLE_MARGIN_MS = 1_000.0  # a request that is sent within the time-out needs time to arrive
 _FIRST_REQUEST_MS = 1_000.0  # callers send one as soon as they are connected, or try elsewhere
 _LINGER_S = 1.0  # time for the peer to read the last answer before a reset could overtake it
 _log = PartLog("caller")
--- a/src/cicadaledge/edge/_connecting.py
+++ b/src/cicadaledge/edge/_connecting.py
@@ -54,7 +54,7 @@
     number = sock.connect_ex(address)
     if number == errno.EINPROGRESS:
         await _wait_for_end(sock, end_s)
-        # The timers of a turn run before its reads, so that a busy loop may be late for both.
+        # After a long turn the timer can fire before the loop has seen the end.
         if not _is_decided(sock):
             return False
         number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
