Bound the time for which closing links waits for their tasks

asyncio.wait_for of Python 3.11 may swallow a cancellation that comes as its inner task ends; a link whose handshake ended in that turn would have kept a leaving router until it was killed. Found by reasoning on a run of tests/edge/test_ending.py that did not end; not shown to be its cause.

--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -28,6 +28,7 @@
 _HANDSHAKE_TIMEOUT_S = 3.0
 _DIAL_TIMEOUT_S = 2.0
 _REDIAL_DELAY_S = 0.3
+_CLOSE_TIMEOUT_S = 0.1  # ends take a turn or two; the last lines of the process come behind
 _NONCE_BYTES = 16
 _WRITE_BUFFER_LIMIT_BYTES = 8 * 1_048_576
 _HANDSHAKE_FRAME_LIMIT_BYTES = 1024
@@ -103,13 +104,15 @@
         self._listener.start(host, port)
 
     async def close(self) -> None:
-        """Close the listener, the dialers and all links, and wait until their tasks have ended."""
+        """Close the listener, the dialers and all links, and wait a little for their tasks to end."""
         self._listener.close()
         tasks = [*self._dialers.values(), *self._accepted]
         for task in tasks:
             task.cancel()
         if tasks:
-            await asyncio.wait(tasks)
+            _, left = await asyncio.wait(tasks, timeout=_CLOSE_TIMEOUT_S)
+            if left:
+                _log.warning("Links have not ended.", count=len(left))
 
     def dial(self, host: str, port: int) -> None:
         """Keep a link to the address up until `undial`."""
