Let a fault of the store excuse no lost request in the soak

The users' rules excuse nothing by disruption of the store alone for safe and unsafe requests; the soak passed over all requests of all routers for the fault and 4 s. Now the judge holds them, and streams too, to the same as around a graceful stop.

--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -201,13 +201,13 @@
             self.world.store.fault = ""
             for channel in self.world.store.channels:
                 channel.abort()
-            self._disturb(list(self.world.routers), begin_ms)
+            self._disturb(list(self.world.routers), begin_ms, is_lossless=True)
 
     async def history(self, fault: PlannedFault) -> None:
         """Let the store forget its history."""
         begin_ms = clock_ms()
         self.world.store.forget_all_history()
-        self._disturb(list(self.world.routers), begin_ms)
+        self._disturb(list(self.world.routers), begin_ms, is_lossless=True)
 
     async def store_link(self, fault: PlannedFault) -> None:
         """Harm the link between one router and the store."""
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -141,7 +141,7 @@
         """Note that routers were disturbed for a while.
 
         Args:
-            is_lossless: Whether it must lose nothing, as a graceful stop.
+            is_lossless: Whether it must lose nothing, as a graceful stop or a fault of the store.
         """
         for name in routers:
             span = _Span(from_ms, until_ms, is_lossless)
