Run the tests of closing on asyncio's own loop, too

tests/conftest.py makes uvloop the loop of asyncio.run for tests/edge, so that both parameters of these tests ran on uvloop; the messages of the commits that brought them claim two loops.

--- a/tests/edge/test_caller.py
+++ b/tests/edge/test_caller.py
@@ -16,7 +16,7 @@
 
 HOST = "127.0.0.1"
 REQUEST = b"POST /book HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2\r\n\r\n{}"
-RUNNERS = [uvloop.run, asyncio.run]
+LOOPS = [uvloop.new_event_loop, asyncio.SelectorEventLoop]
 
 
 class Answering:
@@ -76,8 +76,8 @@
         self.listener.close()
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_request_that_came_before_the_idle_timeout_is_answered_by_a_busy_loop(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_request_that_came_before_the_idle_timeout_is_answered_by_a_busy_loop(loop):
     """A flooded router read such requests and closed their connections without an answer."""
 
     async def play():
@@ -93,11 +93,12 @@
         assert answers == [b"HTTP/1.1 200 OK"] * 20
         edge.close(*callers)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_an_idle_connection_is_closed_when_its_time_has_passed(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_an_idle_connection_is_closed_when_its_time_has_passed(loop):
     async def play():
         edge = Edge(Answering(idle_timeout_ms=200.0))
         caller = edge.connect()
@@ -107,11 +108,12 @@
         assert 0.2 <= time.monotonic() - started < 2.0
         edge.close(caller)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_request_sent_just_within_the_idle_timeout_is_answered(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_request_sent_just_within_the_idle_timeout_is_answered(loop):
     async def play():
         edge = Edge(Answering(idle_timeout_ms=300.0))
         caller = edge.connect()
@@ -120,11 +122,12 @@
         assert await edge.exchange(caller) == b"HTTP/1.1 200 OK"
         edge.close(caller)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_request_that_came_in_time_in_two_parts_is_not_timed_out_by_a_busy_loop(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_request_that_came_in_time_in_two_parts_is_not_timed_out_by_a_busy_loop(loop):
     async def play():
         edge = Edge(Answering(header_timeout_ms=300.0))
         caller = edge.connect()
@@ -138,11 +141,12 @@
         assert (await edge.receive(slow)).startswith(b"HTTP/1.1 408")
         edge.close(caller, slow)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_caller_that_sends_a_head_byte_by_byte_is_ended_by_a_busy_loop(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_caller_that_sends_a_head_byte_by_byte_is_ended_by_a_busy_loop(loop):
     """Each look into the kernel after the time-out found one byte more."""
 
     async def play():
@@ -160,11 +164,12 @@
         assert (await edge.receive(caller)).startswith(b"HTTP/1.1 408")
         edge.close(caller)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_connection_whose_request_waits_in_the_kernel_is_not_idle(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_connection_whose_request_waits_in_the_kernel_is_not_idle(loop):
     """A router that made room for new callers reset requests that it had not read yet."""
 
     async def play():
@@ -183,11 +188,12 @@
         assert [await edge.receive(sock) for sock in socks] == ["closed"] * 10
         edge.close(*socks)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_new_connection_is_given_time_for_its_first_request(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_new_connection_is_given_time_for_its_first_request(loop):
     async def play():
         callers = CallerConnections(descriptors=4_096)
         edge = Edge(Answering(), callers)
@@ -198,7 +204,8 @@
         assert await edge.exchange(sock) == b"HTTP/1.1 200 OK"
         edge.close(sock)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
 class Leaving(Answering):
@@ -212,8 +219,8 @@
         self.left.append(head.target)
 
 
-@pytest.mark.parametrize("run", RUNNERS)
-def test_a_caller_that_ends_its_side_before_its_request_is_read_is_told_that_it_was_not_run(run):
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_caller_that_ends_its_side_before_its_request_is_read_is_told_that_it_was_not_run(loop):
     """Its connection was closed with nothing said, as if the request had been lost."""
 
     async def play():
@@ -229,4 +236,5 @@
         assert service.left == ["/book"] * 8
         edge.close(*callers)
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
--- a/tests/edge/test_channel.py
+++ b/tests/edge/test_channel.py
@@ -66,8 +66,8 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("run", [uvloop.run, asyncio.run])
-def test_a_closed_channel_tells_its_peer_at_once_while_the_loop_is_busy(run):
+@pytest.mark.parametrize("loop", [uvloop.new_event_loop, asyncio.SelectorEventLoop])
+def test_a_closed_channel_tells_its_peer_at_once_while_the_loop_is_busy(loop):
     """Requests that came between the decision and the end of a long turn were reset."""
 
     async def play():
@@ -86,7 +86,8 @@
             assert await receiving - closed_s < 0.2
         server.close()
 
-    run(play())
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(play())
 
 
 def _time_of_end(sock):
