Let the soak name the routers that are not ready, and not count their wait for a processor

A round that ended with "recovery: not all routers were ready in time" told neither which routers were meant nor what they answered. It names them now, with the last answer to the probe, the age of the process, how long it ran and how long it waited for a processor.

A router that is stopped, waits for something else or uses the processor gets no more time than before: tested.

--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -69,8 +69,8 @@
         callers.start()
         await asyncio.sleep(_WARM_S)
         await FaultLine(world, callers).run(faults)
-        if not await world.all_ready(_RECOVERY_S):
-            world.ledger.exits.append("recovery: not all routers were ready in time")
+        for unready in await world.unready_after(_RECOVERY_S):
+            world.ledger.exits.append(f"recovery: not ready in time: {unready}")
         begin_ms = clock_ms()
         await asyncio.sleep(_CALM_S)
         world.ledger.exits += _unserved(world.ledger, begin_ms)
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -40,6 +40,7 @@
 _PORTS_PER_ROUTER = 4
 _READY_S = 20.0  # a process starts within a second on an idle machine
 _POLL_S = 0.05
+_STARVED_S = 40.0  # a machine that starts nothing for longer than this shows nothing
 _HEARTBEAT_S = 0.6
 _EVENTS = 6  # of a stream
 _EVENT_GAP_S = 0.03
@@ -94,7 +95,11 @@
 
 @define
 class RouterProcess:
-    """A router process and the proxies of what it calls."""
+    """A router process and the proxies of what it calls.
+
+    Args:
+        started_s: When the process was started last, on the monotonic clock.
+    """
 
     name: str
     zone: str
@@ -104,6 +109,25 @@
     store_link: FaultProxy
     peer_link: FaultProxy
     process: subprocess.Popen[bytes] | None = None
+    started_s: float = 0.0
+
+    def times(self) -> tuple[float, float] | None:
+        """Return for how long the process ran and waited for a processor; None if it ended."""
+        if self.process is None or self.process.poll() is not None:
+            return None
+        try:
+            times = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        except OSError:
+            return None  # it ended meanwhile
+        return int(times[0]) / 1e9, int(times[1]) / 1e9
+
+    def spent(self) -> str:
+        """Return how long the process has lived, run, and waited for a processor."""
+        lived = f"started {time.monotonic() - self.started_s:.1f} s ago"
+        times = self.times()
+        if times is None:
+            return f"{lived}, not running"
+        return f"{lived}, ran {times[0]:.1f} s, waited {times[1]:.1f} s for a processor"
 
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it lives."""
@@ -214,6 +238,7 @@
         """Start the process of a router."""
         environment = {**os.environ, NODE_FILE_VARIABLE: str(router.settings_path)}
         log_path = self.directory / f"{router.name}.log"
+        router.started_s = time.monotonic()
         with log_path.open("ab") as log:
             router.process = subprocess.Popen(
                 [sys.executable, "-c", _PROGRAM],
@@ -225,28 +250,56 @@
 
     async def is_ready(self, router: RouterProcess) -> bool:
         """Return what the balancer would be told."""
+        return not await self._unready(router)
+
+    async def _unready(self, router: RouterProcess) -> str:
+        """Return why a router is not ready; an empty string if it is."""
         probes = router.probes
         try:
             connection = await HttpConnection.open(probes.host, probes.port, router.name, 500)
-        except BackendError:
-            return False
+        except BackendError as error:
+            return str(error)
         try:
             async with asyncio.timeout(1.0):
                 connection.send("GET", READY_PATH, [(b"Host", b"probe")], b"")
-                return (await connection.head()).status == _OK
-        except (BackendError, TimeoutError):
-            return False
+                status = (await connection.head()).status
+                return "" if status == _OK else f"{router.name} answers with {status}"
+        except BackendError as error:
+            return str(error)
+        except TimeoutError:
+            return f"{router.name} does not answer"
         finally:
             connection.abort()
 
-    async def all_ready(self, within_s: float = _READY_S) -> bool:
-        """Wait until all routers are ready; return whether they are."""
-        end_s = time.monotonic() + within_s
-        while time.monotonic() < end_s:
-            if all([await self.is_ready(router) for router in self.routers.values()]):
-                return True
+    async def unready_after(self, within_s: float = _READY_S) -> list[str]:
+        """Wait until all routers are ready; return what was seen last of those that are not.
+
+        Time for which a router that is not ready waited for a processor of a busy machine does not
+        count, up to a bound.
+        """
+        begin_s = time.monotonic()
+        waited = {name: router.times() for name, router in self.routers.items()}
+        while True:
+            reasons = {
+                name: reason
+                for name, router in self.routers.items()
+                if (reason := await self._unready(router))
+            }
+            if not reasons:
+                return []
+            starved_s = max(self._waited_s(name, waited[name]) for name in reasons)
+            if time.monotonic() - begin_s > within_s + min(starved_s, _STARVED_S):
+                return [f"{why}; {self.routers[name].spent()}" for name, why in reasons.items()]
             await asyncio.sleep(_POLL_S)
-        return False
+
+    def _waited_s(self, name: str, before: tuple[float, float] | None) -> float:
+        """Return how long a router has waited for a processor since its times were *before*."""
+        now = self.routers[name].times()
+        if now is None:
+            return 0.0
+        if before is None or now[0] < before[0]:
+            return now[1]  # another process
+        return now[1] - before[1]
 
     async def _add_routers(self, zones: list[str]) -> None:
         routers = len(zones) * self.size.routers_per_zone
@@ -257,8 +310,8 @@
                 await self._add_router(f"router-{zone}-{place}", zone, ports)
         for router in self.routers.values():
             self.start_router(router)
-        if not await self.all_ready():
-            self.ledger.exits.append("start: the routers did not become ready")
+        for unready in await self.unready_after():
+            self.ledger.exits.append(f"start: not ready in time: {unready}")
 
     async def _add_router(self, name: str, zone: str, ports: Iterator[int]) -> None:
         callers, probes = (Address(_HOST, next(ports)) for _ in range(2))
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -1,6 +1,13 @@
-"""The processes of one round and what they need of the machine."""
+"""The processes of one round: what they need of the machine, and what is said of them."""
 
-from cicadaledge.soak._world import claim_ports
+import asyncio
+import signal
+import time
+
+import pytest
+
+from cicadaledge.soak import SoakSize, SoakWorld
+from cicadaledge.soak._world import RouterProcess, claim_ports
 
 FIRST_PORT = 28_900
 
@@ -17,3 +24,45 @@
             guard.close()
     seen = sorted((one.start, one.stop) for one in ranges)
     assert all(before[1] <= after[0] for before, after in zip(seen, seen[1:], strict=False))
+
+
+@pytest.mark.timeout(60)
+def test_a_router_that_is_not_ready_is_named_with_its_answer_and_its_processor_time(tmp_path):
+    async def run():
+        size = SoakSize(zones=1, routers_per_zone=2, pools=1, desks=1, first_port=FIRST_PORT)
+        world = SoakWorld(size, tmp_path)
+        async with world.running():
+            missing = await world.unready_after()
+            lost, held = world.routers.values()
+            lost.process.kill()
+            lost.process.wait()
+            held.signal(signal.SIGSTOP)
+            return missing, await world.unready_after(0.1)
+
+    missing, (of_lost, of_held) = asyncio.run(run())
+    assert missing == []
+    assert of_lost.startswith("router-zone-0-0 cannot be reached")
+    assert of_lost.endswith("not running")
+    assert of_held.startswith("router-zone-0-1 does not answer; started ")
+    assert " ran " in of_held and of_held.endswith("s for a processor")
+
+
+@pytest.mark.timeout(60)
+def test_only_the_wait_for_a_processor_lengthens_the_time_to_get_ready(tmp_path, monkeypatch):
+    async def run():
+        size = SoakSize(zones=1, routers_per_zone=1, pools=1, desks=1, first_port=FIRST_PORT)
+        world = SoakWorld(size, tmp_path)
+        async with world.running():
+            (router,) = world.routers.values()
+            router.signal(signal.SIGSTOP)
+            begin_s = time.monotonic()
+            stopped = await world.unready_after(1.0)
+            stopped_s = time.monotonic() - begin_s
+            monkeypatch.setattr(RouterProcess, "times", lambda _: (0.1, time.monotonic()))
+            asyncio.get_running_loop().call_later(2.5, router.signal, signal.SIGCONT)
+            return stopped, stopped_s, await world.unready_after(1.0)
+
+    stopped, stopped_s, starved = asyncio.run(run())
+    assert len(stopped) == 1
+    assert stopped_s < 4.0
+    assert starved == []
