--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -5,13 +5,14 @@
 import asyncio
 import contextlib
 import os
-import select
 import socket
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import cast
 
+from cicadaledge.wire import is_readable
+
 _READ_PAUSE_BYTES = 65_536  # beside what one read brings; hundreds of peers may be ahead at once
 _READ_BYTES = 65_536  # whoever reads copies it once or twice
 _KEEPALIVE_IDLE_S = 1  # a silent connection is found within about 3 s
@@ -80,9 +81,7 @@
         """Whether the kernel has bytes, or the peer's end, that the loop has not read yet."""
         if self._transport is None or self.closing:
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(self._transport.get_extra_info("socket").fileno())
 
     @property
     def ended(self) -> bool:
--- a/src/cicadaledge/edge/_connecting.py
+++ b/src/cicadaledge/edge/_connecting.py
@@ -5,10 +5,10 @@
 import asyncio
 import errno
 import os
-import select
 import socket
 
 from cicadaledge.edge._channel import Channel
+from cicadaledge.wire import is_writable
 
 _NUMERIC = socket.AI_NUMERICHOST | socket.AI_NUMERICSERV
 
@@ -55,7 +55,7 @@
     if number == errno.EINPROGRESS:
         await _wait_for_end(sock, end_s)
         # After a long turn the timer can fire before the loop has seen the end.
-        if not _is_decided(sock):
+        if not is_writable(sock.fileno()):
             return False
         number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if number:
@@ -79,10 +79,3 @@
     finally:
         timer.cancel()
         loop.remove_writer(sock)
-
-
-def _is_decided(sock: socket.socket) -> bool:
-    """Whether the kernel knows that the peer has accepted or refused."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLOUT)
-    return bool(poll.poll(0))
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -20,6 +20,7 @@
 from cicadaledge.errors import BackendError
 from cicadaledge.settings import Address
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Ledger, SoakBounds
+from cicadaledge.soak._ports import claim_ports, first_of_two, free_ports
 from cicadaledge.soak._proxy import FaultProxy
 from cicadaledge.standins import (
     NODE_FILE_VARIABLE,
@@ -35,8 +36,6 @@
 
 _HOST = "127.0.0.1"
 _FIRST_PORT = 25_000  # below the ports that the kernel gives to outgoing connections
-_PORTS = 5_000  # tried from the first one on
-_BLOCK_PORTS = 300  # of one round at a time; larger rounds hold several blocks
 _PORTS_PER_ROUTER = 4
 _READY_S = 20.0  # a process starts within a second on an idle machine
 _POLL_S = 0.05
@@ -304,7 +303,7 @@
     async def _add_routers(self, zones: list[str]) -> None:
         routers = len(zones) * self.size.routers_per_zone
         self._guards = claim_ports(self.size.first_port, routers * _PORTS_PER_ROUTER)
-        ports = _free_ports(self._guards[0].getsockname()[1] + 1)
+        ports = free_ports(self._guards[0].getsockname()[1] + 1)
         for zone in zones:
             for place in range(self.size.routers_per_zone):
                 await self._add_router(f"router-{zone}-{place}", zone, ports)
@@ -315,7 +314,7 @@
 
     async def _add_router(self, name: str, zone: str, ports: Iterator[int]) -> None:
         callers, probes = (Address(_HOST, next(ports)) for _ in range(2))
-        peers = Address(_HOST, _first_of_two(ports))
+        peers = Address(_HOST, first_of_two(ports))
         store_link = FaultProxy(Address(_HOST, self.store.port))
         peer_link = FaultProxy(peers)
         await store_link.start()
@@ -372,55 +371,3 @@
     runner.born_ms = time.time_ns() // 1_000_000
     await runner.start()
     return runner
-
-
-def claim_ports(first: int, count: int) -> list[socket.socket]:
-    """Keep other rounds on this machine off a range of ports for as long as its guards are open.
-
-    A router's ports are free while it starts again, so that to look for free ones is not enough.
-
-    Returns:
-        Sockets that hold the first port of each block; the range begins with that of the first.
-
-    Raises:
-        OSError: Other rounds hold too many.
-    """
-    blocks = 1 + count // _BLOCK_PORTS
-    guards: list[socket.socket] = []
-    for port in range(first, first + _PORTS, _BLOCK_PORTS):
-        guard = socket.socket()
-        try:
-            guard.bind((_HOST, port))
-        except OSError:
-            for one in (*guards, guard):
-                one.close()
-            guards = []
-            continue
-        guards.append(guard)
-        if len(guards) == blocks:
-            return guards
-    for one in guards:
-        one.close()
-    raise OSError(f"no {blocks * _BLOCK_PORTS} ports in a row from {first} on")
-
-
-def _free_ports(first: int) -> Iterator[int]:
-    """Yield ports that nothing listens on."""
-    for port in range(first, first + _PORTS):
-        if _is_free(port):
-            yield port
-
-
-def _first_of_two(ports: Iterator[int]) -> int:
-    """Return a port that is followed by another free one, and use both up."""
-    first = next(ports)
-    while (second := next(ports)) != first + 1:
-        first = second
-    return first
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as one, contextlib.suppress(OSError):
-        one.bind((_HOST, port))
-        return True
-    return False
--- a/src/cicadaledge/wire/__init__.py
+++ b/src/cicadaledge/wire/__init__.py
@@ -1,6 +1,7 @@
 """Messages between routers and the links that carry them."""
 
 from cicadaledge.wire._codec import FRAME_LIMIT_BYTES, NameTable, decode_message, encode_message
+from cicadaledge.wire._kernel import is_readable, is_writable
 from cicadaledge.wire._links import LinkStats, PeerLinks
 from cicadaledge.wire._listener import Listener
 from cicadaledge.wire._messages import (
@@ -82,4 +83,6 @@
     "Witness",
     "decode_message",
     "encode_message",
+    "is_readable",
+    "is_writable",
 ]
--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -6,7 +6,6 @@
 import hashlib
 import hmac
 import secrets
-import select
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -21,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from cicadaledge.wire._kernel import is_readable
 from cicadaledge.wire._listener import Listener
 from cicadaledge.wire._messages import Hello, Proof
 
@@ -153,9 +153,7 @@
         link = self._links.get(peer)
         if link is None or link.writer.is_closing():
             return False
-        poll = select.poll()
-        poll.register(link.writer.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(link.writer.get_extra_info("socket").fileno())
 
     def drop(self, peer: str) -> None:
         """Close the link to a peer that is silent."""
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -7,7 +7,8 @@
 import pytest
 
 from cicadaledge.soak import SoakSize, SoakWorld
-from cicadaledge.soak._world import RouterProcess, claim_ports
+from cicadaledge.soak._ports import claim_ports
+from cicadaledge.soak._world import RouterProcess
 
 FIRST_PORT = 28_900
 
