Send callers away from a router whose loop is late while others are idle

Cause: the balancer picks a router by a hash of the caller, so all callers of an account come to one; readiness never told it otherwise. Ruled out: collections of garbage (trial with frozen start-up objects: a tenth less processor time, the loop as late as before). Change: a router that is late, twice as late as the mean of the others, is not ready and ends a part of its callers' connections behind their answers once the balancer has noticed. Views carry lateness and how many routers shed; a fifth of the fleet sheds at most, each half of the time.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -9,6 +9,7 @@
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
 from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._settings import BoundSettings, EdgeSettings, TimingSettings
+from cicadaledge.edge._shedding import Shedding, SheddingSettings
 from cicadaledge.edge._source import (
     Change,
     ChangePage,
@@ -52,6 +53,8 @@
     "ServerChanged",
     "ServerRemoved",
     "ServerSink",
+    "Shedding",
+    "SheddingSettings",
     "StoreError",
     "StoreTopics",
     "TableChanged",
--- a/src/cicadaledge/edge/_caller.py
+++ b/src/cicadaledge/edge/_caller.py
@@ -84,9 +84,8 @@
     def limits(self) -> Limits:
         """Bounds on what callers send."""
 
-    @property
-    def closing(self) -> bool:
-        """Whether connections are to be closed after their present answer."""
+    def ends_connection(self) -> bool:
+        """Return whether the connection of the answer that begins now is to be closed behind it."""
 
     async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         """Answer one request that was read whole."""
@@ -276,7 +275,8 @@
         self._send(self._head(status, headers), h11.Data(data=body), h11.EndOfMessage())
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self._service.closing and not any(name.lower() == b"connection" for name, _ in headers):
+        named = any(name.lower() == b"connection" for name, _ in headers)
+        if not named and self._service.ends_connection():
             headers = [*headers, (b"Connection", b"close")]
         reason = _REASONS.get(status, b"")
         return h11.Response(status_code=status, headers=headers, reason=reason)
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -24,6 +24,7 @@
 from cicadaledge.edge._peers import PeerKeeper
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._source import StoreTopics
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
@@ -34,6 +35,7 @@
 _BACKLOG = 128  # connections that wait: half a second's work, callers give up after one
 _UPKEEP_S = 1.0
 _CHECK_S = 0.05
+_WATCH_S = 0.1  # a tenth of the time between two probes of the balancer
 _LATE_MS = 100.0  # a turn of the loop this long delays each stream noticeably
 _SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
 _LAST_S = 0.1  # for tasks to end, and for the last lines: together half of the stop margin
@@ -51,7 +53,6 @@
     """
 
     limits = Limits()
-    closing = False
 
     def __init__(
         self, dialect: Dialect, is_ready: Callable[[], bool], metrics: EdgeMetrics
@@ -72,6 +73,10 @@
         else:
             await writer.whole(_NOT_FOUND, [], b"")
 
+    def ends_connection(self) -> bool:
+        """Return False: probes keep their connections."""
+        return False
+
     def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return the answer to a malformed probe."""
         return [], b""
@@ -98,6 +103,8 @@
         self._load = LoadBook(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
         self._pool = ServerPool(settings.timing)
+        self._fleet = fleet
+        self._shedding = Shedding(settings.shedding)
         health = ServerHealth()
         self._placer = Placer(
             settings.placing,
@@ -117,10 +124,13 @@
             self._placer,
             self._pool,
             self._callers,
+            self._shedding,
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
-        self._peers = PeerKeeper(settings, topics.registry, fleet, self._load, self._shares)
+        self._peers = PeerKeeper(
+            settings, topics.registry, fleet, self._load, self._shares, self._shedding
+        )
         self._followers = self._follow(topics)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -168,6 +178,7 @@
             self._peers.keep_announced,
             self._peers.keep_views,
             self._settle_removals,
+            self._watch_loop,
             self._keep_up,
         ]
 
@@ -202,6 +213,7 @@
             not self._stopping.is_set()
             and self._beliefs.servers_known
             and self._beliefs.may_use_keys(clock_ms())
+            and not self._shedding.is_active
         )
 
     def _listen(self, address: Address, service: CallerService) -> Listener:
@@ -243,6 +255,26 @@
             self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
             await self._rest()
 
+    async def _watch_loop(self) -> None:
+        """Sample how late the loop is, and shed callers by it."""
+        while True:
+            started_ms = clock_ms()
+            await asyncio.sleep(_WATCH_S)
+            now_ms = clock_ms()
+            others = self._fleet.router_totals(now_ms)
+            late_ms = now_ms - started_ms - _WATCH_S * 1000
+            if self._shedding.note_late(late_ms, others, now_ms):
+                active = self._shedding.is_active
+                self._metrics.set_state("shedding", float(active))
+                _log.info(
+                    "New callers are kept away." if active else "New callers are taken again.",
+                    late_ms=round(self._shedding.late_ms, 1),
+                    others_late_ms=round(others.mean_late_ms, 1),
+                    others_shedding=others.shedding,
+                    callers=len(self._callers),
+                    active=self._desk.active,
+                )
+
     async def _rest(self) -> None:
         """Sleep until the next upkeep; log a loop that comes back late."""
         started_ms = clock_ms()
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -21,6 +21,7 @@
 from cicadaledge.edge._retries import RetryBudget
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._work import Work
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
@@ -62,6 +63,7 @@
         placer: Placer,
         pool: ServerPool,
         callers: CallerConnections,
+        shedding: Shedding,
         metrics: EdgeMetrics,
     ) -> None:
         self.closing = False
@@ -77,6 +79,7 @@
         self._placer = placer
         self._pool = pool
         self._callers = callers
+        self._shedding = shedding
         self._metrics = metrics
         self._held = HeldBytes()
         self._retries = RetryBudget(settings.bounds)
@@ -97,6 +100,10 @@
         finally:
             self.active -= 1
 
+    def ends_connection(self) -> bool:
+        """Return whether the connection of the answer that begins now is to be closed behind it."""
+        return self.closing or self._shedding.sends_away(self._chance.random(), clock_ms())
+
     def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return headers and body of a refusal that needs no route."""
         self._metrics.refused(int(code))
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -10,6 +10,7 @@
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._source import (
     Change,
     FleetMember,
@@ -58,6 +59,7 @@
         fleet: FleetLoad,
         load: LoadBook,
         shares: AccountShares,
+        shedding: Shedding,
     ) -> None:
         self.leaving = False
         self._settings = settings
@@ -65,6 +67,7 @@
         self._fleet = fleet
         self._load = load
         self._shares = shares
+        self._shedding = shedding
         self._known: dict[str, _Known] = {}
         self._heard_ms: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -265,6 +268,8 @@
             leaving=self.leaving,
             servers=self._load.own_uses(now_ms),
             accounts=self._shares.own_uses(now_ms) if with_accounts else [],
+            late_ms=round(self._shedding.late_ms),
+            shedding=int(self._shedding.is_active),
         )
 
     def _send_idle_views(self, served: set[str]) -> None:
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 from attrs.validators import ge, gt
 
+from cicadaledge.edge._shedding import SheddingSettings
 from cicadaledge.placing import PlacingSettings
 from cicadaledge.settings import Address
 
@@ -107,6 +108,7 @@
     bounds: BoundSettings = field(factory=BoundSettings)
     timing: TimingSettings = field(factory=TimingSettings)
     placing: PlacingSettings = field(factory=PlacingSettings)
+    shedding: SheddingSettings = field(factory=SheddingSettings)
 
     def region_of(self, zone: str) -> str:
         """Return the region of an availability zone, or an empty string."""
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from cicadaledge.placing._engine import EngineModel, EngineSettings
-from cicadaledge.placing._fleet import FleetLoad
+from cicadaledge.placing._fleet import FleetLoad, RouterTotals
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
 from cicadaledge.placing._placer import Chosen, Limit, Placer, PlacingSettings, Refused
@@ -25,6 +25,7 @@
     "PlacingSettings",
     "RateWindow",
     "Refused",
+    "RouterTotals",
     "ServerHealth",
     "ServerTotals",
     "ShareUse",
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
-from attrs import define, evolve
+from attrs import define, evolve, frozen
 
 from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
@@ -36,6 +36,27 @@
     servers: dict[str, ServerUse]
     accounts: dict[str, AccountUse]
     accounts_ms: float
+    late_ms: int = 0
+    shedding: int = 0
+
+
+@frozen
+class RouterTotals:
+    """State of several routers together.
+
+    Args:
+        late_ms: How late their event loops are, summed.
+        shedding: How many of them keep new callers away.
+    """
+
+    routers: int = 0
+    late_ms: int = 0
+    shedding: int = 0
+
+    @property
+    def mean_late_ms(self) -> float:
+        """How late the event loop of one of them is."""
+        return self.late_ms / max(1, self.routers)
 
 
 @define
@@ -59,6 +80,8 @@
         self.parts: dict[str, LoadPart] = {}
         self.servers: dict[str, _Total] = {}
         self.routers = 0
+        self.late_ms = 0
+        self.shedding = 0
         self._oldest_ms = math.inf
 
     def put(self, peer: str, view: LoadView, now_ms: float) -> None:
@@ -67,6 +90,8 @@
         self.drop(peer)
         self.parts[peer] = part
         self.routers += part.routers
+        self.late_ms += part.late_ms
+        self.shedding += part.shedding
         self._oldest_ms = min(self._oldest_ms, now_ms)
         for name, use in part.servers.items():
             self.servers.setdefault(name, _Total()).add(use, 1)
@@ -77,6 +102,8 @@
         if part is None:
             return
         self.routers -= part.routers
+        self.late_ms -= part.late_ms
+        self.shedding -= part.shedding
         for name, use in part.servers.items():
             self.servers[name].add(use, -1)
 
@@ -190,6 +217,15 @@
         heard = 1 + sum(one.routers for one in self._sums(now_ms))
         return heard if self.is_current(now_ms) else max(heard, self._members)
 
+    def router_totals(self, now_ms: float) -> RouterTotals:
+        """Return the state of the routers that are heard, without this one."""
+        sums = self._sums(now_ms)
+        return RouterTotals(
+            sum(one.routers for one in sums),
+            sum(one.late_ms for one in sums),
+            sum(one.shedding for one in sums),
+        )
+
     def routers_at_most(self, now_ms: float) -> int:
         """Return how many routers may be there: heard ones, or listed ones if they are more."""
         return max(self.routers(now_ms), self._members)
@@ -222,19 +258,24 @@
 def _merge(former: LoadPart | None, view: LoadView, now_ms: float) -> LoadPart:
     servers = {use.server: use for use in view.servers}
     if view.accounts or former is None:
-        accounts = {use.account: use for use in view.accounts}
-        return LoadPart(now_ms, view.routers, servers, accounts, now_ms)
-    return LoadPart(now_ms, view.routers, servers, former.accounts, former.accounts_ms)
+        accounts, accounts_ms = {use.account: use for use in view.accounts}, now_ms
+    else:
+        accounts, accounts_ms = former.accounts, former.accounts_ms
+    return LoadPart(
+        now_ms, view.routers, servers, accounts, accounts_ms, view.late_ms, view.shedding
+    )
 
 
 def _sum_view(own: LoadView, sums: Iterable[_PartSum], scope: ViewScope, now_ms: float) -> LoadView:
     totals: dict[str, _Total] = {}
     accounts = {use.account: use for use in own.accounts}
-    routers = own.routers
+    routers, late_ms, shedding = own.routers, own.late_ms, own.shedding
     for use in own.servers:
         totals.setdefault(use.server, _Total()).add(use, 1)
     for one in sums:
         routers += one.routers
+        late_ms += one.late_ms
+        shedding += one.shedding
         for name, total in one.servers.items():
             if total.running or total.sent_last_s:
                 totals.setdefault(name, _Total()).add(_use(name, total), 1)
@@ -247,6 +288,8 @@
         routers=routers,
         servers=[_use(name, total) for name, total in totals.items()],
         accounts=list(accounts.values()),
+        late_ms=late_ms,
+        shedding=shedding,
     )
 
 
@@ -266,6 +309,8 @@
     return evolve(
         whole,
         routers=whole.routers - part.routers,
+        late_ms=max(0, whole.late_ms - part.late_ms),
+        shedding=max(0, whole.shedding - part.shedding),
         servers=[use for use in servers.values() if use.running or use.sent_last_s],
         accounts=list(accounts.values()),
     )
--- a/src/cicadaledge/standins/_http_service.py
+++ b/src/cicadaledge/standins/_http_service.py
@@ -20,7 +20,6 @@
     """
 
     limits = Limits()
-    closing = False
 
     def __init__(self) -> None:
         self.port = 0
@@ -28,6 +27,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
+    def ends_connection(self) -> bool:
+        """Return False: connections are kept."""
+        return False
+
     async def start(self, port: int = 0) -> None:
         """Listen; port 0 takes a free one."""
         loop = asyncio.get_running_loop()
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -360,6 +360,8 @@
         scope: Whose load it sums, a `ViewScope`.
         routers: How many routers it sums.
         accounts: Empty in most views; rates change more slowly than loads.
+        late_ms: How late the routers' event loops are, summed.
+        shedding: How many of the routers keep new callers away.
     """
 
     sent_ms: int
@@ -368,6 +370,8 @@
     leaving: bool
     servers: list[ServerUse]
     accounts: list[AccountUse]
+    late_ms: int = 0
+    shedding: int = 0
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -218,6 +218,8 @@
   leaving @3 :Bool;
   servers @4 :List(ServerUse);
   accounts @5 :List(AccountUse);
+  lateMs @6 :UInt32;         # sum over the routers
+  shedding @7 :UInt32;       # how many of them keep new callers away
 }
 
 struct StoreNews {
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -18,6 +18,7 @@
     EdgeRouter,
     EdgeSettings,
     HttpConnection,
+    SheddingSettings,
     StoreError,
     StoreTopics,
     TimingSettings,
@@ -151,6 +152,7 @@
         timing: TimingSettings = FAST,
         bounds: BoundSettings | None = None,
         descriptors: int = 4_096,
+        shedding: SheddingSettings | None = None,
     ) -> EdgeRouter:
         """Start a router and wait until it is ready, if the store serves it."""
         settings = EdgeSettings(
@@ -166,6 +168,7 @@
             descriptors=descriptors,
             bounds=bounds or BoundSettings(grace_ms=3_000),
             timing=timing,
+            shedding=shedding or SheddingSettings(),
         )
         client = _CuttableClient(HOST, self.store.port)
         self._clients.append(client)
--- a/tests/edge/test_caller.py
+++ b/tests/edge/test_caller.py
@@ -22,14 +22,15 @@
 class Answering:
     """Answers each request at once."""
 
-    closing = False
-
     def __init__(self, **limits):
         self.limits = evolve(Limits(), **limits)
 
     async def answer(self, head, body, writer):
         await writer.whole(200, [], b"done")
 
+    def ends_connection(self):
+        return False
+
     def refuse(self, code, detail, status):
         return [], detail.encode()
 
--- /dev/null
+++ b/tests/edge/test_shedding.py
@@ -0,0 +1,147 @@
+"""An account whose callers all come to one router of a fleet of idle ones."""
+
+import asyncio
+import random
+
+from attrs import define, field
+from edge_world import request_headers, small_world
+
+from cicadaledge.edge import Shedding, SheddingSettings, clock_ms
+from cicadaledge.placing import RouterTotals
+
+SETTINGS = SheddingSettings()
+SAMPLE_MS = 100.0
+IDLE = RouterTotals(routers=17, late_ms=17)
+
+
+def fill(shedding, late_ms, others, *, from_ms=0.0, samples=10):
+    """Return the times at which the state has changed."""
+    times = (from_ms + SAMPLE_MS * place for place in range(1, samples + 1))
+    return [now_ms for now_ms in times if shedding.note_late(late_ms, others, now_ms)]
+
+
+def test_a_late_router_among_idle_ones_keeps_new_callers_away_until_it_is_calm():
+    shedding = Shedding(SETTINGS)
+    began_ms = fill(shedding, 60.0, IDLE)
+    assert len(began_ms) == 1
+    assert shedding.is_active
+    assert fill(shedding, 60.0, IDLE, from_ms=1_000.0, samples=60) == []
+    ended_ms = fill(shedding, 2.0, IDLE, from_ms=7_000.0, samples=20)
+    assert len(ended_ms) == 1
+    assert not shedding.is_active
+
+
+def test_a_single_long_turn_sends_nobody_away():
+    shedding = Shedding(SETTINGS)
+    assert fill(shedding, 1.0, IDLE) == []
+    assert fill(shedding, 400.0, IDLE, from_ms=1_000.0, samples=3) == []
+
+
+def test_where_all_routers_are_late_none_sends_callers_to_another():
+    shedding = Shedding(SETTINGS)
+    assert fill(shedding, 80.0, RouterTotals(routers=8, late_ms=8 * 60)) == []
+
+
+def test_a_router_that_hears_no_other_keeps_its_callers():
+    shedding = Shedding(SETTINGS)
+    assert fill(shedding, 400.0, RouterTotals()) == []
+
+
+def test_at_most_a_part_of_the_fleet_sheds_at_once():
+    for routers, most in ((8, 1), (17, 3), (194, 39)):
+        others = RouterTotals(routers, late_ms=0, shedding=most - 1)
+        assert fill(Shedding(SETTINGS), 60.0, others)
+        others = RouterTotals(routers, late_ms=0, shedding=most)
+        assert not fill(Shedding(SETTINGS), 60.0, others)
+
+
+def test_callers_are_sent_away_only_once_the_balancer_chooses_others_for_them():
+    shedding = Shedding(SETTINGS)
+    began_ms = fill(shedding, 60.0, IDLE)[0]
+    assert not shedding.sends_away(0.0, began_ms + SETTINGS.notice_ms - 1.0)
+    assert shedding.sends_away(0.0, began_ms + SETTINGS.notice_ms)
+    assert not shedding.sends_away(SETTINGS.close_part, began_ms + SETTINGS.notice_ms)
+    fill(shedding, 1.0, IDLE, from_ms=1_000.0)
+    assert not shedding.sends_away(0.0, began_ms + SETTINGS.notice_ms)
+
+
+@define
+class Router:
+    """A router whose loop is late by what its callers ask beyond what it bears."""
+
+    callers: int = 0
+    shedding: Shedding = field(factory=lambda: Shedding(SETTINGS))
+    misses: int = 0
+
+    def late_ms(self, bears):
+        return max(0.0, (self.callers - bears) * 4.0)
+
+
+def play_account(*, sheds, seed, callers=200, routers=18, bears=60, seconds=40):
+    """Return how late the caller's router is, over callers and time, in milliseconds.
+
+    Each caller asks once a second on a connection that it keeps; a new one goes to the first
+    router that the balancer has not missed twice.
+    """
+    chance = random.Random(seed)
+    fleet = [Router() for _ in range(routers)]
+    fleet[0].callers = callers
+    waited_ms = 0.0
+    for step in range(seconds * 10):
+        now_ms = step * SAMPLE_MS
+        for router in fleet:
+            others = [one for one in fleet if one is not router]
+            totals = RouterTotals(
+                len(others),
+                round(sum(one.shedding.late_ms for one in others)),
+                sum(one.shedding.is_active for one in others),
+            )
+            if sheds:
+                router.shedding.note_late(router.late_ms(bears), totals, now_ms)
+            if step % 10 == 0:
+                router.misses = router.misses + 1 if router.shedding.is_active else 0
+        for router in list(fleet):
+            asked = router.callers // 10
+            waited_ms += asked * router.late_ms(bears)
+            for _ in range(asked):
+                if router.shedding.sends_away(chance.random(), now_ms):
+                    router.callers -= 1
+                    next(one for one in fleet if one.misses < 2).callers += 1
+    assert sum(router.callers for router in fleet) == callers
+    return waited_ms / (callers * seconds)
+
+
+def test_an_account_that_came_to_one_router_is_soon_spread_over_as_many_as_it_needs():
+    for seed in range(5):
+        kept_ms = play_account(sheds=False, seed=seed)
+        spread_ms = play_account(sheds=True, seed=seed)
+        assert kept_ms > 500.0
+        assert spread_ms < kept_ms / 3
+
+
+def test_a_router_that_sheds_is_not_ready_and_ends_connections_behind_their_answers():
+    async def play():
+        quick = SheddingSettings(notice_ms=1.0, calm_ms=1e-9, close_part=1.0, least_ms=60_000.0)
+        async with small_world(shedding=quick) as world:
+            kept = await world.connect()
+            assert await ask(kept) == 200
+            assert kept.is_usable(1_000)
+            shedding = world.routers[0]._shedding
+            fill(shedding, 60.0, IDLE, from_ms=clock_ms() - 10 * SAMPLE_MS)
+            assert not await world.is_ready()
+            assert await ask(kept) == 200
+
+            async def ended():
+                return kept.channel.gone
+
+            await world.until(ended)
+
+    asyncio.run(play())
+
+
+async def ask(connection):
+    connection.send("POST", "/book/1", request_headers(), b"{}")
+    head = await connection.head()
+    await connection.body(65_536)
+    connection.finish()
+    return head.status
