Ask the store less at the start, and for a proof at once after being held

Cause: after waking it had no failure to tell it that its proof was old, so it waited at the store for a change. Now a proof that is older than a read can take lets the next read return at once.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -40,6 +41,7 @@
 _SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
 _LAST_S = 0.1  # for tasks to end, and for the last lines: together half of the stop margin
 _PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
+_COLLECT_AT = (5_000, 20, 20)  # some hundred requests' objects; few of them form cycles
 _METRICS_PATH = "/metrics"
 _OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
 _log = PartLog("router")
@@ -185,12 +187,15 @@
     def _follow(self, topics: StoreTopics) -> list[TopicFollower]:
         timing = self._settings.timing
         news = self._peers.news
-        control = FollowTimes(timing.control_wait_ms, 0.0, timing.news_silence_ms)
-        servers = FollowTimes(0, timing.server_poll_ms, timing.news_silence_ms)
+        silence_ms = timing.news_silence_ms
+        control = FollowTimes(
+            timing.control_wait_ms, 0.0, silence_ms, (timing.first_control_pause_ms,)
+        )
+        servers = FollowTimes(0, timing.server_poll_ms, silence_ms, (timing.first_server_pause_ms,))
         members = FollowTimes(
             0,
             timing.member_poll_ms,
-            timing.member_poll_ms + timing.news_silence_ms,
+            timing.member_poll_ms + silence_ms,
             timing.first_member_pauses_ms,
         )
         return [
@@ -323,5 +328,9 @@
         await router.run()
         await lines.drain(_LAST_S)
 
+    # What was imported lives for ever: without it a full collection is short.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECT_AT)
     os.environ["UV_USE_IO_URING"] = "0"  # read by libuv when the loop is made
     uvloop.run(main())
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -22,6 +22,7 @@
 _RETRY_S = 0.15  # a call that failed at once may be made again within the bounds of the rates
 _LONG_RETRY_S = 0.5  # after several failures the store is away
 _FAILURES_TO_SLOW = 4
+_LONGEST_ANSWER_MS = 1_000.0  # of a slow store, beyond the time that a read waits there
 _log = PartLog("store")
 
 
@@ -82,6 +83,7 @@
         self._offset: int | None = None
         self._failures = 0
         self._reads = 0
+        self._proof_ms = float("-inf")
         self._page_ms = clock_ms()
         news.add(self)
 
@@ -122,7 +124,7 @@
         if news.first_offset > self._offset:
             return False
         self._note_success(after_outage=news.after_outage)
-        self._sink.note_read(proof_ms, clock_ms())
+        self._note_proof(proof_ms)
         return True
 
     async def _read_once(self) -> bool:
@@ -142,7 +144,7 @@
         if offset == self._offset:
             self._take(page)
         elif page.next_offset == self._offset:
-            self._sink.note_read(page.proof_ms, clock_ms())
+            self._note_proof(page.proof_ms)
         return True
 
     async def _read(self, offset: int | None) -> ChangePage | None:
@@ -150,8 +152,9 @@
         try:
             if offset is None:
                 return await self._source.newest()
-            # After a failure the age of what is known matters, not the next change.
-            return await self._source.since(offset, 0 if self._failures else self._times.wait_ms)
+            # Where what is known may be old, its age matters more than the next change.
+            wait_ms = 0 if self._failures or self._is_overdue() else self._times.wait_ms
+            return await self._source.since(offset, wait_ms)
         except HistoryLostError as error:
             _log.warning("History is gone; reading anew.", topic=self.topic, error=str(error))
             if offset == self._offset:
@@ -165,7 +168,15 @@
         for change in page.changes:
             self._sink.apply(change, now_ms)
         self._offset = page.next_offset
-        self._sink.note_read(page.proof_ms, now_ms)
+        self._note_proof(page.proof_ms)
+
+    def _note_proof(self, proof_ms: float) -> None:
+        self._proof_ms = max(self._proof_ms, proof_ms)
+        self._sink.note_read(proof_ms, clock_ms())
+
+    def _is_overdue(self) -> bool:
+        """Return whether this process was held, or the store, for longer than a read takes."""
+        return clock_ms() - self._proof_ms > self._times.wait_ms + _LONGEST_ANSWER_MS
 
     def _note_success(self, *, after_outage: bool) -> None:
         if self._failures:
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -44,6 +44,9 @@
         member_poll_ms: Between reads of the list of routers.
         first_member_pauses_ms: Pauses after the first of these reads: routers that start
             together announce themselves within a second.
+        first_control_pause_ms: Pause after the first read of the control topic: by then a router
+            that has started is linked to a relay that reads for it.
+        first_server_pause_ms: The same for the servers' heartbeats.
         news_silence_ms: Silence of the zone's relay after which a router reads the store
             itself; a little over the longest pause between two pages of the relay.
         view_ms: Between load views to peers; half of a request's way across regions.
@@ -66,13 +69,15 @@
     control_wait_ms: int = field(default=1_200, validator=ge(0))
     server_poll_ms: int = field(default=800, validator=gt(0))
     member_poll_ms: int = field(default=4_000, validator=gt(0))
-    first_member_pauses_ms: tuple[float, ...] = (500.0, 1_500.0)
+    first_member_pauses_ms: tuple[float, ...] = (800.0, 2_000.0)
+    first_control_pause_ms: float = field(default=1_500.0, validator=ge(0))
+    first_server_pause_ms: float = field(default=2_000.0, validator=ge(0))
     news_silence_ms: float = field(default=1_600.0, validator=gt(0))
     view_ms: int = field(default=50, validator=gt(0))
     idle_view_ms: int = field(default=500, validator=gt(0))
     peer_silence_ms: int = field(default=1_500, validator=gt(0))
     relay_silence_ms: int = field(default=1_000, validator=gt(0))
-    announce_ms: int = field(default=30_000, validator=gt(0))
+    announce_ms: int = field(default=60_000, validator=gt(0))
     member_life_ms: int = field(default=100_000, validator=gt(0))
     connect_ms: float = field(default=500.0, validator=gt(0))
     revoke_margin_ms: float = field(default=500.0, validator=ge(0))
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -46,6 +46,8 @@
     stop_accept_ms=150,
     lapse_ms=300,
     first_member_pauses_ms=(100.0, 200.0),
+    first_control_pause_ms=50.0,
+    first_server_pause_ms=40.0,
     news_silence_ms=400.0,
 )
 NOWHERE = Address(HOST, 1)
