Learn the engines' speeds from the first tokens that the whole fleet sees

Callers saw: drafts went on to engines that had turned slow, and to engines that had come back cold and refused them, while others were idle; at 195 routers one of them sees an engine every several seconds only. Cause: predictions came from constants of one site, and nothing that a router had seen of an engine reached the others; a draft whose home is cold was refused. Change: views carry, for each engine, the times to the first tokens of the last 3 s and what the model said of them; sums add up over the fleet. Slow and cold engines lose the prefixes that they are home of. 'Placed' lines show the factor. Ruled out by tests: one late token, chance among peers, engines of another kind.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -96,6 +96,7 @@
     ) -> None:
         self.resume_after: str | None = None
         self.first_ms: float | None = None
+        self._began_ms = clock_ms()
         self._work = work
         self._chosen = chosen
         self._writer = writer
@@ -235,3 +236,5 @@
         if self.first_ms is None:
             self.first_ms = clock_ms()
             self._load.first_token(self._chosen.placement)
+            waited_ms = self.first_ms - self._began_ms
+            self._load.note_wait(self._chosen.placement, waited_ms, self.first_ms)
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -261,6 +261,8 @@
             result = await attempt.run()
         except asyncio.CancelledError:
             silent_ms = clock_ms() - now_ms
+            if attempt.first_ms is None and silent_ms > chosen.predicted_ms:
+                self._load.note_wait(chosen.placement, silent_ms, clock_ms())
             if attempt.first_ms is None and silent_ms > work.route.aim_ms + chosen.predicted_ms:
                 self._note_health(work, server, failed=True)
             raise
--- a/src/cicadaledge/edge/_request_lines.py
+++ b/src/cicadaledge/edge/_request_lines.py
@@ -38,6 +38,7 @@
             attempt=work.attempts + 1,
             unread_tokens=chosen.placement.unread_tokens,
             predicted_ms=round(chosen.predicted_ms),
+            learnt_factor=round(chosen.factor, 2),
             running=totals.running,
             running_unread_tokens=totals.unread_tokens,
             proof_age_ms=_rounded(self._beliefs.proof_age_ms(now_ms)),
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -10,13 +10,15 @@
 from cicadaledge.placing._placer import Chosen, Limit, Placer, PlacingSettings, Refused
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._shares import AccountShares, ShareUse, fair_level
-from cicadaledge.placing._totals import ServerTotals
+from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
+from cicadaledge.placing._totals import ServerTotals, ServerWaits
 
 __all__ = [
     "AccountShares",
     "Chosen",
     "EngineModel",
     "EngineSettings",
+    "EngineSpeeds",
     "FleetLoad",
     "Limit",
     "LoadBook",
@@ -28,6 +30,9 @@
     "RouterTotals",
     "ServerHealth",
     "ServerTotals",
+    "ServerWaits",
+    "ServiceSpeeds",
     "ShareUse",
+    "SpeedSettings",
     "fair_level",
 ]
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -14,7 +14,7 @@
 
 from attrs import define, evolve, frozen
 
-from cicadaledge.placing._totals import ServerTotals
+from cicadaledge.placing._totals import ServerTotals, ServerWaits
 from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
@@ -65,12 +65,21 @@
     unread_tokens: int = 0
     context_tokens: int = 0
     sent_last_s: int = 0
+    waited_ms: int = 0
+    expected_ms: int = 0
+
+    @property
+    def says_something(self) -> bool:
+        """Whether there is anything to tell of the server."""
+        return bool(self.running or self.sent_last_s or self.expected_ms)
 
     def add(self, use: ServerUse, sign: int) -> None:
         self.running += sign * use.running
         self.unread_tokens += sign * use.unread_tokens
         self.context_tokens += sign * use.context_tokens
         self.sent_last_s += sign * use.sent_last_s
+        self.waited_ms += sign * use.waited_ms
+        self.expected_ms += sign * use.expected_ms
 
 
 class _PartSum:
@@ -208,6 +217,16 @@
                 sent_last_s += total.sent_last_s
         return ServerTotals(running, unread_tokens, context_tokens, sent_last_s)
 
+    def waits_of(self, server: str, now_ms: float, own: ServerWaits) -> ServerWaits:
+        """Return the first tokens of a server that the others have seen, and *own* on top."""
+        waited_ms, expected_ms = own.waited_ms, own.expected_ms
+        for one in self._sums(now_ms):
+            total = one.servers.get(server)
+            if total is not None:
+                waited_ms += total.waited_ms
+                expected_ms += total.expected_ms
+        return ServerWaits(waited_ms, expected_ms)
+
     def account_uses(self, now_ms: float) -> list[AccountUse]:
         """Return the others' rates; accounts may be named several times."""
         return [use for one in self._sums(now_ms) for use in one.account_uses(now_ms)]
@@ -277,7 +296,7 @@
         late_ms += one.late_ms
         shedding += one.shedding
         for name, total in one.servers.items():
-            if total.running or total.sent_last_s:
+            if total.says_something:
                 totals.setdefault(name, _Total()).add(_use(name, total), 1)
         if own.accounts:
             for rate in one.account_uses(now_ms):
@@ -311,14 +330,22 @@
         routers=whole.routers - part.routers,
         late_ms=max(0, whole.late_ms - part.late_ms),
         shedding=max(0, whole.shedding - part.shedding),
-        servers=[use for use in servers.values() if use.running or use.sent_last_s],
+        servers=[
+            use for use in servers.values() if use.running or use.sent_last_s or use.expected_ms
+        ],
         accounts=list(accounts.values()),
     )
 
 
 def _use(name: str, total: _Total) -> ServerUse:
     return ServerUse(
-        name, total.running, total.unread_tokens, total.context_tokens, total.sent_last_s
+        name,
+        total.running,
+        total.unread_tokens,
+        total.context_tokens,
+        total.sent_last_s,
+        total.waited_ms,
+        total.expected_ms,
     )
 
 
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -5,12 +5,13 @@
 from attrs import define, field
 
 from cicadaledge.placing._fleet import FleetLoad
-from cicadaledge.placing._rates import RateWindow
-from cicadaledge.placing._totals import ServerTotals
+from cicadaledge.placing._rates import RateWindow, TokenRate
+from cicadaledge.placing._totals import ServerTotals, ServerWaits
 from cicadaledge.wire import ServerUse
 
 _SECOND_MS = 1_000.0
 _NOTHING = ServerTotals()
+_SPEED_MS = 3_000.0  # a slow engine is found in one, and given another chance after three seconds
 _BLIND_PART = 0.5  # routers are drawn by chance, and some that are cut off are not counted
 
 
@@ -21,11 +22,13 @@
     Args:
         unread_tokens: Prompt tokens that the server has to read before the first token.
         context_tokens: Tokens that it keeps in the server's memory until it ends.
+        expected_ms: Time to the first token by the engine's model, before what was learnt.
     """
 
     server: str
     unread_tokens: int
     context_tokens: int
+    expected_ms: float = 0.0
     waits_for_first: bool = True
     ended: bool = False
 
@@ -36,6 +39,8 @@
     unread_tokens: int = 0
     context_tokens: int = 0
     sent: RateWindow = field(factory=lambda: RateWindow(_SECOND_MS))
+    waited_ms: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
+    expected_ms: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
 
 
 class LoadBook:
@@ -63,6 +68,13 @@
             placement.waits_for_first = False
             self._own[placement.server].unread_tokens -= placement.unread_tokens
 
+    def note_wait(self, placement: Placement, waited_ms: float, now_ms: float) -> None:
+        """Note how long a request has waited for its first token."""
+        if placement.expected_ms:
+            own = self._own[placement.server]
+            own.waited_ms.add(waited_ms, now_ms)
+            own.expected_ms.add(placement.expected_ms, now_ms)
+
     def end(self, placement: Placement) -> None:
         """Note that a request no longer runs."""
         if placement.ended:
@@ -113,12 +125,22 @@
             own.sent.count(now_ms),
         )
 
+    def waits(self, server: str, now_ms: float) -> ServerWaits:
+        """Return the first tokens of a server that this router and those heard have seen."""
+        own = self._own.get(server)
+        seen = ServerWaits()
+        if own is not None:
+            seen = ServerWaits(own.waited_ms.total(now_ms), own.expected_ms.total(now_ms))
+        return self._others.waits_of(server, now_ms, seen)
+
     def own_uses(self, now_ms: float) -> list[ServerUse]:
         """Return this router's part, for its peers."""
         uses = []
         for server, own in list(self._own.items()):
             sent = own.sent.count(now_ms)
-            if own.running or sent:
+            waited_ms = round(own.waited_ms.total(now_ms))
+            expected_ms = round(own.expected_ms.total(now_ms))
+            if own.running or sent or expected_ms:
                 uses.append(
                     ServerUse(
                         server,
@@ -126,6 +148,8 @@
                         own.unread_tokens,
                         own.context_tokens,
                         sent,
+                        waited_ms,
+                        expected_ms,
                     )
                 )
             else:
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -12,6 +12,7 @@
 from cicadaledge.placing._load import LoadBook, Placement
 from cicadaledge.placing._ranking import EngineRanking
 from cicadaledge.placing._shares import ShareUse
+from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
 from cicadaledge.placing._totals import ServerTotals
 from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
 
@@ -23,7 +24,8 @@
     """Thresholds of placing and admission.
 
     Args:
-        engine: Speed of the engines.
+        engine: Speed of the engines, before anything is learnt of them.
+        speeds: How much evidence it takes to correct it.
         running_limit: Requests that one engine runs at once, of all routers. More of them
             slow every stream down: 27 served most on the heaviest days, 20 and 64 less.
         aim_share: Part of a route's objective that the predicted first token may take.
@@ -52,6 +54,7 @@
     """
 
     engine: EngineSettings = field(factory=EngineSettings)
+    speeds: SpeedSettings = field(factory=SpeedSettings)
     running_limit: int = 27
     aim_share: float = 0.7
     affine_tokens: int = 1_000
@@ -84,11 +87,17 @@
 
 @frozen
 class Chosen:
-    """A server for the request."""
+    """A server for the request.
+
+    Args:
+        predicted_ms: Time to the first token.
+        factor: By which the model's prediction was corrected.
+    """
 
     server: ServerEntry
     placement: Placement
     predicted_ms: float
+    factor: float = 1.0
 
 
 @frozen
@@ -144,6 +153,7 @@
         self._own_region = own_region
         self._engines: dict[str, EngineModel] = {}
         self._ranking = EngineRanking(directory)
+        self._speeds = EngineSpeeds(settings.speeds, load)
         self._turn = 0
 
     def choose(
@@ -219,8 +229,11 @@
         now_ms: float,
     ) -> Chosen | Refused:
         ranked = self._ranking.ranked(call, service.name, usable)
+        first = ranked[0]
+        speeds = self._speeds.of(service.name, usable, now_ms)
         shared_tokens = sum(part.tokens for part in call.shared_parts)
         if shared_tokens >= self._settings.affine_tokens:
+            ranked = self._homes(ranked, speeds, now_ms)
             ranked = ranked[: self._settings.spill_engines if use.is_short else 1]
             compared = 1
         else:
@@ -232,7 +245,9 @@
         for place, entry in enumerate(ranked):
             if place >= compared and best is not None:
                 break
-            weighed = self._weigh(call, route, service, entry, place == 0, openness, now_ms)
+            weighed = self._weigh(
+                call, route, service, entry, entry is first, openness, speeds, now_ms
+            )
             if isinstance(weighed, Limit):
                 first_limit = first_limit or weighed
             elif best is None or weighed.predicted_ms < best.predicted_ms:
@@ -243,6 +258,18 @@
         retry_after_ms = self._retry_after_ms(totals)
         return Refused("engines are full", retry_after_ms, ranked[0].server, totals, first_limit)
 
+    def _homes(
+        self, ranked: list[ServerEntry], speeds: ServiceSpeeds, now_ms: float
+    ) -> list[ServerEntry]:
+        """Return the engines that may keep a prefix: slow and cold ones only if all are."""
+        sound = [
+            entry
+            for entry in ranked
+            if entry.server not in speeds.slowness
+            and self._directory.cold_until_ms(entry.server) <= now_ms
+        ]
+        return sound or ranked
+
     def _compared(self, ranked: list[ServerEntry]) -> list[ServerEntry]:
         """Return the first engines by rank, and as many of the others in turn.
 
@@ -264,6 +291,7 @@
         entry: ServerEntry,
         is_first: bool,
         openness: _Openness,
+        speeds: ServiceSpeeds,
         now_ms: float,
     ) -> Chosen | Limit:
         """Return the choice of one server, or the bound that keeps the request from it."""
@@ -277,17 +305,21 @@
         unread = engine.unread_tokens(
             call.prompt_tokens, call.shared_parts, all_kept=is_first and settled
         )
-        predicted_ms = engine.first_token_ms(totals, unread)
+        expected_ms = engine.first_token_ms(totals, unread)
+        alone_ms = engine.first_token_ms(_IDLE, unread)
         if not self._is_near(entry):
-            predicted_ms += self._settings.region_crossing_ms
-        waiting_ms = predicted_ms - engine.first_token_ms(_IDLE, unread)
+            expected_ms += self._settings.region_crossing_ms
+        factor = speeds.factor * speeds.slowness.get(entry.server, 1.0)
+        predicted_ms = expected_ms * factor
+        waiting_ms = predicted_ms - alone_ms * factor
         bound_ms = route.aim_ms * self._settings.aim_share * openness.reading
         if predicted_ms > bound_ms and waiting_ms > bound_ms * 0.35:
             return Limit.READING
         if not self._within_rate(entry, service, now_ms):
             return Limit.RATE
         context = call.prompt_tokens + call.output_tokens
-        return Chosen(entry, Placement(entry.server, unread, context), predicted_ms)
+        placement = Placement(entry.server, unread, context, expected_ms)
+        return Chosen(entry, placement, predicted_ms, factor)
 
     def _exceeded(
         self, call: Call, service: Service, totals: ServerTotals, openness: _Openness
--- a/src/cicadaledge/placing/_rates.py
+++ b/src/cicadaledge/placing/_rates.py
@@ -49,10 +49,17 @@
             tokens += self._slices.pop()[1]
         self._slices.append((current, tokens))
 
-    def per_s(self, now_ms: float) -> float:
-        """Return the rate."""
-        first = int(now_ms // self._slice_ms) - _SLICES + 1
+    def total(self, now_ms: float) -> float:
+        """Return the tokens within the window."""
+        first = self._first_slice(now_ms)
         while self._slices and self._slices[0][0] < first:
             self._slices.popleft()
-        covered_ms = now_ms - first * self._slice_ms
-        return sum(tokens for _, tokens in self._slices) * 1000.0 / covered_ms
+        return sum(tokens for _, tokens in self._slices)
+
+    def per_s(self, now_ms: float) -> float:
+        """Return the rate."""
+        covered_ms = now_ms - self._first_slice(now_ms) * self._slice_ms
+        return self.total(now_ms) * 1000.0 / covered_ms
+
+    def _first_slice(self, now_ms: float) -> int:
+        return int(now_ms // self._slice_ms) - _SLICES + 1
--- a/src/cicadaledge/placing/_totals.py
+++ b/src/cicadaledge/placing/_totals.py
@@ -1,4 +1,4 @@
-"""Load of one backend server."""
+"""Load and speed of one backend server."""
 
 from __future__ import annotations
 
@@ -27,3 +27,16 @@
             self.context_tokens * factor,
             self.sent_last_s * factor,
         )
+
+
+@frozen
+class ServerWaits:
+    """First tokens of one server that came within the last seconds.
+
+    Args:
+        waited_ms: Times until they came, summed.
+        expected_ms: What the engine's model said of them, summed.
+    """
+
+    waited_ms: float = 0.0
+    expected_ms: float = 0.0
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -324,6 +324,8 @@
         unread_tokens: Prompt tokens of requests without a first token, cached parts left out.
         context_tokens: Tokens that the running requests keep in memory.
         sent_last_s: Requests sent within the last second.
+        waited_ms: Times to the first tokens that came within the last seconds, summed.
+        expected_ms: What was predicted for the same requests.
     """
 
     server: str = field(metadata=NAME)
@@ -331,6 +333,8 @@
     unread_tokens: int
     context_tokens: int
     sent_last_s: int
+    waited_ms: int = 0
+    expected_ms: int = 0
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -203,6 +203,8 @@
   unreadTokens @2 :UInt32;
   contextTokens @3 :UInt32;
   sentLastS @4 :UInt32;
+  waitedMs @5 :UInt32;       # for first tokens that have come lately
+  expectedMs @6 :UInt32;     # predicted for the same
 }
 
 struct AccountUse {
