Let one topic of a router try a store that is away, and candidates read for a relay that is turned away

Cause: each of 195 routers tried again for each of three topics every half second, and where a relay was turned away all routers of its zone read for themselves. Change: the followers of a router share what they know of the store, and one of them tries; routers that nobody waits for try ever more seldom. A relay that is turned away follows the routers that would replace it; these read after the same silence as before and pass on what they read, the others of the zone 0.8 s later.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -26,6 +26,7 @@
     TableChanged,
     ZoneChanged,
 )
+from cicadaledge.edge._store_reach import StoreReach
 
 __all__ = [
     "AnswerHead",
@@ -56,6 +57,7 @@
     "Shedding",
     "SheddingSettings",
     "StoreError",
+    "StoreReach",
     "StoreTopics",
     "TableChanged",
     "TimingSettings",
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -27,6 +27,7 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._source import StoreTopics
+from cicadaledge.edge._store_reach import StoreReach
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
 from cicadaledge.routing import Limits
@@ -107,6 +108,7 @@
         self._pool = ServerPool(settings.timing)
         self._fleet = fleet
         self._shedding = Shedding(settings.shedding)
+        reach = StoreReach()
         health = ServerHealth()
         self._placer = Placer(
             settings.placing,
@@ -131,9 +133,15 @@
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
         self._peers = PeerKeeper(
-            settings, topics.registry, fleet, self._load, self._shares, self._shedding
+            settings,
+            topics.registry,
+            fleet,
+            self._load,
+            self._shares,
+            self._shedding,
+            reach,
         )
-        self._followers = self._follow(topics)
+        self._followers = self._follow(topics, reach)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -184,7 +192,7 @@
             self._keep_up,
         ]
 
-    def _follow(self, topics: StoreTopics) -> list[TopicFollower]:
+    def _follow(self, topics: StoreTopics, reach: StoreReach) -> list[TopicFollower]:
         timing = self._settings.timing
         news = self._peers.news
         silence_ms = timing.news_silence_ms
@@ -199,9 +207,9 @@
             timing.first_member_pauses_ms,
         )
         return [
-            TopicFollower(topics.control, ControlSink(self._beliefs), control, news),
-            TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news),
-            TopicFollower(topics.members, self._peers, members, news),
+            TopicFollower(topics.control, ControlSink(self._beliefs), control, news, reach),
+            TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news, reach),
+            TopicFollower(topics.members, self._peers, members, news, reach),
         ]
 
     async def _keep_running(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -16,12 +16,10 @@
     HistoryLostError,
     StoreError,
 )
+from cicadaledge.edge._store_reach import StoreReach
 from cicadaledge.logs import PartLog
 from cicadaledge.wire import StoreNews
 
-_RETRY_S = 0.15  # a call that failed at once may be made again within the bounds of the rates
-_LONG_RETRY_S = 0.5  # after several failures the store is away
-_FAILURES_TO_SLOW = 4
 _LONGEST_ANSWER_MS = 1_000.0  # of a slow store, beyond the time that a read waits there
 _log = PartLog("store")
 
@@ -71,17 +69,24 @@
         sink: Takes the changes.
         times: When the topic is read.
         news: What the zone's relay reads.
+        reach: What the followers of all topics know of the store.
     """
 
     def __init__(
-        self, source: ChangeSource, sink: TopicSink, times: FollowTimes, news: ZoneNews
+        self,
+        source: ChangeSource,
+        sink: TopicSink,
+        times: FollowTimes,
+        news: ZoneNews,
+        reach: StoreReach,
     ) -> None:
         self._source = source
         self._sink = sink
         self._times = times
         self._news = news
+        self._reach = reach
         self._offset: int | None = None
-        self._failures = 0
+        self._failed = False
         self._reads = 0
         self._proof_ms = float("-inf")
         self._page_ms = clock_ms()
@@ -103,6 +108,9 @@
             if self._offset is not None and self._news.feeds(self.topic):
                 await self._news.until_silent(self.topic)
                 continue
+            if not self._reach.may_try(self.topic):
+                await self._reach.until_back()
+                continue
             if await self._read_once():
                 await asyncio.sleep(self._pause_ms() / 1000)
 
@@ -134,8 +142,9 @@
         if page is None:
             return False
         self._reads += 1
-        after_outage = self._failures >= _FAILURES_TO_SLOW
-        self._note_success(after_outage=False)
+        after_outage = self._reach.away_ms > self._page_ms
+        self._reach.note_reached()
+        self._note_success(after_outage=after_outage)
         if offset is None:
             self._take(page)
             self._sink.complete(page.changes, clock_ms())
@@ -153,10 +162,11 @@
             if offset is None:
                 return await self._source.newest()
             # Where what is known may be old, its age matters more than the next change.
-            wait_ms = 0 if self._failures or self._is_overdue() else self._times.wait_ms
+            wait_ms = 0 if self._failed or self._is_overdue() else self._times.wait_ms
             return await self._source.since(offset, wait_ms)
         except HistoryLostError as error:
             _log.warning("History is gone; reading anew.", topic=self.topic, error=str(error))
+            self._reach.note_reached()
             if offset == self._offset:
                 self._offset = None
         except (StoreError, ValueError) as error:
@@ -179,20 +189,19 @@
         return clock_ms() - self._proof_ms > self._times.wait_ms + _LONGEST_ANSWER_MS
 
     def _note_success(self, *, after_outage: bool) -> None:
-        if self._failures:
-            _log.info("Store is back.", topic=self.topic, failures=self._failures)
+        if self._failed:
+            _log.info("Store is back.", topic=self.topic)
         now_ms = clock_ms()
-        if after_outage or self._failures >= _FAILURES_TO_SLOW:
+        if after_outage:
             self._sink.note_store_back(now_ms - self._page_ms, now_ms)
-        self._failures = 0
+        self._failed = False
         self._page_ms = now_ms
 
     async def _note_failure(self, error: Exception) -> None:
-        self._failures += 1
-        if self._failures in (1, _FAILURES_TO_SLOW):
+        self._failed = True
+        if self._reach.note_failure(self.topic):
             _log.warning("Store is away.", topic=self.topic, error=str(error))
-        slow = self._failures >= _FAILURES_TO_SLOW
-        await asyncio.sleep(_LONG_RETRY_S if slow else _RETRY_S)
+        await asyncio.sleep(self._reach.pause_s())
 
     def _pause_ms(self) -> float:
         first = self._times.first_pauses_ms
--- a/src/cicadaledge/edge/_news.py
+++ b/src/cicadaledge/edge/_news.py
@@ -1,7 +1,8 @@
 """What one router of a zone reads from the store, passed on to the others.
 
-The zone's relay reads; the others follow its news and read for themselves only while the relay
-is silent or a page is missing.
+The zone's relay reads; the others follow its news and read for themselves only while nobody passes
+any on or a page is missing. While the store turns the relay away, the routers that would follow it
+as relay read first, and pass on what they read.
 """
 
 from __future__ import annotations
@@ -14,11 +15,13 @@
 
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._source import ChangePage
+from cicadaledge.edge._store_reach import StoreReach
 from cicadaledge.logs import PartLog
 from cicadaledge.wire import StoreNews
 
 _STAMPS = 64  # stamps kept of a peer: more than come within a read that waits at the store
 _NO_STAMP = -1
+_PATIENCE_MS = 800.0  # for a router of the zone to read in the relay's place and pass it on
 _log = PartLog("news")
 
 
@@ -46,10 +49,12 @@
 
     Args:
         send: Sends a message to a linked peer.
+        reach: Whether this router reaches the store.
     """
 
-    def __init__(self, send: Callable[[str, StoreNews], bool]) -> None:
+    def __init__(self, send: Callable[[str, StoreNews], bool], reach: StoreReach) -> None:
         self._send = send
+        self._reach = reach
         self._is_relay = True
         self._receivers: list[str] = []
         self._readers: dict[str, NewsReader] = {}
@@ -62,9 +67,10 @@
         self._readers[reader.topic] = reader
         self._wakers[reader.topic] = asyncio.Event()
 
-    def set_role(self, receivers: list[str], *, is_relay: bool) -> None:
-        """Note whether this router relays for its zone, and to whom."""
-        self._receivers = receivers if is_relay else []
+    def set_role(self, receivers: list[str], *, is_relay: bool, is_candidate: bool = False) -> None:
+        """Note whether this router relays for its zone, or may come to, and to whom."""
+        self._receivers = receivers if is_relay or is_candidate else []
+        self._reach.reads_for_zone = is_relay or is_candidate
         if is_relay and not self._is_relay:
             for waker in self._wakers.values():
                 waker.set()
@@ -80,7 +86,7 @@
         self._stamps.pop(peer, None)
 
     def pass_on(self, topic: str, page: ChangePage, *, after_outage: bool) -> None:
-        """Send a page that was read to the routers of the zone, if this one is their relay."""
+        """Send a page that was read to the routers of the zone, if they follow this one."""
         for peer in self._receivers:
             news = StoreNews(
                 topic,
@@ -99,7 +105,8 @@
             return
         proof_ms = float(news.echo_ms) if news.echo_ms != _NO_STAMP else float("-inf")
         if reader.take_news(news, proof_ms):
-            self._note_fed(news.topic, proof_ms + reader.silence_ms)
+            patience_ms = 0.0 if self._reach.reads_for_zone else _PATIENCE_MS
+            self._note_fed(news.topic, proof_ms + reader.silence_ms + patience_ms)
             return
         _log.info("Relayed page does not fit; reading.", topic=news.topic, offset=news.first_offset)
         self._fed_until_ms[news.topic] = 0.0
@@ -117,8 +124,9 @@
         self._fed_until_ms[topic] = max(former_ms, until_ms)
 
     def feeds(self, topic: str) -> bool:
-        """Return whether the relay's news of a topic are fresh."""
-        return not self._is_relay and clock_ms() < self._fed_until_ms.get(topic, 0.0)
+        """Return whether news of a topic are fresh, and this router need not read them itself."""
+        follows = not self._is_relay or self._reach.is_failing
+        return follows and clock_ms() < self._fed_until_ms.get(topic, 0.0)
 
     async def until_silent(self, topic: str) -> None:
         """Wait while the relay's news may still be fresh."""
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -19,6 +19,7 @@
     MemberSeen,
     StoreError,
 )
+from cicadaledge.edge._store_reach import StoreReach
 from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook
@@ -60,6 +61,7 @@
         load: LoadBook,
         shares: AccountShares,
         shedding: Shedding,
+        reach: StoreReach,
     ) -> None:
         self.leaving = False
         self._settings = settings
@@ -90,7 +92,7 @@
             self._on_up,
             self._on_down,
         )
-        self.news = ZoneNews(self.links.send)
+        self.news = ZoneNews(self.links.send, reach)
 
     async def listen(self) -> None:
         """Accept links."""
@@ -226,7 +228,8 @@
         self._fleet.set_roles(
             relays[own.zone], is_relay=is_relay, members=members, turn_ms=self._turn_ms()
         )
-        self.news.set_role(self._zone_peers(), is_relay=is_relay)
+        is_candidate = own.router in self._candidates(own.zone)
+        self.news.set_role(self._zone_peers(), is_relay=is_relay, is_candidate=is_candidate)
 
     def _is_heard(self, name: str, now_ms: float) -> bool:
         limit_ms = self._settings.timing.relay_silence_ms
