Ask again whether a request may be sent once a connection to its server is there

Operators of similar systems saw processes act on permissions that had run out while they were held. It could happen here: between the choice of a server and the sending lies the wait for a connection; a router that was held there sent the request to a server that had left, or with a key whose proof had grown old. The request is placed anew, by the newest configuration, and was not sent.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -35,6 +36,7 @@
     FAILED = "failed"
     LOST = "lost"
     UNREACHED = "unreached"
+    WITHDRAWN = "withdrawn"
 
 
 @frozen
@@ -81,6 +83,8 @@
         chosen: Where it goes.
         writer: Where the answer goes.
         held: Bounds what is held of answers that are read whole.
+        may_send: Returns whether what allowed the request still holds; asked right before it is
+            sent, as the process can have been held meanwhile.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         load: LoadBook,
         health: ServerHealth,
         held: HeldBytes,
+        may_send: Callable[[], bool],
     ) -> None:
         self.resume_after: str | None = None
         self.first_ms: float | None = None
@@ -105,6 +110,7 @@
         self._load = load
         self._health = health
         self._held = held
+        self._may_send = may_send
 
     async def run(self) -> AttemptResult:
         """Return how it ended; an answer that was begun may be incomplete then."""
@@ -113,6 +119,9 @@
             connection = await self._pool.take(server, repeatable=self._work.route.idempotent)
         except BackendError as error:
             return AttemptResult(AttemptEnd.UNREACHED, str(error))
+        if not self._may_send():
+            self._pool.give_back(server, connection)
+            return AttemptResult(AttemptEnd.WITHDRAWN, "what allowed it no longer holds")
         complete = False
         try:
             result = await self._exchange(connection)
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from functools import partial
 from typing import Any
 
 from cicadaledge.codes import Code, code_info
@@ -235,11 +236,14 @@
                 self._load,
                 self._health,
                 self._held,
+                partial(self._may_send, work, chosen),
             )
             attempt.resume_after = resume_after
             result = await self._run_attempt(work, chosen, attempt)
             if result.end is AttemptEnd.ANSWERED:
                 return
+            if result.end is AttemptEnd.WITHDRAWN:
+                continue
             work.tried.add(chosen.server.server)
             if result.end is AttemptEnd.UNREACHED:
                 unreached += 1
@@ -271,7 +275,7 @@
         ended_ms = clock_ms()
         if result.end is AttemptEnd.UNREACHED:
             self._health.note_unreachable(server, ended_ms)
-        else:
+        elif result.end is not AttemptEnd.WITHDRAWN:
             self._note_health(work, server, failed=result.failed)
         if result.cold_left_ms:
             self._beliefs.directory.note_cold(server, ended_ms + result.cold_left_ms)
@@ -289,6 +293,13 @@
         self._health.note_answer(server, failed, peers, now_ms)
         self._load.note_end(server, now_ms, failed=failed)
 
+    def _may_send(self, work: Work, chosen: Chosen) -> bool:
+        """Return whether the configuration, the key and the server still allow a request."""
+        beliefs = self._beliefs
+        if beliefs.table is not work.table or not beliefs.directory.is_usable(chosen.server):
+            return False
+        return work.account is None or beliefs.may_use_keys(clock_ms())
+
     async def _place(self, work: Work) -> Chosen:
         """Return a server; wait a little for one.
 
