--- a/tests/edge/test_slow_streams.py
+++ b/tests/edge/test_slow_streams.py
@@ -35,7 +35,7 @@
         async with small_world() as world:
             await with_time_out(world, 20_000)
             world.runners[1].gap_s = 0.8
-            answer = await world.call(path, **MODEL, **{"Deadline-Ms": "20000"})
+            answer = await world.call(path, headers={"Deadline-Ms": "20000"}, **MODEL)
             assert (answer.status, answer.complete) == (200, True)
             assert answer.body == world.runners[1].runs[0].answer
 
