--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -158,6 +158,25 @@
     raise typer.Exit(EXIT_REFUSED if broken else 0)
 
 
+@load_app.command()
+def journal(
+    folder: Annotated[Path, typer.Argument(help="Folder of the journal.")] = Path("journal"),
+    deployment: Annotated[str, typer.Option(help="Only deployments whose name begins so.")] = "",
+) -> None:
+    """Print worth by commit and standard day of the plays that the journal keeps."""
+    from cicadaledge.loadtool import journal_table
+    from cicadaledge.platform._journal import read_journal
+
+    if not folder.is_dir():
+        typer.echo(f"folder {folder} does not exist", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    rows = journal_table(read_journal(folder), deployment)
+    if not rows:
+        typer.echo(f"{folder} has no standard day of a deployment named {deployment!r}", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    typer.echo(rows)
+
+
 @load_app.command()
 def demo(
     deployment: Annotated[Path, typer.Argument(help="Deployment file.")],
--- a/src/cicadaledge/loadtool/__init__.py
+++ b/src/cicadaledge/loadtool/__init__.py
@@ -20,6 +20,7 @@
 )
 from cicadaledge.loadtool._fault_line import FaultLine
 from cicadaledge.loadtool._launcher import Launcher, LaunchError
+from cicadaledge.loadtool._played_days import PlayedDay, journal_table
 from cicadaledge.loadtool._replay import Replay, replay_modes
 from cicadaledge.loadtool._replay_day import FLOODED_DAY, HEAVY_DAY, MODES, Mode, ReplayDay, scaled
 from cicadaledge.loadtool._replay_result import REPLAY_HEADER, ReplayResult
@@ -44,6 +45,7 @@
     "Launcher",
     "MODES",
     "Mode",
+    "PlayedDay",
     "PoolSpec",
     "REPLAY_HEADER",
     "Replay",
@@ -55,6 +57,7 @@
     "account_key",
     "broken_promises",
     "compare",
+    "journal_table",
     "load_deployment",
     "load_experiment",
     "load_summary",
--- /dev/null
+++ b/src/cicadaledge/loadtool/_played_days.py
@@ -0,0 +1,62 @@
+"""Worth of whole days of deployments, by commit."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+
+@frozen
+class PlayedDay:
+    """One play of a day.
+
+    Args:
+        deployment: Name of the deployment; small twins and plays without processor time have
+            names of their own.
+        commit: Commit of the code, short; with a plus if it had been changed.
+        at: When the play began.
+        worth: What callers got of what they were owed, less prices.
+        broken: Promises that were broken, and faults.
+    """
+
+    deployment: str
+    day: str
+    commit: str
+    at: str
+    worth: float
+    broken: tuple[str, ...]
+
+
+def journal_table(days: Iterable[PlayedDay], deployment: str = "") -> str:
+    """Return worth by commit and standard day for each deployment; ! marks broken promises.
+
+    Args:
+        deployment: Only those whose name begins so.
+    """
+    rows: dict[str, dict[tuple[str, str], dict[str, PlayedDay]]] = {}
+    for one in days:
+        if one.deployment.startswith(deployment) and _is_standard(one.day):
+            row = rows.setdefault(one.deployment, {}).setdefault((one.at, one.commit), {})
+            row[one.day] = one
+    return "\n\n".join(_section(name, rows[name]) for name in sorted(rows))
+
+
+def _is_standard(day: str) -> bool:
+    kind, _, number = day.partition("-")
+    return kind in ("quiet", "trouble", "scale") and number.isdigit()
+
+
+def _section(name: str, rows: dict[tuple[str, str], dict[str, PlayedDay]]) -> str:
+    days = sorted({day for row in rows.values() for day in row})
+    lines = [name, f"{'begun':20} {'commit':8} " + " ".join(f"{day:>10}" for day in days)]
+    for (at, commit), row in rows.items():
+        cells = [_cell(row.get(day)) for day in days]
+        lines.append(f"{at:20} {commit:8} " + " ".join(f"{cell:>10}" for cell in cells))
+    return "\n".join(lines)
+
+
+def _cell(one: PlayedDay | None) -> str:
+    if one is None:
+        return "-"
+    return f"{one.worth:.3f}{'!' if one.broken else ''}"
