--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from cicadaledge.placing._engine import EngineModel, EngineSettings
-from cicadaledge.placing._failing import FailingServers, ServerEnds
+from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._fleet import FleetLoad, RouterTotals
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
@@ -12,7 +12,7 @@
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._shares import AccountShares, ShareUse, fair_level
 from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
-from cicadaledge.placing._totals import ServerTotals, ServerWaits
+from cicadaledge.placing._totals import ServerEnds, ServerTotals, ServerWaits
 
 __all__ = [
     "AccountShares",
--- a/src/cicadaledge/placing/_failing.py
+++ b/src/cicadaledge/placing/_failing.py
@@ -9,9 +9,10 @@
 from collections.abc import Iterable
 from statistics import median
 
-from attrs import define, frozen
+from attrs import frozen
 
 from cicadaledge.placing._load import LoadBook
+from cicadaledge.placing._totals import ServerEnds
 
 _PERIOD_MS = 200.0  # a tenth of the time in which the evidence is renewed
 _LEAST_ENDS = 6.0  # fewer are chance: a sound server fails one in some hundred
@@ -23,20 +24,13 @@
 
 
 @frozen
-class ServerEnds:
-    """How the requests of one server ended within the last seconds."""
-
-    ended: float = 0.0
-    failed: float = 0.0
-
-    @property
-    def failed_part(self) -> float:
-        """Part of them that failed; 0 while they are too few."""
-        return self.failed / self.ended if self.ended >= _LEAST_ENDS else 0.0
+class _Service:
+    """What was found of one service.
 
+    Args:
+        probed_until_ms: Servers that were failing, and until when a few routers try them.
+    """
 
-@define
-class _Service:
     failing: set[str]
     probed_until_ms: dict[str, float]
     summed_ms: float
@@ -71,17 +65,20 @@
         return left_out | probed if probed else left_out
 
     def _sum(self, service: str, servers: list[str], now_ms: float) -> _Service:
-        parts = {}
-        for name in servers:
-            ended, failed = self._load.ends(name, now_ms)
-            parts[name] = ServerEnds(ended, failed).failed_part
+        parts = {name: _failed_part(self._load.ends(name, now_ms)) for name in servers}
         usual = median(parts.values()) if parts else 0.0
         bound = max(_FAILING_PART, usual * _FAILING_FACTOR)
-        worst = sorted((name for name in servers if parts[name] > bound), key=parts.__getitem__)
-        failing = set(worst[::-1][: int(len(servers) * _MOST_PART)])
+        worst_first = sorted(servers, key=lambda name: parts[name], reverse=True)
+        most = int(len(servers) * _MOST_PART)
+        failing = {name for name in worst_first[:most] if parts[name] > bound}
         former = self._services.get(service)
         probed = former.probed_until_ms if former else {}
         probed = {name: until for name, until in probed.items() if until > now_ms}
         probed |= dict.fromkeys(failing, now_ms + _PROBE_MS)
         known = self._services[service] = _Service(failing, probed, now_ms)
         return known
+
+
+def _failed_part(ends: ServerEnds) -> float:
+    """Return the part of the requests that failed; 0 while they are too few."""
+    return ends.failed / ends.ended if ends.ended >= _LEAST_ENDS else 0.0
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -14,7 +14,7 @@
 
 from attrs import define, evolve, frozen
 
-from cicadaledge.placing._totals import ServerTotals, ServerWaits
+from cicadaledge.placing._totals import ServerEnds, ServerTotals, ServerWaits
 from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
@@ -231,16 +231,15 @@
                 expected_ms += total.expected_ms
         return ServerWaits(waited_ms, expected_ms)
 
-    def ends_of(
-        self, server: str, now_ms: float, ended: float, failed: float
-    ) -> tuple[float, float]:
-        """Return the requests that have ended and failed at the others, on top of these."""
+    def ends_of(self, server: str, now_ms: float, own: ServerEnds) -> ServerEnds:
+        """Return how a server's requests ended at the others, and *own* on top."""
+        ended, failed = own.ended, own.failed
         for one in self._sums(now_ms):
             total = one.servers.get(server)
             if total is not None:
                 ended += total.ended
                 failed += total.failed
-        return ended, failed
+        return ServerEnds(ended, failed)
 
     def account_uses(self, now_ms: float) -> list[AccountUse]:
         """Return the others' rates; accounts may be named several times."""
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -5,13 +5,13 @@
 from attrs import define, field
 
 from cicadaledge.placing._fleet import FleetLoad
-from cicadaledge.placing._rates import RateWindow, TokenRate
-from cicadaledge.placing._totals import ServerTotals, ServerWaits
+from cicadaledge.placing._rates import RateWindow, SlidingSum
+from cicadaledge.placing._totals import ServerEnds, ServerTotals, ServerWaits
 from cicadaledge.wire import ServerUse
 
 _SECOND_MS = 1_000.0
 _NOTHING = ServerTotals()
-_SPEED_MS = 3_000.0  # a slow engine is found in one, and given another chance after three seconds
+_EVIDENCE_MS = 3_000.0  # a slow or failing server is found in one, and gets a chance after three
 _MOST_LATE = 4.0  # times what was expected: one request that queued unseen must not say more
 _BLIND_PART = 0.5  # routers are drawn by chance, and some that are cut off are not counted
 
@@ -41,10 +41,10 @@
     unread_tokens: int = 0
     context_tokens: int = 0
     sent: RateWindow = field(factory=lambda: RateWindow(_SECOND_MS))
-    waited_ms: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
-    expected_ms: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
-    ended: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
-    failed: TokenRate = field(factory=lambda: TokenRate(_SPEED_MS))
+    waited_ms: SlidingSum = field(factory=lambda: SlidingSum(_EVIDENCE_MS))
+    expected_ms: SlidingSum = field(factory=lambda: SlidingSum(_EVIDENCE_MS))
+    ended: SlidingSum = field(factory=lambda: SlidingSum(_EVIDENCE_MS))
+    failed: SlidingSum = field(factory=lambda: SlidingSum(_EVIDENCE_MS))
 
 
 class LoadBook:
@@ -143,13 +143,13 @@
             seen = ServerWaits(own.waited_ms.total(now_ms), own.expected_ms.total(now_ms))
         return self._others.waits_of(server, now_ms, seen)
 
-    def ends(self, server: str, now_ms: float) -> tuple[float, float]:
-        """Return how many requests have ended lately, and how many of them failed."""
+    def ends(self, server: str, now_ms: float) -> ServerEnds:
+        """Return how a server's requests ended, as this router and those heard have seen it."""
         own = self._own.get(server)
-        ended = failed = 0.0
+        seen = ServerEnds()
         if own is not None:
-            ended, failed = own.ended.total(now_ms), own.failed.total(now_ms)
-        return self._others.ends_of(server, now_ms, ended, failed)
+            seen = ServerEnds(own.ended.total(now_ms), own.failed.total(now_ms))
+        return self._others.ends_of(server, now_ms, seen)
 
     def is_chosen_for(self, server: str, count: float) -> bool:
         """Return whether this router is among about *count* ones chosen for a server."""
--- a/src/cicadaledge/placing/_rates.py
+++ b/src/cicadaledge/placing/_rates.py
@@ -29,8 +29,8 @@
         return len(self._times_ms)
 
 
-class TokenRate:
-    """Tokens a second over the last *window_ms*.
+class SlidingSum:
+    """Sum of amounts over the last *window_ms*, and their rate.
 
     Unlike a fading average it forgets a flood as soon as the window has passed.
 
@@ -42,22 +42,22 @@
         self._slice_ms = window_ms / _SLICES
         self._slices: deque[tuple[int, float]] = deque()
 
-    def add(self, tokens: float, now_ms: float) -> None:
-        """Count tokens."""
+    def add(self, amount: float, now_ms: float) -> None:
+        """Count an amount."""
         current = int(now_ms // self._slice_ms)
         if self._slices and self._slices[-1][0] == current:
-            tokens += self._slices.pop()[1]
-        self._slices.append((current, tokens))
+            amount += self._slices.pop()[1]
+        self._slices.append((current, amount))
 
     def total(self, now_ms: float) -> float:
-        """Return the tokens within the window."""
+        """Return the sum of the amounts within the window."""
         first = self._first_slice(now_ms)
         while self._slices and self._slices[0][0] < first:
             self._slices.popleft()
-        return sum(tokens for _, tokens in self._slices)
+        return sum(amount for _, amount in self._slices)
 
     def per_s(self, now_ms: float) -> float:
-        """Return the rate."""
+        """Return the sum a second."""
         covered_ms = now_ms - self._first_slice(now_ms) * self._slice_ms
         return self.total(now_ms) * 1000.0 / covered_ms
 
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from cicadaledge.placing._fleet import FleetLoad
-from cicadaledge.placing._rates import TokenRate
+from cicadaledge.placing._rates import SlidingSum
 from cicadaledge.wire import AccountUse
 
 _LEVEL_PERIOD_MS = 100.0  # a tenth of the time in which a share can change visibly
@@ -54,8 +54,8 @@
     """Rates of one account at this router."""
 
     def __init__(self, window_ms: float) -> None:
-        self.asked = TokenRate(window_ms)
-        self.admitted = TokenRate(window_ms)
+        self.asked = SlidingSum(window_ms)
+        self.admitted = SlidingSum(window_ms)
 
 
 class AccountShares:
--- a/src/cicadaledge/placing/_totals.py
+++ b/src/cicadaledge/placing/_totals.py
@@ -1,4 +1,4 @@
-"""Load and speed of one backend server."""
+"""Load, speed and failures of one backend server."""
 
 from __future__ import annotations
 
@@ -40,3 +40,11 @@
 
     waited_ms: float = 0.0
     expected_ms: float = 0.0
+
+
+@frozen
+class ServerEnds:
+    """How the requests of one server ended within the last seconds."""
+
+    ended: float = 0.0
+    failed: float = 0.0
