--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -234,7 +234,8 @@
     ) -> Chosen | Refused:
         ranked = self._ranking.ranked(call, service.name, usable)
         first = ranked[0]
-        speeds = self._speeds.of(service.name, usable, now_ms)
+        every = self._directory.usable_by_name(service.name)
+        speeds = self._speeds.of(service.name, every, now_ms)
         shared_tokens = sum(part.tokens for part in call.shared_parts)
         if shared_tokens >= self._settings.affine_tokens:
             ranked = self._homes(ranked, speeds, now_ms)
--- a/tests/placing/test_speeds.py
+++ b/tests/placing/test_speeds.py
@@ -132,3 +132,23 @@
             pool.load.end(chosen.placement)
     speeds = EngineSpeeds(SETTINGS, pool.load).of("pool", NAMES, SETTLED_MS + 10.0)
     assert (speeds.factor, speeds.slowness) == (1.0, {})
+
+
+def test_a_request_that_is_bound_to_a_region_does_not_hide_what_is_known_of_others():
+    north = [entry(f"n{number}") for number in range(4)]
+    south = [entry(f"s{number}", zone="zone-b") for number in range(5)]
+    pool = Pool(*north, *south)
+    slow = pool.place(call(1)).server.server
+    for one in north + south:
+        for _ in range(20):
+            placement = Placement(one.server, 1_000, 1_000, 120.0)
+            pool.load.start(placement, SETTLED_MS)
+            waited_ms = 480.0 if one.server == slow else 120.0
+            pool.load.note_wait(placement, waited_ms, SETTLED_MS)
+            pool.load.end(placement)
+    later_ms = SETTLED_MS + 300.0
+    elsewhere = "south" if slow.startswith("n") else "north"
+    assert isinstance(
+        pool.place(call(2, subject="t"), regions=frozenset({elsewhere}), now_ms=later_ms), Chosen
+    )
+    assert pool.place(call(3), now_ms=later_ms + 10.0).server.server != slow
