Keep the ports of launched deployments below those of the tests in one process

Cause: blocks of launched deployments reached from 10,000 to 29,999, the routers of tests/edge take 21,000 to 23,999 and soaks 25,000 and more; a port that was free when it was looked up was taken by the other side before the process listened. What held the port at that moment was not seen.

--- /dev/null
+++ b/tests/edge/test_ports.py
@@ -0,0 +1,16 @@
+"""Tests that run beside each other do not take each other's ports."""
+
+import edge_world
+
+from cicadaledge.loadtool import _deployment
+from cicadaledge.soak import SoakSize
+
+WORKERS = 3  # as tests/run.py starts them
+
+
+def test_launched_deployments_routers_in_process_and_soaks_have_ports_of_their_own():
+    blocks = _deployment._BLOCKS * _deployment._PORTS_PER_BLOCK
+    launched_end = _deployment._LOWEST_PORT + blocks
+    in_process_end = edge_world.FIRST_PORT + WORKERS * edge_world.PORTS_PER_WORKER
+    assert launched_end <= edge_world.FIRST_PORT
+    assert in_process_end <= SoakSize().first_port
