--- a/src/cicadaledge/placing/_failing.py
+++ b/src/cicadaledge/placing/_failing.py
@@ -28,10 +28,11 @@
     """What was found of one service.
 
     Args:
+        left_out: Servers that this router leaves out.
         probed_until_ms: Servers that were failing, and until when a few routers try them.
     """
 
-    failing: set[str]
+    left_out: set[str]
     probed_until_ms: dict[str, float]
     summed_ms: float
 
@@ -56,13 +57,7 @@
         known = self._services.get(service)
         if known is None or now_ms - known.summed_ms >= _PERIOD_MS:
             known = self._sum(service, list(servers), now_ms)
-        left_out = known.failing
-        probed = {
-            name
-            for name in known.probed_until_ms
-            if name not in left_out and not self._load.is_chosen_for(name, _PROBING_ROUTERS)
-        }
-        return left_out | probed if probed else left_out
+        return known.left_out
 
     def _sum(self, service: str, servers: list[str], now_ms: float) -> _Service:
         parts = {name: _failed_part(self._load.ends(name, now_ms)) for name in servers}
@@ -75,7 +70,10 @@
         probed = former.probed_until_ms if former else {}
         probed = {name: until for name, until in probed.items() if until > now_ms}
         probed |= dict.fromkeys(failing, now_ms + _PROBE_MS)
-        known = self._services[service] = _Service(failing, probed, now_ms)
+        left_out = failing | {
+            name for name in probed if not self._load.is_chosen_for(name, _PROBING_ROUTERS)
+        }
+        known = self._services[service] = _Service(left_out, probed, now_ms)
         return known
 
 
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -70,11 +70,6 @@
     ended: int = 0
     failed: int = 0
 
-    @property
-    def says_something(self) -> bool:
-        """Whether there is anything to tell of the server."""
-        return bool(self.running or self.sent_last_s or self.expected_ms or self.ended)
-
     def add(self, use: ServerUse, sign: int) -> None:
         self.running += sign * use.running
         self.unread_tokens += sign * use.unread_tokens
@@ -212,33 +207,27 @@
         """Return what the others have placed on a server, and *own* on top."""
         running, unread_tokens = own.running, own.unread_tokens
         context_tokens, sent_last_s = own.context_tokens, own.sent_last_s
-        for one in self._sums(now_ms):
-            total = one.servers.get(server)
-            if total is not None:
-                running += total.running
-                unread_tokens += total.unread_tokens
-                context_tokens += total.context_tokens
-                sent_last_s += total.sent_last_s
+        for total in self._heard_of(server, now_ms):
+            running += total.running
+            unread_tokens += total.unread_tokens
+            context_tokens += total.context_tokens
+            sent_last_s += total.sent_last_s
         return ServerTotals(running, unread_tokens, context_tokens, sent_last_s)
 
     def waits_of(self, server: str, now_ms: float, own: ServerWaits) -> ServerWaits:
         """Return the first tokens of a server that the others have seen, and *own* on top."""
         waited_ms, expected_ms = own.waited_ms, own.expected_ms
-        for one in self._sums(now_ms):
-            total = one.servers.get(server)
-            if total is not None:
-                waited_ms += total.waited_ms
-                expected_ms += total.expected_ms
+        for total in self._heard_of(server, now_ms):
+            waited_ms += total.waited_ms
+            expected_ms += total.expected_ms
         return ServerWaits(waited_ms, expected_ms)
 
     def ends_of(self, server: str, now_ms: float, own: ServerEnds) -> ServerEnds:
         """Return how a server's requests ended at the others, and *own* on top."""
         ended, failed = own.ended, own.failed
-        for one in self._sums(now_ms):
-            total = one.servers.get(server)
-            if total is not None:
-                ended += total.ended
-                failed += total.failed
+        for total in self._heard_of(server, now_ms):
+            ended += total.ended
+            failed += total.failed
         return ServerEnds(ended, failed)
 
     def account_uses(self, now_ms: float) -> list[AccountUse]:
@@ -279,6 +268,10 @@
             part = self._zone.parts.get(receiver)
             yield receiver, whole if part is None else _without(whole, part, now_ms)
 
+    def _heard_of(self, server: str, now_ms: float) -> list[_Total]:
+        """Return what the others have told of a server."""
+        return [one.servers[server] for one in self._sums(now_ms) if server in one.servers]
+
     def _sums(self, now_ms: float) -> tuple[_PartSum, ...]:
         sums = (self._zone, self._far) if self._is_relay else (self._rest,)
         if now_ms != self._expired_ms:
@@ -310,7 +303,7 @@
         late_ms += one.late_ms
         shedding += one.shedding
         for name, total in one.servers.items():
-            if total.says_something:
+            if _is_telling(total):
                 totals.setdefault(name, _Total()).add(_use(name, total), 1)
         if own.accounts:
             for rate in one.account_uses(now_ms):
@@ -344,15 +337,16 @@
         routers=whole.routers - part.routers,
         late_ms=max(0, whole.late_ms - part.late_ms),
         shedding=max(0, whole.shedding - part.shedding),
-        servers=[
-            use
-            for use in servers.values()
-            if use.running or use.sent_last_s or use.expected_ms or use.ended
-        ],
+        servers=[use for use in servers.values() if _is_telling(use)],
         accounts=list(accounts.values()),
     )
 
 
+def _is_telling(load: _Total | ServerUse) -> bool:
+    """Return whether there is anything to tell of a server."""
+    return bool(load.running or load.sent_last_s or load.expected_ms or load.ended)
+
+
 def _use(name: str, total: _Total) -> ServerUse:
     return ServerUse(
         name,
