--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -142,13 +142,14 @@
             reach,
         )
         self._followers = self._follow(topics, reach)
+        self._listener: Listener | None = None
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Serve until `stop` is called."""
         await self._peers.listen()
-        callers = self._listen(self._settings.callers, self._desk)
+        callers = self._listener = self._listen(self._settings.callers, self._desk)
         probes = self._listen(self._settings.probes, self._probes)
         metrics = self._listen(self._settings.metrics, self._probes)
         parts = [asyncio.create_task(self._keep_running(part)) for part in self._parts()]
@@ -290,16 +291,23 @@
 
     async def _rest(self) -> None:
         """Sleep until the next upkeep; log a loop that comes back late."""
+        listener = self._listener
+        assert listener is not None
         started_ms = clock_ms()
+        accepted = listener.accepted
         await asyncio.sleep(_UPKEEP_S)
         late_ms = clock_ms() - started_ms - _UPKEEP_S * 1000
         self._metrics.set_state("loop_late_ms", late_ms)
+        self._metrics.set_state("accepted", listener.accepted)
+        self._metrics.set_state("callers_wait", float(listener.has_waiting))
         if late_ms > _LATE_MS:
             _log.warning(
                 "The loop is late.",
                 late_ms=round(late_ms),
                 callers=len(self._callers),
                 active=self._desk.active,
+                accepted=listener.accepted - accepted,
+                others_wait=listener.has_waiting,
             )
 
     async def _shut_down(self, callers: Listener) -> None:
--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from cicadaledge.logs import PartLog
+from cicadaledge.wire._kernel import is_readable
 
 _ACCEPTED_AT_ONCE = 4  # a turn of the loop spends at most some 10 ms on new connections
 _FULL_PAUSE_S = 0.1  # descriptors come free as answers end
@@ -24,11 +25,15 @@
     Args:
         make_protocol: Makes the protocol of each connection.
         backlog: Connections that wait to be accepted.
+
+    Attributes:
+        accepted: Connections accepted so far.
     """
 
     def __init__(
         self, make_protocol: Callable[[], asyncio.BaseProtocol], *, backlog: int = 128
     ) -> None:
+        self.accepted = 0
         self._make_protocol = make_protocol
         self._backlog = backlog
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -51,6 +56,11 @@
         """Port that was bound; of interest after a start on port 0."""
         return int(self._sock.getsockname()[1])
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        return self._sock.fileno() >= 0 and is_readable(self._sock.fileno())
+
     async def drain(self) -> int:
         """Accept all connections that wait, then close; return how many waited."""
         waited = 0
@@ -87,6 +97,7 @@
         except OSError as error:
             self._note_error(error)
             return error.errno not in _FULL
+        self.accepted += 1
         sock.setblocking(False)
         task = asyncio.get_running_loop().create_task(self._connect(sock))
         self._tasks.add(task)
