--- a/tests/edge/router_process.py
+++ b/tests/edge/router_process.py
@@ -1,5 +1,9 @@
-"""Runs a router as a process of its own: `router_process.py STORE CALLERS PROBES PEERS METRICS`."""
+"""Runs a router as a process of its own.
 
+`router_process.py STORE CALLERS PROBES PEERS METRICS [DESCRIPTORS]`
+"""
+
+import resource
 import sys
 
 from edge_world import FAST, HOST, SETTINGS, evolve
@@ -18,7 +22,10 @@
 
 
 def main():
-    store, callers, probes, peers, metrics = (Address(HOST, int(port)) for port in sys.argv[1:])
+    ports, descriptors = sys.argv[1:6], int((sys.argv[6:] or ["4096"])[0])
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(descriptors, hard), hard))
+    store, callers, probes, peers, metrics = (Address(HOST, int(port)) for port in ports)
     settings = evolve(
         SETTINGS,
         router=NAME,
@@ -29,6 +36,7 @@
         metrics=metrics,
         bounds=BoundSettings(grace_ms=1_000),
         timing=FAST,
+        descriptors=descriptors,
     )
     client = StoreClient(store.host, store.port)
     members = MemberTopic(client)
--- /dev/null
+++ b/tests/edge/test_flood.py
@@ -0,0 +1,137 @@
+"""More new callers than a router has time or descriptors for, while it says that it is ready."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import time
+from pathlib import Path
+
+from edge_world import HOST, free_port, request_headers, small_world
+
+from cicadaledge.edge import HttpConnection
+from cicadaledge.errors import BackendError
+from cicadaledge.settings import Address
+from cicadaledge.standins import platform_route
+
+PROGRAM = Path(__file__).with_name("router_process.py")
+PATIENCE_S = 1.0  # callers wait no longer for a connection, or for their request to be read
+BODY = b"x" * 7_000
+
+
+@contextlib.asynccontextmanager
+async def router_process(world, *more):
+    """Run a router as a process; yield it with the addresses of its callers and probes."""
+    ports = [world.store.port, *(free_port() for _ in range(4))]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, str(PROGRAM), *map(str, [*ports, *more]), stdout=asyncio.subprocess.DEVNULL
+    )
+    callers, probes = (Address(HOST, port) for port in ports[1:3])
+    try:
+        await world.until(lambda: is_ready(world, probes), within_s=30.0)
+        yield process, callers, probes
+    finally:
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        await process.wait()
+
+
+async def is_ready(world, probes):
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            return (await world.get(probes, "/cicadaledge/readyz")).status == 200
+    except (BackendError, TimeoutError):
+        return False
+
+
+async def call(callers, target, **how):
+    """Return whether a new caller gets an answer, or the connection's end, while it waits."""
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            connection = await HttpConnection.open(callers.host, callers.port, "r", 1_000)
+            try:
+                connection.send("POST", target, request_headers(**how), BODY)
+                await connection.head()
+            finally:
+                connection.abort()
+    except BackendError as error:
+        return error.sent
+    except TimeoutError:
+        return False
+    return True
+
+
+@contextlib.asynccontextmanager
+async def short_of_time(process, *, run_s=0.015, stop_s=0.085):
+    """Let a process run a part of the time only."""
+
+    async def throttle():
+        while True:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(stop_s)
+            process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(run_s)
+
+    task = asyncio.create_task(throttle())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def test_a_ready_router_short_of_time_takes_new_callers_in_a_flood():
+    """One got an account's flood, said that it was ready, and took nobody for seconds."""
+
+    async def play():
+        async with small_world(routers=0, desks=3) as world, router_process(world) as started:
+            process, callers, probes = started
+            taken = []
+            ready = []
+            begin_s = time.monotonic()
+            async with short_of_time(process), asyncio.TaskGroup() as tasks:
+
+                async def one():
+                    at_s = time.monotonic() - begin_s
+                    taken.append((at_s, await call(callers, "/look/1")))
+
+                started = 0
+                while (now_s := time.monotonic() - begin_s) < 5.0:
+                    for _ in range(started, int(now_s * 400)):
+                        tasks.create_task(one())
+                    started = int(now_s * 400)
+                    if len(ready) < now_s:
+                        ready.append(tasks.create_task(is_ready(world, probes)))
+                    await asyncio.sleep(0.005)
+            assert all(one.result() for one in ready)
+            later = [was_taken for at_s, was_taken in taken if at_s > 1.0]
+            assert sum(later) > len(later) * 0.9
+
+    asyncio.run(play())
+
+
+def test_a_ready_router_has_descriptors_left_for_new_callers():
+    """Callers at work and idle connections to servers used all of them up."""
+
+    async def play():
+        async with small_world(routers=0, desks=45) as world:
+            world.configure(routes=[platform_route("look", "desk", "safe", timeoutMs=12_000)])
+            for runner in world.runners:
+                runner.gap_s = 6.0
+            async with router_process(world, 400) as (_, callers, probes):
+                working = []
+                for _ in range(400):
+                    with contextlib.suppress(BackendError):
+                        one = await HttpConnection.open(HOST, callers.port, "r", 200)
+                        one.send("POST", "/look/1", request_headers(Deadline_Ms="12000"), b"{}")
+                        working.append(one)
+                    await asyncio.sleep(0.002)
+                taken = 0
+                for _ in range(20):
+                    if await is_ready(world, probes):
+                        taken += await call(callers, "/look/2")
+                        assert taken
+                assert taken == 20
+                for one in working:
+                    one.abort()
+
+    asyncio.run(play())
