Take all new callers at once, serve the newest first and turn away who has waited too long

Callers saw a router that said it was ready and took none of thousands of new connections. Cause: a saturated loop accepted four connections a turn from a queue of 128 in order of arrival, so each was accepted after its caller had given up (a second), and all work went into requests that nobody waited for. Class: congestion collapse of a first-in-first-out queue whose customers have a deadline.

Ruled out for this state: descriptors (1,190 of 3,900 in the users' record).

Now what waits is accepted at once, which costs a fiftieth of setting a connection up; the newest are set up, four a turn as before, and who has waited a quarter of a second is told "not run, try again" without being parsed. The listener also takes connections that the loop has not noticed, as libuv stops to watch a socket after an error.

--- a/src/cicadaledge/codes.py
+++ b/src/cicadaledge/codes.py
@@ -33,6 +33,7 @@
     NOT_READY = 2005
     NO_CAPACITY = 2006
     KEYS_STALE = 2007
+    ROUTER_BUSY = 2008
     BACKEND_LOST = 3001
     BACKEND_UNREACHABLE = 3002
     STREAM_CUT = 3003
@@ -91,6 +92,7 @@
     Code.KEYS_STALE: CodeInfo(
         503, _NOT_RUN, "This router cannot tell whether the key is still valid."
     ),
+    Code.ROUTER_BUSY: CodeInfo(503, _NOT_RUN, "This router has too many callers."),
     Code.BACKEND_LOST: CodeInfo(
         502, _MAY_HAVE_RUN, "The backend server was lost after the request was sent."
     ),
--- a/src/cicadaledge/edge/_callers.py
+++ b/src/cicadaledge/edge/_callers.py
@@ -4,10 +4,11 @@
 
 from cicadaledge.edge._caller import CallerConnection
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.logs import PartLog
 
-_RESERVED = 200  # descriptors for files, the store and peers
-_CALLER_PART = 0.6  # of the others; the rest is for connections to backend servers
+_CALLER_PART = 0.6  # of the descriptors; the rest is for servers, the store and peers
+_FULL_PART = 0.95  # of the callers' part, from which idle callers make room
 _CROWDED_PART = 0.5  # of the callers' part, from which refused callers are sent away
 _ROOM_PART = 0.1  # of the callers' part that is made free at once
 _log = PartLog("callers")
@@ -17,11 +18,14 @@
     """Keeps count of the callers' connections and closes idle ones where they are too many.
 
     Args:
-        descriptors: File descriptors that the process may use.
+        settings: Gives the descriptors that connections may use.
+
+    Attributes:
+        limit: Most callers.
     """
 
-    def __init__(self, descriptors: int) -> None:
-        self.limit = max(1, int((descriptors - _RESERVED) * _CALLER_PART))
+    def __init__(self, settings: EdgeSettings) -> None:
+        self.limit = max(1, int(settings.connections * _CALLER_PART))
         self._connections: set[CallerConnection] = set()
 
     def __len__(self) -> int:
@@ -32,10 +36,15 @@
         """Whether a caller that is refused should open another connection elsewhere."""
         return len(self._connections) > self.limit * _CROWDED_PART
 
+    @property
+    def has_room(self) -> bool:
+        """Whether one more may connect."""
+        return len(self._connections) < self.limit
+
     def add(self, connection: CallerConnection) -> None:
         """Count a connection; make room if there are too many."""
         self._connections.add(connection)
-        if len(self._connections) > self.limit:
+        if len(self._connections) > self.limit * _FULL_PART:
             self._make_room()
 
     def discard(self, connection: CallerConnection) -> None:
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -20,6 +20,7 @@
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
 from cicadaledge.edge._follow import FollowTimes, TopicFollower
+from cicadaledge.edge._gate import CallerGate
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._peers import PeerKeeper
@@ -101,7 +102,8 @@
         self._settings = settings
         self._beliefs = Beliefs(settings)
         self._metrics = EdgeMetrics()
-        self._callers = CallerConnections(settings.descriptors)
+        self._callers = CallerConnections(settings)
+        self._gate = CallerGate(self._callers, dialect, self._metrics)
         fleet = FleetLoad(settings.router)
         self._load = LoadBook(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
@@ -234,7 +236,8 @@
         def accept() -> Channel:
             return Channel(lambda channel: self._start(channel, service))
 
-        listener = Listener(accept, backlog=_BACKLOG)
+        gate = self._gate if service is self._desk else None
+        listener = Listener(accept, backlog=_BACKLOG, gate=gate)
         listener.start(address.host, address.port)
         return listener
 
@@ -263,6 +266,7 @@
         while True:
             self._pool.close_idle()
             self._placer.forget_servers(self._beliefs.directory.names())
+            self._gate.report()
             self._metrics.set_state("callers", len(self._callers))
             self._metrics.set_state("active", self._desk.active)
             self._metrics.set_state("peers", len(self._peers.links.peers()))
@@ -297,6 +301,7 @@
         accepted = listener.accepted
         await asyncio.sleep(_UPKEEP_S)
         late_ms = clock_ms() - started_ms - _UPKEEP_S * 1000
+        listener.check()
         self._metrics.set_state("loop_late_ms", late_ms)
         self._metrics.set_state("accepted", listener.accepted)
         self._metrics.set_state("callers_wait", float(listener.has_waiting))
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -26,6 +26,11 @@
             "Sendings to backend servers by how they ended.",
             registry=registry,
         )
+        self._turned_away = aioprometheus.Counter(
+            "cicadaledge_callers_turned_away_total",
+            "New callers that were turned away before their request was taken.",
+            registry=registry,
+        )
         self._left = aioprometheus.Counter(
             "cicadaledge_callers_left_total",
             "Requests whose caller left before the answer.",
@@ -59,6 +64,10 @@
         """Count a caller that left."""
         self._left.inc({})
 
+    def turned_away(self, count: int) -> None:
+        """Count new callers that were turned away."""
+        self._turned_away.add({}, count)
+
     def first_byte(self, seconds: float) -> None:
         """Note the time to the first byte of a server's answer."""
         self._first.add({}, seconds)
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -9,6 +9,8 @@
 from cicadaledge.placing import PlacingSettings
 from cicadaledge.settings import Address
 
+_FILES = 200  # descriptors that are left for files, listeners and pipes
+
 
 @frozen
 class BoundSettings:
@@ -115,6 +117,11 @@
     placing: PlacingSettings = field(factory=PlacingSettings)
     shedding: SheddingSettings = field(factory=SheddingSettings)
 
+    @property
+    def connections(self) -> int:
+        """How many connections the process may have."""
+        return self.descriptors - _FILES
+
     def region_of(self, zone: str) -> str:
         """Return the region of an availability zone, or an empty string."""
         return self.regions_by_zone.get(zone, "")
--- a/src/cicadaledge/wire/__init__.py
+++ b/src/cicadaledge/wire/__init__.py
@@ -3,7 +3,7 @@
 from cicadaledge.wire._codec import FRAME_LIMIT_BYTES, NameTable, decode_message, encode_message
 from cicadaledge.wire._kernel import is_readable, is_writable
 from cicadaledge.wire._links import LinkStats, PeerLinks
-from cicadaledge.wire._listener import Listener
+from cicadaledge.wire._listener import Gate, Listener
 from cicadaledge.wire._messages import (
     AccountCost,
     AccountUse,
@@ -40,6 +40,7 @@
     Withdraw,
     Witness,
 )
+from cicadaledge.wire._newcomers import Newcomers
 
 __all__ = [
     "FRAME_LIMIT_BYTES",
@@ -51,6 +52,7 @@
     "Descriptor",
     "Done",
     "Enqueue",
+    "Gate",
     "Grant",
     "Heartbeat",
     "Hello",
@@ -63,6 +65,7 @@
     "Listener",
     "LoadView",
     "NameTable",
+    "Newcomers",
     "Outcome",
     "PeerLinks",
     "Poisoned",
--- /dev/null
+++ b/tests/edge/test_gate.py
@@ -0,0 +1,66 @@
+"""Callers that are turned away get a true answer, or none."""
+
+import json
+import socket
+
+import pytest
+from edge_world import SETTINGS
+
+from cicadaledge.edge._callers import CallerConnections
+from cicadaledge.edge._gate import CallerGate
+from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.platform import PlatformDialect
+
+REQUEST = b"POST /book/1 HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2\r\n\r\n{}"
+
+
+@pytest.fixture
+def gate():
+    return CallerGate(CallerConnections(SETTINGS), PlatformDialect(), EdgeMetrics())
+
+
+@pytest.fixture
+def ends():
+    caller, router = socket.socketpair()
+    router.setblocking(False)
+    caller.settimeout(2.0)
+    yield caller, router
+    caller.close()
+
+
+def received(caller):
+    data = b""
+    while piece := caller.recv(65_536):
+        data += piece
+    return data
+
+
+def test_a_caller_that_has_asked_is_told_that_nothing_was_run(gate, ends):
+    caller, router = ends
+    caller.sendall(REQUEST)
+    gate.turn_away(router)
+    head, _, body = received(caller).partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"HTTP/1.1 503 Service Unavailable"
+    assert b"Retry-After: 0.050" in lines
+    assert b"Connection: close" in lines
+    assert b"Content-Length: %d" % len(body) in lines
+    error = json.loads(body)["error"]
+    assert (error["code"], error["run_state"]) == (2008, "not_run")
+    assert router.fileno() < 0
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /book/1 HTTP/1.1\r\nHost: site"])
+def test_a_caller_that_has_not_asked_yet_gets_no_answer(gate, ends, sent):
+    caller, router = ends
+    caller.sendall(sent)
+    gate.turn_away(router)
+    assert received(caller) == b""
+
+
+def test_a_caller_that_has_gone_is_no_error(gate, ends):
+    caller, router = ends
+    caller.sendall(REQUEST)
+    caller.close()
+    gate.turn_away(router)
+    assert router.fileno() < 0
