Leave descriptors for new callers: bound connections to servers, and say not ready when short

Callers found a ready router that took nobody: callers at work and connections to servers, the idle ones per server and not in all, used up every descriptor.

Connections to servers are bounded over all servers, the longest idle one makes room, and a request that finds none left is refused at once as not run, with no word against the server. A listener that could not accept for want of descriptors takes the router out of the balancer's rotation.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -13,7 +13,7 @@
 from cicadaledge.edge._events import EventCutter
 from cicadaledge.edge._held import HeldBody, HeldBytes
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
-from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._server_pool import NoConnectionLeftError, ServerPool
 from cicadaledge.errors import BackendError
 from cicadaledge.placing import Chosen, LoadBook, ServerHealth
 from cicadaledge.routing import RouteKind
@@ -37,6 +37,7 @@
     LOST = "lost"
     UNREACHED = "unreached"
     WITHDRAWN = "withdrawn"
+    CROWDED = "no connection left"
 
 
 @frozen
@@ -119,6 +120,8 @@
             connection = await self._pool.take(server, repeatable=self._work.route.idempotent)
         except BackendError as error:
             return AttemptResult(AttemptEnd.UNREACHED, str(error))
+        except NoConnectionLeftError as error:
+            return AttemptResult(AttemptEnd.CROWDED, str(error))
         if not self._may_send():
             self._pool.give_back(server, connection)
             return AttemptResult(AttemptEnd.WITHDRAWN, "what allowed it no longer holds")
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -107,7 +107,7 @@
         fleet = FleetLoad(settings.router)
         self._load = LoadBook(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
-        self._pool = ServerPool(settings.timing)
+        self._pool = ServerPool(settings)
         self._fleet = fleet
         self._shedding = Shedding(settings.shedding)
         reach = StoreReach()
@@ -230,6 +230,8 @@
             and self._beliefs.servers_known
             and self._beliefs.may_use_keys(clock_ms())
             and not self._shedding.is_active
+            and self._listener is not None
+            and not self._listener.is_short
         )
 
     def _listen(self, address: Address, service: CallerService) -> Listener:
@@ -268,6 +270,7 @@
             self._placer.forget_servers(self._beliefs.directory.names())
             self._gate.report()
             self._metrics.set_state("callers", len(self._callers))
+            self._metrics.set_state("server_connections", len(self._pool))
             self._metrics.set_state("active", self._desk.active)
             self._metrics.set_state("peers", len(self._peers.links.peers()))
             self._metrics.set_state("proof_age_ms", self._beliefs.proof_age_ms(clock_ms()))
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -244,6 +244,8 @@
                 return
             if result.end is AttemptEnd.WITHDRAWN:
                 continue
+            if result.end is AttemptEnd.CROWDED:
+                raise self._no_capacity(work, result.reason, _BUSY_RETRY_MS)
             work.tried.add(chosen.server.server)
             if result.end is AttemptEnd.UNREACHED:
                 unreached += 1
@@ -275,7 +277,7 @@
         ended_ms = clock_ms()
         if result.end is AttemptEnd.UNREACHED:
             self._health.note_unreachable(server, ended_ms)
-        elif result.end is not AttemptEnd.WITHDRAWN:
+        elif result.end not in (AttemptEnd.WITHDRAWN, AttemptEnd.CROWDED):
             self._note_health(work, server, failed=result.failed)
         if result.cold_left_ms:
             self._beliefs.directory.note_cold(server, ended_ms + result.cold_left_ms)
@@ -320,10 +322,15 @@
                 return choice
             if now_ms + _HOLD_STEP_S * 1000 > hold_until_ms:
                 self._lines.not_placed(work, choice, use, now_ms)
-                code = Code.BACKEND_LOST if work.may_have_run else Code.NO_CAPACITY
-                raise RefusalError(code, choice.reason, retry_after_ms=int(choice.retry_after_ms))
+                raise self._no_capacity(work, choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
 
+    @staticmethod
+    def _no_capacity(work: Work, reason: str, retry_after_ms: float) -> RefusalError:
+        """Return the refusal of a request that no server can take now."""
+        code = Code.BACKEND_LOST if work.may_have_run else Code.NO_CAPACITY
+        return RefusalError(code, reason, retry_after_ms=int(retry_after_ms))
+
     def _share_use(self, work: Work, now_ms: float) -> ShareUse:
         if work.account is None or work.service.engine is None:
             return ShareUse()
--- a/tests/edge/test_server_pool.py
+++ b/tests/edge/test_server_pool.py
@@ -7,10 +7,10 @@
 
 import pytest
 import uvloop
-from edge_world import ENTRY, FAST, evolve
+from edge_world import ENTRY, SETTINGS, evolve
 
 from cicadaledge.edge import HttpConnection
-from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._server_pool import NoConnectionLeftError, ServerPool
 from cicadaledge.errors import BackendError
 
 HOST = "127.0.0.1"
@@ -69,7 +69,7 @@
     async def play():
         server = ThreadedServer()
         entry = evolve(ENTRY, host=HOST, port=server.port)
-        pool = ServerPool(FAST)
+        pool = ServerPool(SETTINGS)
         assert await exchange(pool, entry) == b"done"
         if what == "close":
             server.socks[0].shutdown(socket.SHUT_RDWR)
@@ -88,7 +88,7 @@
     async def play():
         server = ThreadedServer()
         entry = evolve(ENTRY, host=HOST, port=server.port)
-        pool = ServerPool(FAST)
+        pool = ServerPool(SETTINGS)
         for _ in range(3):
             assert await exchange(pool, entry) == b"done"
             time.sleep(0.05)
@@ -98,6 +98,31 @@
     run(play())
 
 
+@pytest.mark.parametrize("run", RUNNERS)
+def test_idle_connections_make_room_before_none_is_left(run):
+    async def play():
+        servers = [ThreadedServer() for _ in "abc"]
+        entries = [
+            evolve(ENTRY, server=f"desk-{place}", host=HOST, port=server.port)
+            for place, server in enumerate(servers)
+        ]
+        pool = ServerPool(evolve(SETTINGS, descriptors=206))  # two connections
+        for entry in entries[:2]:
+            assert await exchange(pool, entry) == b"done"
+        used = [await pool.take(entry, repeatable=True) for entry in entries[1:]]
+        assert len(servers[1].socks) == 1
+        with pytest.raises(NoConnectionLeftError):
+            await pool.take(entries[0], repeatable=True)
+        used[0].abort()
+        await asyncio.sleep(0.05)
+        assert await exchange(pool, entries[0]) == b"done"
+        used[1].abort()
+        for server in servers:
+            server.close()
+
+    run(play())
+
+
 @pytest.mark.parametrize("run", RUNNERS)
 def test_a_server_that_accepted_while_the_loop_was_busy_is_reached(run):
     """A good server was declared not reached."""
