Believe a refusal without an id on a new connection only, and join only sequels to a stream

On a kept connection a server wrote an earlier refusal once more (no id) and ran the request: the caller got 503, "not run". `Attempt` took any refusal without an id for the request's own. And a resumed stream got a 200 that was no event stream: its text stood behind the events and the stream ended as complete, as nothing was checked of what was joined.

A refusal without an id counts where nothing else on the connection could be answered; elsewhere the request may have run, the connection is given up, and health is not touched. Each event of a resumed stream must have an id above the one before it, and the stream must end behind a whole event. The stand-in echoes ids in refusals, as servers do.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -10,7 +10,7 @@
 
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
-from cicadaledge.edge._events import EventCutter
+from cicadaledge.edge._events import EventCutter, NoSequelError
 from cicadaledge.edge._held import HeldBody, HeldBytes
 from cicadaledge.edge._http_client import AnswerHead, Headers, HttpConnection
 from cicadaledge.edge._server_pool import NoConnectionLeftError, ServerPool
@@ -38,6 +38,7 @@
     UNREACHED = "unreached"
     WITHDRAWN = "withdrawn"
     CROWDED = "no connection left"
+    UNNAMED = "refusal of an unnamed request"
 
 
 @frozen
@@ -112,6 +113,7 @@
         self._health = health
         self._held = held
         self._may_send = may_send
+        self._passed_over = 0
 
     async def run(self) -> AttemptResult:
         """Return how it ended; an answer that was begun may be incomplete then."""
@@ -128,7 +130,7 @@
         complete = False
         try:
             result = await self._exchange(connection)
-            complete = True
+            complete = result.end is not AttemptEnd.UNNAMED
             return result
         except BackendError as error:
             if not error.sent:
@@ -151,6 +153,9 @@
         self._work.may_have_run = True
         head, signs = await self._own_head(connection)
         self._health.note_reached(self._chosen.server.server)
+        if signs.request_id is None and not self._is_only_request(connection):
+            reason = "a refusal without an id came on a used connection"
+            return AttemptResult(AttemptEnd.UNNAMED, reason, head.status)
         if signs.not_run:
             await connection.body(_PASSED_OVER_BYTES)
             self._work.may_have_run = ran_before
@@ -175,10 +180,15 @@
             if signs.not_run and signs.request_id is None:
                 return head, signs
             await connection.body(_PASSED_OVER_BYTES)
+            self._passed_over += 1
             if not connection.skip_answer():
                 break
         raise BackendError(f"{connection.peer} answered another request", sent=True)
 
+    def _is_only_request(self, connection: HttpConnection) -> bool:
+        """Return whether a connection has carried nothing else that could be answered."""
+        return not connection.exchanges and not self._passed_over
+
     async def _relay_whole(
         self, connection: HttpConnection, head: AnswerHead, signs: AnswerSigns
     ) -> AttemptResult:
@@ -223,7 +233,16 @@
         Where another server may go on with the stream, whole events only, and the last id is
         kept in `resume_after`, until an event is too long to hold.
         """
-        cutter = EventCutter() if self._work.route.resumable else None
+        after = (self.resume_after or "") if self._writer.started else None
+        cutter = EventCutter(after) if self._work.route.resumable else None
+        try:
+            await self._relay_events(connection, head, cutter)
+        except NoSequelError as error:
+            raise BackendError(f"{connection.peer}: {error}", sent=True) from error
+
+    async def _relay_events(
+        self, connection: HttpConnection, head: AnswerHead, cutter: EventCutter | None
+    ) -> None:
         while (piece := await connection.piece()) is not None:
             self._note_first()
             self._start_answer(head)
@@ -235,7 +254,7 @@
             if data:
                 await self._writer.piece(data)
         self._start_answer(head)
-        rest = cutter.take_rest() if cutter else b""
+        rest = cutter.end() if cutter else b""
         if rest:
             await self._writer.piece(rest)
         self._writer.end()
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -47,11 +47,15 @@
     Args:
         channel: Connected channel.
         peer: Named in errors.
+
+    Attributes:
+        exchanges: Exchanges that were completed before.
     """
 
     def __init__(self, channel: Channel, peer: str) -> None:
         self.peer = peer
         self.channel = channel
+        self.exchanges = 0
         self.used_ms = clock_ms()
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES)
         self._idle_ms = _DEFAULT_IDLE_MS
@@ -156,6 +160,7 @@
         if self._h11.trailing_data[0] or self.channel.has_unread:
             return False
         self._h11.start_next_cycle()
+        self.exchanges += 1
         return True
 
     def is_usable(self, idle_limit_ms: float) -> bool:
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -113,14 +113,15 @@
         headers: dict[str, str] = {}
         for name, value in head.headers:
             headers.setdefault(name.decode().lower(), value.decode("latin-1"))
+        named = [(b"Attempt-Id", headers.get("attempt-id", "").encode())]
         expected = headers.get("expect-instance", self.instance)
         if expected != self.instance:
             self.refused += 1
-            await writer.whole(421, [(b"Instance-Id", self.instance.encode())], b"")
+            await writer.whole(421, [*named, (b"Instance-Id", self.instance.encode())], b"")
             return
         if self.faults.full:
             self.refused += 1
-            await writer.whole(503, [(b"Not-Executed", b"1")], b"full")
+            await writer.whole(503, [*named, (b"Not-Executed", b"1")], b"full")
             return
         run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
         run.at_ms = clock_ms()
--- a/tests/edge/test_bad_answers.py
+++ b/tests/edge/test_bad_answers.py
@@ -98,6 +98,53 @@
     asyncio.run(play())
 
 
+REFUSAL = b"HTTP/1.1 %b\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"429 Many"])
+def test_a_refusal_without_an_id_on_a_used_connection_is_no_promise(status):
+    """A server wrote an earlier refusal once more, and ran the request that was told "not run"."""
+
+    async def play():
+        async with small_world() as world:
+            for number in range(3):
+                assert (await world.call(f"/book/{number}")).status == 200
+            world.runners[0].faults = RunnerFaults(raw=REFUSAL % status)
+            answer = await world.call("/book/3")
+            assert [run.target for run in world.runners[0].runs][3:] == ["/book/3"]
+            assert answer.status == 502
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected"])
+def test_a_refusal_without_an_id_on_a_new_connection_is_of_the_request(status):
+    async def play():
+        async with small_world() as world:
+            world.runners[0].faults = RunnerFaults(raw=REFUSAL % status)
+            assert (await world.call("/book/1")).status == 503
+
+    asyncio.run(play())
+
+
+def test_a_refusal_without_an_id_does_not_discredit_a_server():
+    async def play():
+        async with small_world(desks=2) as world:
+            for number in range(6):
+                await world.call(f"/look/{number}")
+            for runner in world.runners[:2]:
+                runner.faults = RunnerFaults(raw=REFUSAL % b"503 Full")
+            for number in range(6):
+                await world.call(f"/look/{number}")
+            for runner in world.runners[:2]:
+                runner.faults = RunnerFaults()
+                runner.runs.clear()
+            await asyncio.gather(*(world.call("/look/1") for _ in range(8)))
+            assert min(len(runner.runs) for runner in world.runners[:2]) >= 2
+
+    asyncio.run(play())
+
+
 def test_a_servers_own_failure_is_passed_on_with_its_seal():
     async def play():
         async with small_world() as world:
@@ -185,6 +232,37 @@
     asyncio.run(play())
 
 
+ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nResponse-Seal: x\r\nContent-Length: %d\r\n\r\n%b"
+NO_SEQUEL = {
+    "a text": b"oops",
+    "a page": b"<html>\n\n</html>\n\n",
+    "events without ids": b"data: oops\n\n",
+    "events from the start": b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n",
+    "half an event": b"id: 3\ndata: pie",
+}
+
+
+@pytest.mark.parametrize("body", NO_SEQUEL.values(), ids=NO_SEQUEL)
+def test_what_is_no_sequel_of_a_stream_is_never_joined_to_it(body):
+    """An error's text stood in the middle of a stream, which ended as if it were complete."""
+
+    async def play():
+        async with small_world(pools=2) as world:
+            pools = world.runners[1:]
+            for number in range(4):
+                broken, other = pools[number % 2], pools[1 - number % 2]
+                broken.faults = RunnerFaults(break_after=2)
+                other.faults = RunnerFaults(raw=ANSWER % (len(body), body))
+                first = len(broken.runs)
+                answer = await world.call("/chat/1", headers={"Attempt_Id": "mine"}, **MODEL)
+                if len(broken.runs) > first and answer.body:
+                    assert not answer.complete
+                    expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2))
+                    assert answer.body == expected
+
+    asyncio.run(play())
+
+
 def test_a_stream_that_the_caller_resumed_goes_on_behind_what_was_passed_on():
     """No event comes twice if the server breaks off once more."""
 
