Heed servers that say in an answer that they leave or want a pause

Nothing read `Server-Leaving`, or the `Retry-After` of a server's refusal: a leaving server whose entry said "ready" went on to get requests, and so did one that had asked for a pause. And a header `Cold-Ms` that could not be read made the router answer 500 for a request that had run.

Headers are decoded once, in the adapter; what cannot be read is dropped, named in a bounded line and counted. Both words are bound to the server's incarnation in `ServerDirectory`, which already decides who may get requests: in placing, and again right before sending. While all servers of a service pause, callers are refused at once and told when the first pause ends. Pauses end at slightly different times at each router.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -87,6 +87,7 @@
         held: Bounds what is held of answers that are read whole.
         may_send: Returns whether what allowed the request still holds; asked right before it is
             sent, as the process can have been held meanwhile.
+        note_signs: Takes what each answer tells of its server.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         health: ServerHealth,
         held: HeldBytes,
         may_send: Callable[[], bool],
+        note_signs: Callable[[AnswerSigns], None],
     ) -> None:
         self.resume_after: str | None = None
         self.first_ms: float | None = None
@@ -113,6 +115,7 @@
         self._health = health
         self._held = held
         self._may_send = may_send
+        self._note_signs = note_signs
         self._passed_over = 0
 
     async def run(self) -> AttemptResult:
@@ -175,6 +178,7 @@
         for _ in range(_STRAY_ANSWERS + 1):
             head = await connection.head()
             signs = self._dialect.read_signs(head)
+            self._note_signs(signs)
             if signs.request_id == self._work.call.request_id:
                 return head, signs
             if signs.not_run and signs.request_id is None:
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -14,13 +14,14 @@
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._dialect import Dialect
+from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._request_lines import RequestLines
 from cicadaledge.edge._retries import RetryBudget
 from cicadaledge.edge._server_pool import ServerPool
+from cicadaledge.edge._server_words import ServerWords
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._work import Work
@@ -83,6 +84,7 @@
         self._shedding = shedding
         self._metrics = metrics
         self._held = HeldBytes()
+        self._words = ServerWords(beliefs.directory, metrics)
         self._retries = RetryBudget(settings.bounds)
         self._chance = random.Random()
         self._lines = RequestLines(beliefs, load, shares)
@@ -237,6 +239,7 @@
                 self._health,
                 self._held,
                 partial(self._may_send, work, chosen),
+                partial(self._note_signs, chosen),
             )
             attempt.resume_after = resume_after
             result = await self._run_attempt(work, chosen, attempt)
@@ -295,12 +298,18 @@
         self._health.note_answer(server, failed, peers, now_ms)
         self._load.note_end(server, now_ms, failed=failed)
 
+    def _note_signs(self, chosen: Chosen, signs: AnswerSigns) -> None:
+        self._words.take(chosen.server, signs, clock_ms())
+
     def _may_send(self, work: Work, chosen: Chosen) -> bool:
         """Return whether the configuration, the key and the server still allow a request."""
         beliefs = self._beliefs
-        if beliefs.table is not work.table or not beliefs.directory.is_usable(chosen.server):
+        now_ms = clock_ms()
+        if beliefs.table is not work.table:
+            return False
+        if not beliefs.directory.is_usable(chosen.server, now_ms):
             return False
-        return work.account is None or beliefs.may_use_keys(clock_ms())
+        return work.account is None or beliefs.may_use_keys(now_ms)
 
     async def _place(self, work: Work) -> Chosen:
         """Return a server; wait a little for one.
@@ -320,7 +329,8 @@
                 if work.account is not None and work.service.engine is not None:
                     self._shares.note_admitted(work.account.name, work.call.cost_tokens, now_ms)
                 return choice
-            if now_ms + _HOLD_STEP_S * 1000 > hold_until_ms:
+            again_ms = max(now_ms + _HOLD_STEP_S * 1000, choice.opens_ms)
+            if again_ms > hold_until_ms:
                 self._lines.not_placed(work, choice, use, now_ms)
                 raise self._no_capacity(work, choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
--- a/src/cicadaledge/edge/_dialect.py
+++ b/src/cicadaledge/edge/_dialect.py
@@ -19,12 +19,18 @@
         not_run: Whether the server states that it did not run the request.
         wrong_server: Whether another server has the address now.
         cold_left_ms: How long the server stays cold, or None.
+        leaving: Whether the server states that it is about to leave.
+        pause_ms: How long the server wants nothing more, or None.
+        unreadable: Headers whose value says nothing.
     """
 
     request_id: str | None
     not_run: bool
     wrong_server: bool
     cold_left_ms: float | None
+    leaving: bool = False
+    pause_ms: float | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 class Dialect(Protocol):
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -34,11 +34,12 @@
 
     def get(self, name: bytes) -> str | None:
         """Return the first header of a name (any case), or None."""
+        return next(iter(self.get_all(name)), None)
+
+    def get_all(self, name: bytes) -> list[str]:
+        """Return all headers of a name (any case), in order."""
         lowered = name.lower()
-        for key, value in self.headers:
-            if key.lower() == lowered:
-                return value.decode("latin-1")
-        return None
+        return [value.decode("latin-1") for key, value in self.headers if key.lower() == lowered]
 
 
 class HttpConnection:
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -26,6 +26,11 @@
             "Sendings to backend servers by how they ended.",
             registry=registry,
         )
+        self._said = aioprometheus.Counter(
+            "cicadaledge_server_words_total",
+            "What servers said of themselves in answers.",
+            registry=registry,
+        )
         self._turned_away = aioprometheus.Counter(
             "cicadaledge_callers_turned_away_total",
             "New callers that were turned away before their request was taken.",
@@ -64,6 +69,10 @@
         """Count a caller that left."""
         self._left.inc({})
 
+    def server_said(self, what: str) -> None:
+        """Count what a server said of itself."""
+        self._said.inc({"what": what})
+
     def turned_away(self, count: int) -> None:
         """Count new callers that were turned away."""
         self._turned_away.add({}, count)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -112,6 +112,7 @@
         server: The server that it would have gone to first; empty if there is none.
         totals: Load of that server.
         limit: The bound that it met there, or None.
+        opens_ms: No server takes it before this time; 0 if that is not known.
     """
 
     reason: str
@@ -119,6 +120,7 @@
     server: str = ""
     totals: ServerTotals = ServerTotals()
     limit: Limit | None = None
+    opens_ms: float = 0.0
 
 
 @frozen
@@ -176,9 +178,10 @@
             tried: Servers that have had it already.
             use: What its account gets.
         """
-        usable = self._candidates(service, regions, tried, now_ms)
+        allowed = self._allowed(service, regions, tried)
+        usable = self._candidates(service, allowed, now_ms)
         if not usable:
-            return Refused("no server", self._settings.long_retry_ms)
+            return self._none_usable(allowed, now_ms)
         if service.engine is None:
             return self._choose_plain(usable.values(), service, now_ms)
         return self._choose_engine(call, route, service, usable, use, now_ms)
@@ -190,16 +193,27 @@
         if call.prompt_tokens:
             self._engine(chosen.server.server).remember(call.shared_parts)
 
+    def _allowed(
+        self, service: Service, regions: frozenset[str] | None, tried: set[str]
+    ) -> dict[str, ServerEntry]:
+        """Return the servers that may run a request at all."""
+        every = self._directory.usable_by_name(service.name)
+        if regions is None and not tried:
+            return every
+        return {
+            name: entry
+            for name, entry in every.items()
+            if name not in tried and (regions is None or self._region_of(entry.zone) in regions)
+        }
+
     def _candidates(
-        self, service: Service, regions: frozenset[str] | None, tried: set[str], now_ms: float
+        self, service: Service, allowed: dict[str, ServerEntry], now_ms: float
     ) -> dict[str, ServerEntry]:
-        allowed = every = self._directory.usable_by_name(service.name)
-        if regions is not None or tried:
-            allowed = {
-                name: entry
-                for name, entry in allowed.items()
-                if name not in tried and (regions is None or self._region_of(entry.zone) in regions)
-            }
+        """Return those that want requests; without the dubious ones, if others are left."""
+        every = self._directory.usable_by_name(service.name)
+        paused = self._directory.paused(now_ms)
+        if paused:
+            allowed = {name: entry for name, entry in allowed.items() if name not in paused}
         failing = self._failing.of(service.name, every, now_ms)
         avoided = self._health.ejected(now_ms) | self._directory.doubted() | failing
         if not avoided:
@@ -207,6 +221,15 @@
         sound = {name: entry for name, entry in allowed.items() if name not in avoided}
         return sound or allowed
 
+    def _none_usable(self, allowed: dict[str, ServerEntry], now_ms: float) -> Refused:
+        settings = self._settings
+        ends_ms = [self._directory.paused_until_ms(name) for name in allowed]
+        if not ends_ms:
+            return Refused("no server", settings.long_retry_ms)
+        opens_ms = min(ends_ms)
+        retry_ms = min(max(opens_ms - now_ms, settings.short_retry_ms), settings.long_retry_ms)
+        return Refused("servers ask for a pause", retry_ms, opens_ms=opens_ms)
+
     def _choose_plain(
         self, usable: Iterable[ServerEntry], service: Service, now_ms: float
     ) -> Chosen | Refused:
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+from typing import TypeVar
+
 from cicadaledge.edge import AnswerHead, AnswerSigns, Headers
 from cicadaledge.routing import Call, PromptPart, ServerEntry
 
 _KEY_SCHEME = "Token "
 _MISDIRECTED = 421
+_BUSY = 503
+_MS_PER_S = 1_000.0
+
+T = TypeVar("T")
 
 # Headers that concern one connection only.
 _HOP_HEADERS = frozenset(
@@ -67,7 +75,7 @@
             ],
             body=body,
             started_ms=started_ms,
-            deadline_ms=_milliseconds(named.get(b"deadline-ms")),
+            deadline_ms=_deadline_ms(named.get(b"deadline-ms")),
             key=_key(named.get(b"authorization")),
             prompt_tokens=tokens_in,
             output_tokens=tokens_out,
@@ -103,11 +111,15 @@
     def read_signs(self, head: AnswerHead) -> AnswerSigns:
         """Return what an answer's head says."""
         wrong_server = head.status == _MISDIRECTED
+        read = _SignReader(head)
         return AnswerSigns(
             request_id=head.get(b"Attempt-Id"),
             not_run=wrong_server or head.get(b"Not-Executed") is not None,
             wrong_server=wrong_server,
-            cold_left_ms=_milliseconds(head.get(b"Cold-Ms")),
+            cold_left_ms=read.value(b"Cold-Ms", _milliseconds),
+            leaving=read.value(b"Server-Leaving", _is_one) or False,
+            pause_ms=read.value(b"Retry-After", _seconds) if head.status == _BUSY else None,
+            unreadable=tuple(read.unreadable),
         )
 
     def answer_headers(self, head: AnswerHead) -> Headers:
@@ -137,15 +149,51 @@
     return value[len(_KEY_SCHEME) :].strip()
 
 
-def _milliseconds(value: str | None) -> float | None:
-    if value is None:
-        return None
+class _SignReader:
+    """Reads headers of one answer, and notes which of them say nothing."""
+
+    def __init__(self, head: AnswerHead) -> None:
+        self.unreadable: list[str] = []
+        self._head = head
+
+    def value(self, name: bytes, parse: Callable[[str], T]) -> T | None:
+        """Return what a header says; None if it is missing, malformed or contradicts itself."""
+        values = {value.strip() for value in self._head.get_all(name)}
+        if not values:
+            return None
+        try:
+            (value,) = values
+            return parse(value)
+        except ValueError:
+            self.unreadable.append(name.decode())
+            return None
+
+
+def _is_one(value: str) -> bool:
+    if value not in ("0", "1"):
+        raise ValueError(f"expected 0 or 1, found {value!r}")
+    return value == "1"
+
+
+def _seconds(value: str) -> float:
+    """Return seconds as milliseconds."""
+    number = float(value) * _MS_PER_S
+    if not 0 <= number < math.inf:
+        raise ValueError(f"expected seconds, found {value!r}")
+    return number
+
+
+def _milliseconds(value: str) -> float:
     number = float(value)
-    if not 0 <= number < float("inf"):
+    if not 0 <= number < math.inf:
         raise ValueError(f"expected milliseconds, found {value!r}")
     return number
 
 
+def _deadline_ms(value: str | None) -> float | None:
+    return None if value is None else _milliseconds(value)
+
+
 def _token_usage(value: str | None) -> tuple[int, int]:
     """Return the tokens of the prompt and the most tokens of the output."""
     if value is None:
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -46,6 +46,8 @@
     cold_until_ms: float
     removed_ms: float | None = None
     foreign: bool = False
+    says_leaving: bool = False
+    paused_until_ms: float = 0.0
 
 
 class ServerDirectory:
@@ -59,6 +61,7 @@
         self._known: dict[str, _Known] = {}
         self._evacuated: set[str] = set()
         self._doubted: set[str] = set()
+        self._last_pause_ms = 0.0
         self._usable: dict[str, dict[str, ServerEntry]] = {}
         self._generation = 0
 
@@ -88,6 +91,8 @@
         )
         if entry.born_ms != newest.born_ms:
             known.first_seen_ms = now_ms
+            known.says_leaving = False
+            known.paused_until_ms = 0.0
         known.entry = entry
         known.cold_until_ms = cold_until_ms
         known.removed_ms = None
@@ -147,6 +152,48 @@
         if known is not None:
             known.cold_until_ms = max(known.cold_until_ms, until_ms)
 
+    def note_leaving(self, entry: ServerEntry) -> bool:
+        """Note that a server itself says that it leaves; return whether this is news.
+
+        It holds until another incarnation comes, whatever its entries say.
+        """
+        known = self._incarnation(entry)
+        if known is None or known.says_leaving:
+            return False
+        known.says_leaving = True
+        self._note_change()
+        return True
+
+    def note_pause(self, entry: ServerEntry, until_ms: float) -> None:
+        """Note that a server wants nothing until a time, if that is later than known."""
+        known = self._incarnation(entry)
+        if known is not None:
+            known.paused_until_ms = max(known.paused_until_ms, until_ms)
+            self._last_pause_ms = max(self._last_pause_ms, until_ms)
+
+    def paused_until_ms(self, server: str) -> float:
+        """Return until when a server wants nothing."""
+        known = self._known.get(server)
+        return known.paused_until_ms if known else 0.0
+
+    def paused(self, now_ms: float) -> set[str]:
+        """Return the servers that want nothing now."""
+        if now_ms >= self._last_pause_ms:
+            return set()
+        return {name for name, known in self._known.items() if known.paused_until_ms > now_ms}
+
+    def leaving(self) -> dict[str, int]:
+        """Return the servers that said that they leave, with the start of their incarnation."""
+        return {
+            name: known.entry.born_ms
+            for name, known in self._known.items()
+            if known.says_leaving and known.removed_ms is None
+        }
+
+    def _incarnation(self, entry: ServerEntry) -> _Known | None:
+        known = self._known.get(entry.server)
+        return known if known is not None and known.entry.born_ms == entry.born_ms else None
+
     def evacuate(self, zone: str) -> bool:
         """Send nothing more to a zone; return whether this is news."""
         if zone in self._evacuated:
@@ -186,15 +233,16 @@
         self._usable.clear()
         self._generation += 1
 
-    def is_usable(self, entry: ServerEntry) -> bool:
+    def is_usable(self, entry: ServerEntry, now_ms: float) -> bool:
         """Return whether a server that was chosen earlier may still get requests."""
-        known = self._known.get(entry.server)
-        return known is not None and known.entry.born_ms == entry.born_ms and self._may_serve(known)
+        known = self._incarnation(entry)
+        return known is not None and self._may_serve(known) and known.paused_until_ms <= now_ms
 
     def _may_serve(self, known: _Known) -> bool:
         return (
             known.removed_ms is None
             and not known.foreign
+            and not known.says_leaving
             and known.entry.state is ServerState.READY
             and known.entry.zone not in self._evacuated
         )
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -54,6 +54,9 @@
         raw: Send these bytes in place of an answer.
         endless: Send these bytes behind `raw` as often as the router takes them.
         trailing: Send these bytes behind the answer.
+        leaving: Say in each answer that it leaves.
+        pause_s: Say in each refusal for how long it wants nothing.
+        headers: Add these to each answer.
     """
 
     full: bool = False
@@ -65,6 +68,9 @@
     raw: bytes | None = None
     endless: bytes = b""
     trailing: bytes = b""
+    leaving: bool = False
+    pause_s: float | None = None
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class PlatformRunner(HttpService):
@@ -90,6 +96,7 @@
         self.faults = RunnerFaults()
         self.runs: list[Run] = []
         self.refused = 0
+        self.refused_ms: list[float] = []
         self.born_ms = 1_000
         self._sequence = 0
 
@@ -113,7 +120,7 @@
         headers: dict[str, str] = {}
         for name, value in head.headers:
             headers.setdefault(name.decode().lower(), value.decode("latin-1"))
-        named = [(b"Attempt-Id", headers.get("attempt-id", "").encode())]
+        named = [(b"Attempt-Id", headers.get("attempt-id", "").encode()), *self._words()]
         expected = headers.get("expect-instance", self.instance)
         if expected != self.instance:
             self.refused += 1
@@ -121,6 +128,9 @@
             return
         if self.faults.full:
             self.refused += 1
+            if self.faults.pause_s is not None:
+                named.append((b"Retry-After", f"{self.faults.pause_s:g}".encode()))
+            self.refused_ms.append(clock_ms())
             await writer.whole(503, [*named, (b"Not-Executed", b"1")], b"full")
             return
         run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
@@ -200,4 +210,10 @@
             (b"Attempt-Id", run.request_id.encode()),
             (b"Response-Seal", run.seal.encode()),
             (b"Server-Load", b"1,0,8"),
+            *self._words(),
         ]
+
+    def _words(self) -> Headers:
+        """Return what it says of itself in each answer."""
+        leaving = [(b"Server-Leaving", b"1")] if self.faults.leaving else []
+        return [*leaving, *self.faults.headers]
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -147,6 +147,37 @@
         PlatformDialect().parse("GET", "/", headers, b"", 0.0)
 
 
+def test_a_server_tells_that_it_leaves_and_that_it_wants_a_pause():
+    headers = [(b"Server-Leaving", b"1"), (b"retry-after", b" 1.5 "), (b"Retry-After", b"1.5")]
+    signs = PlatformDialect().read_signs(AnswerHead(503, headers))
+    assert (signs.leaving, signs.pause_ms, signs.unreadable) == (True, 1_500.0, ())
+    assert PlatformDialect().read_signs(AnswerHead(200, headers)).pause_ms is None
+    signs = PlatformDialect().read_signs(AnswerHead(200, []))
+    assert (signs.leaving, signs.pause_ms, signs.unreadable) == (False, None, ())
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"Retry-After", b"soon")],
+        [(b"Retry-After", b"-1")],
+        [(b"Retry-After", b"inf")],
+        [(b"Retry-After", b"nan")],
+        [(b"Retry-After", b"1e308")],
+        [(b"Retry-After", b"Wed, 21 Oct 2026 07:28:00 GMT")],
+        [(b"Retry-After", b"1"), (b"Retry-After", b"2")],
+        [(b"Server-Leaving", b"soon")],
+        [(b"Server-Leaving", b"1"), (b"Server-Leaving", b"0")],
+        [(b"Cold-Ms", b"a while")],
+        [(b"Cold-Ms", b"")],
+    ],
+)
+def test_headers_of_an_answer_that_say_nothing_are_dropped_and_named(headers):
+    signs = PlatformDialect().read_signs(AnswerHead(503, headers))
+    assert (signs.leaving, signs.pause_ms, signs.cold_left_ms) == (False, None, None)
+    assert signs.unreadable == (headers[0][0].decode(),)
+
+
 def test_signs_of_an_answer_are_read():
     head = AnswerHead(503, [(b"not-executed", b"1"), (b"Cold-Ms", b"40")])
     signs = PlatformDialect().read_signs(head)
--- a/tests/routing/test_servers.py
+++ b/tests/routing/test_servers.py
@@ -40,7 +40,7 @@
     assert usable(directory) == ["i-1"]
     assert directory.first_seen_ms("i-1") == 10.0
     assert directory.cold_until_ms("i-1") == 510.0
-    assert not directory.is_usable(BASE)
+    assert not directory.is_usable(BASE, 0.0)
 
 
 def test_a_foreign_entry_hides_the_server_until_its_next_heartbeat():
