Tell other routers of servers that say in an answer that they leave

Each router heard it only in its own answers: in a fleet of hundreds it takes minutes until all have asked. The views carry these servers with their incarnation; another router's word makes a server the last resort, so that a wrong one cannot empty a service. It ends with the incarnation.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -141,6 +141,7 @@
             self._load,
             self._shares,
             self._shedding,
+            self._beliefs.directory,
             reach,
         )
         self._followers = self._follow(topics, reach)
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -23,7 +23,8 @@
 from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook
-from cicadaledge.wire import LoadView, PeerLinks, StoreNews, ViewScope
+from cicadaledge.routing import ServerDirectory
+from cicadaledge.wire import DepartingServer, LoadView, PeerLinks, StoreNews, ViewScope
 
 _FLEET_KEY = "cicadaledge-edge"
 _RETRY_S = 1.0  # entries matter to routers that start; the store may be away for long
@@ -61,6 +62,7 @@
         load: LoadBook,
         shares: AccountShares,
         shedding: Shedding,
+        directory: ServerDirectory,
         reach: StoreReach,
     ) -> None:
         self.leaving = False
@@ -70,6 +72,7 @@
         self._load = load
         self._shares = shares
         self._shedding = shedding
+        self._directory = directory
         self._known: dict[str, _Known] = {}
         self._heard_ms: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -273,6 +276,7 @@
             accounts=self._shares.own_uses(now_ms) if with_accounts else [],
             late_ms=round(self._shedding.late_ms),
             shedding=int(self._shedding.is_active),
+            departing=[DepartingServer(*one) for one in self._directory.leaving().items()],
         )
 
     def _send_idle_views(self, served: set[str]) -> None:
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -15,7 +15,7 @@
 from attrs import define, evolve, frozen
 
 from cicadaledge.placing._totals import ServerEnds, ServerTotals, ServerWaits
-from cicadaledge.wire import AccountUse, LoadView, ServerUse, ViewScope
+from cicadaledge.wire import AccountUse, DepartingServer, LoadView, ServerUse, ViewScope
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
 _ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each tenth view
@@ -38,6 +38,7 @@
     accounts_ms: float
     late_ms: int = 0
     shedding: int = 0
+    departing: frozenset[DepartingServer] = frozenset()
 
 
 @frozen
@@ -90,6 +91,7 @@
         self.routers = 0
         self.late_ms = 0
         self.shedding = 0
+        self.departing: dict[str, frozenset[DepartingServer]] = {}
         self._oldest_ms = math.inf
 
     def put(self, peer: str, view: LoadView, now_ms: float) -> None:
@@ -101,6 +103,8 @@
         self.late_ms += part.late_ms
         self.shedding += part.shedding
         self._oldest_ms = min(self._oldest_ms, now_ms)
+        if part.departing:
+            self.departing[peer] = part.departing
         for name, use in part.servers.items():
             self.servers.setdefault(name, _Total()).add(use, 1)
 
@@ -112,6 +116,7 @@
         self.routers -= part.routers
         self.late_ms -= part.late_ms
         self.shedding -= part.shedding
+        self.departing.pop(peer, None)
         for name, use in part.servers.items():
             self.servers[name].add(use, -1)
 
@@ -248,6 +253,11 @@
             sum(one.shedding for one in sums),
         )
 
+    def departing(self, now_ms: float) -> set[DepartingServer]:
+        """Return the servers that told one of the others that they leave."""
+        found: set[DepartingServer] = set()
+        return found.union(*(told for one in self._sums(now_ms) for told in one.departing.values()))
+
     def routers_at_most(self, now_ms: float) -> int:
         """Return how many routers may be there: heard ones, or listed ones if they are more."""
         return max(self.routers(now_ms), self._members)
@@ -288,7 +298,14 @@
     else:
         accounts, accounts_ms = former.accounts, former.accounts_ms
     return LoadPart(
-        now_ms, view.routers, servers, accounts, accounts_ms, view.late_ms, view.shedding
+        now_ms,
+        view.routers,
+        servers,
+        accounts,
+        accounts_ms,
+        view.late_ms,
+        view.shedding,
+        frozenset(view.departing),
     )
 
 
@@ -296,12 +313,14 @@
     totals: dict[str, _Total] = {}
     accounts = {use.account: use for use in own.accounts}
     routers, late_ms, shedding = own.routers, own.late_ms, own.shedding
+    departing = set(own.departing)
     for use in own.servers:
         totals.setdefault(use.server, _Total()).add(use, 1)
     for one in sums:
         routers += one.routers
         late_ms += one.late_ms
         shedding += one.shedding
+        departing.update(*one.departing.values())
         for name, total in one.servers.items():
             if _is_telling(total):
                 totals.setdefault(name, _Total()).add(_use(name, total), 1)
@@ -316,6 +335,7 @@
         accounts=list(accounts.values()),
         late_ms=late_ms,
         shedding=shedding,
+        departing=list(departing),
     )
 
 
--- a/src/cicadaledge/placing/_load.py
+++ b/src/cicadaledge/placing/_load.py
@@ -7,7 +7,7 @@
 from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._rates import RateWindow, SlidingSum
 from cicadaledge.placing._totals import ServerEnds, ServerTotals, ServerWaits
-from cicadaledge.wire import ServerUse
+from cicadaledge.wire import DepartingServer, ServerUse
 
 _SECOND_MS = 1_000.0
 _NOTHING = ServerTotals()
@@ -151,6 +151,10 @@
             seen = ServerEnds(own.ended.total(now_ms), own.failed.total(now_ms))
         return self._others.ends_of(server, now_ms, seen)
 
+    def departing(self, now_ms: float) -> set[DepartingServer]:
+        """Return the servers that told another router that they leave."""
+        return self._others.departing(now_ms)
+
     def is_chosen_for(self, server: str, count: float) -> bool:
         """Return whether this router is among about *count* ones chosen for a server."""
         return self._others.is_first_for(server, count)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -216,6 +216,12 @@
             allowed = {name: entry for name, entry in allowed.items() if name not in paused}
         failing = self._failing.of(service.name, every, now_ms)
         avoided = self._health.ejected(now_ms) | self._directory.doubted() | failing
+        # The last resort only: another router's word alone must not empty a service.
+        avoided |= {
+            one.server
+            for one in self._load.departing(now_ms)
+            if one.server in allowed and allowed[one.server].born_ms == one.born_ms
+        }
         if not avoided:
             return allowed
         sound = {name: entry for name, entry in allowed.items() if name not in avoided}
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -107,6 +107,7 @@
     _messages.Death,
     _messages.ServerUse,
     _messages.AccountUse,
+    _messages.DepartingServer,
 )
 _FRAMES: tuple[type, ...] = (
     _messages.Hello,
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -359,6 +359,18 @@
     ALL_BUT_RECEIVER = 3
 
 
+@frozen
+class DepartingServer:
+    """A backend server that says that it leaves.
+
+    Args:
+        born_ms: Start of its incarnation.
+    """
+
+    server: str = field(metadata=NAME)
+    born_ms: int
+
+
 @frozen
 class LoadView:
     """A part of the fleet's load.
@@ -370,6 +382,7 @@
         accounts: Empty in most views; rates change more slowly than loads.
         late_ms: How late the routers' event loops are, summed.
         shedding: How many of the routers keep new callers away.
+        departing: Servers that told one of the routers that they leave.
     """
 
     sent_ms: int
@@ -380,6 +393,7 @@
     accounts: list[AccountUse]
     late_ms: int = 0
     shedding: int = 0
+    departing: list[DepartingServer] = field(factory=list)
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -224,6 +224,12 @@
   accounts @5 :List(AccountUse);
   lateMs @6 :UInt32;         # sum over the routers
   shedding @7 :UInt32;       # how many of them keep new callers away
+  departing @8 :List(DepartingServer);
+}
+
+struct DepartingServer {
+  server @0 :Name;
+  bornMs @1 :Int64;          # start of its incarnation
 }
 
 struct StoreNews {
--- a/tests/edge/test_server_words.py
+++ b/tests/edge/test_server_words.py
@@ -79,6 +79,29 @@
     asyncio.run(play())
 
 
+def test_other_routers_hear_that_a_server_leaves():
+    async def play():
+        async with small_world(desks=2, routers=3) as world:
+            leaving, other = world.runners[:2]
+
+            async def linked():
+                return all(router.fleet_size() == 3 for router in world.routers)
+
+            await world.until(linked)
+            leaving.faults = RunnerFaults(leaving=True)
+            await hear(world, leaving)
+            await asyncio.sleep(0.2)
+            runs = len(leaving.runs)
+            for place in (1, 2):
+                assert await call_often(world, place=place) == {200}
+            assert len(leaving.runs) == runs
+            other.faults = RunnerFaults(leaving=True)
+            assert await call_often(world, place=1) <= {200, 503}
+            assert await call_often(world, 1, place=2) == {200}
+
+    asyncio.run(play())
+
+
 def test_the_word_of_another_server_at_the_address_does_not_count():
     async def play():
         async with small_world(desks=1) as world:
