Let the soak's servers say that they leave or want a pause, and judge what reaches them

The judge follows the two rules: no request that a caller sent later than the time to drain after its router had passed such an answer on, at most two arrivals within a pause; restarts and pauses of the router excuse both, cuts the second. Faults are drawn apart, so that older seeds stay as they were.

--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -1,13 +1,17 @@
 """Fault soak: real router processes under faults from outside, judged by what is seen there."""
 
 from cicadaledge.soak._callers import Callers
-from cicadaledge.soak._faults import BUSY_KINDS, KINDS, PlannedFault, draw_faults
+from cicadaledge.soak._faults import BUSY_KINDS, KINDS, WORD_KINDS, PlannedFault, draw_faults
 from cicadaledge.soak._ledger import Act, Ledger, Sent, SoakBounds
 from cicadaledge.soak._proxy import FaultProxy
 from cicadaledge.soak._round import SoakPlan, SoakResult, run_round
+from cicadaledge.soak._words import ServerRecord, WordJudge
 from cicadaledge.soak._world import SoakSize, SoakWorld
 
 __all__ = [
+    "ServerRecord",
+    "WORD_KINDS",
+    "WordJudge",
     "BUSY_KINDS",
     "KINDS",
     "Act",
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -19,6 +19,9 @@
 
 _COUNTS = (2, 9)
 _BUSY_COUNTS = (0, 2)
+_WORD_COUNTS = (0, 3)
+_PAUSES_S = (0.3, 1.5, 4.0, 10.0)
+_REFUSING_S = 0.4  # how long a server refuses with a pause
 _DELAY_MS = 120.0  # twice a round trip between regions
 _STORM_VERSIONS = 6
 _EXIT_POLL_S = 0.05
@@ -44,13 +47,14 @@
 
 
 def draw_faults(
-    seed: int, count: int | None, within_s: float, *, busy: bool = False
+    seed: int, count: int | None, within_s: float, *, busy: bool = False, words: bool = False
 ) -> list[PlannedFault]:
     """Return the faults of a seed, by time.
 
     Args:
         count: How many; None draws this, too: few leave routers in touch, many overlap.
         busy: Add some of `BUSY_KINDS`, drawn apart: the others are those of the seed without.
+        words: Add some of `WORD_KINDS` in the same way.
     """
     chance = random.Random(seed)
     if count is None:
@@ -60,6 +64,10 @@
         apart = random.Random(f"{seed}/busy")
         more = range(apart.randint(*_BUSY_COUNTS))
         faults += [_draw_fault(apart, BUSY_KINDS, within_s) for _ in more]
+    if words:
+        apart = random.Random(f"{seed}/words")
+        more = range(apart.randint(*_WORD_COUNTS))
+        faults += [_draw_fault(apart, WORD_KINDS, within_s) for _ in more]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -91,7 +99,7 @@
 
     async def _run_one(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
-        await (KINDS | BUSY_KINDS)[fault.kind](self, fault)
+        await (KINDS | BUSY_KINDS | WORD_KINDS)[fault.kind](self, fault)
 
     def _lock(self, name: str) -> asyncio.Lock:
         return self._locks.setdefault(name, asyncio.Lock())
@@ -104,8 +112,8 @@
         servers = list(self.world.servers.values())
         return servers[fault.pick % len(servers)]
 
-    def _disturb(self, names: list[str], from_ms: float, *, is_lossless: bool = False) -> None:
-        self.world.ledger.disturb(names, from_ms, clock_ms(), is_lossless=is_lossless)
+    def _disturb(self, names: list[str], from_ms: float, **how: bool) -> None:
+        self.world.ledger.disturb(names, from_ms, clock_ms(), **how)
 
     async def kill(self, fault: PlannedFault) -> None:
         """Kill a router's process and start it again."""
@@ -115,7 +123,7 @@
             router.signal(signal.SIGKILL)
             await asyncio.sleep(fault.for_s)
             self.world.start_router(router)
-            self._disturb([router.name], begin_ms)
+            self._disturb([router.name], begin_ms, is_held=True)
 
     async def kill_all(self, fault: PlannedFault) -> None:
         """Kill all routers at the same moment and start them again."""
@@ -129,7 +137,7 @@
         for router in routers:
             self.world.start_router(router)
             self._lock(router.name).release()
-        self._disturb(list(self.world.routers), begin_ms)
+        self._disturb(list(self.world.routers), begin_ms, is_held=True)
 
     async def pause(self, fault: PlannedFault) -> None:
         """Let a router's process stand still."""
@@ -139,7 +147,7 @@
             router.signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
             router.signal(signal.SIGCONT)
-            self._disturb([router.name], begin_ms)
+            self._disturb([router.name], begin_ms, is_held=True)
 
     async def stop(self, fault: PlannedFault) -> None:
         """Stop a router gracefully and start it again."""
@@ -155,7 +163,7 @@
         async with self._lock(router.name):
             begin_ms = clock_ms()
             await self._keep_busy(router, fault, fault.for_s)
-            self._disturb([router.name], begin_ms, is_lossless=True)
+            self._disturb([router.name], begin_ms, is_lossless=True, is_held=True)
 
     async def _keep_busy(
         self, router: RouterProcess, fault: PlannedFault, for_s: float, burst: int = 0
@@ -186,7 +194,7 @@
                 self.world.ledger.exits.append(f"stop: {router.name} ended with {status}")
                 process.kill()
             self.world.start_router(router)
-            self._disturb([router.name], begin_ms, is_lossless=True)
+            self._disturb([router.name], begin_ms, is_lossless=True, is_held=True)
 
     async def hang_up(self, fault: PlannedFault) -> None:
         """Tell a router that its settings file has changed."""
@@ -286,6 +294,26 @@
             await asyncio.sleep(fault.for_s)
             server.runner.faults = RunnerFaults()
 
+    async def leave_by_word(self, fault: PlannedFault) -> None:
+        """Let a server say in its answers that it leaves, while its entry says that it is ready."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            server.runner.faults = RunnerFaults(leaving=True, error=fault.pick % 3 == 0)
+            await self._rest(fault, self.world.ledger.bounds.drain_ms)
+            server.lives = False
+            await server.runner.stop()
+            await self.world.restart_server(server)
+
+    async def ask_for_pause(self, fault: PlannedFault) -> None:
+        """Let a server refuse for a moment and say for how long it wants nothing."""
+        server = self._server(fault)
+        async with self._lock(server.name):
+            pause_s = _PAUSES_S[fault.pick // 7 % len(_PAUSES_S)]
+            server.runner.faults = RunnerFaults(full=True, pause_s=pause_s)
+            await asyncio.sleep(_REFUSING_S)
+            server.runner.faults = RunnerFaults()
+            await asyncio.sleep(min(pause_s, fault.for_s))
+
     async def revoke(self, fault: PlannedFault) -> None:
         """Take a key away and give it back."""
         async with self._lock("config"):
@@ -393,3 +421,7 @@
     "busy": FaultLine.busy,
     "busy-stop": FaultLine.busy_stop,
 }
+WORD_KINDS: dict[str, Callable[[FaultLine, PlannedFault], Awaitable[None]]] = {
+    "leave-by-word": FaultLine.leave_by_word,
+    "ask-for-pause": FaultLine.ask_for_pause,
+}
--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -9,6 +9,7 @@
 
 from cicadaledge.edge import BoundSettings
 from cicadaledge.routing import RouteKind
+from cicadaledge.soak._words import ServerRecord, WordJudge
 from cicadaledge.standins import Run, account_of_run
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -115,6 +116,7 @@
     from_ms: float
     until_ms: float
     is_lossless: bool
+    is_held: bool = False
 
 
 @define
@@ -130,21 +132,29 @@
     accounts: dict[str, str]
     sent: dict[str, Sent] = field(factory=dict)
     runs: list[tuple[str, Run]] = field(factory=list)
+    records: list[ServerRecord] = field(factory=list)
     acts: list[Act] = field(factory=list)
     exits: list[str] = field(factory=list)
     _disturbed: dict[str, list[_Span]] = field(factory=dict)
     _harmed: dict[str, list[_Span]] = field(factory=dict)
 
     def disturb(
-        self, routers: Iterable[str], from_ms: float, until_ms: float, *, is_lossless: bool = False
+        self,
+        routers: Iterable[str],
+        from_ms: float,
+        until_ms: float,
+        *,
+        is_lossless: bool = False,
+        is_held: bool = False,
     ) -> None:
         """Note that routers were disturbed for a while.
 
         Args:
             is_lossless: Whether it must lose nothing, as a graceful stop or a fault of the store.
+            is_held: Whether their processes were paused or restarted.
         """
         for name in routers:
-            span = _Span(from_ms, until_ms, is_lossless)
+            span = _Span(from_ms, until_ms, is_lossless, is_held)
             self._disturbed.setdefault(name, []).append(span)
 
     def harm(self, server: str, from_ms: float, until_ms: float) -> None:
@@ -192,7 +202,24 @@
         found += self._lost(by_id)
         found += self._held()
         found += self._retries(by_id)
-        return found
+        judge = WordJudge(self.bounds.drain_ms, self._times, self._is_excused, self.records)
+        return found + judge.broken()
+
+    def _times(self, request_id: str) -> tuple[str, float, float | None] | None:
+        """Return router, sending and answer of a request; no time for one without an answer."""
+        sent = self.sent.get(request_id)
+        if sent is None:
+            return None
+        return sent.router, sent.sent_ms, sent.ended_ms if sent.status is not None else None
+
+    def _is_excused(self, router: str, from_ms: float, until_ms: float, by_cuts: bool) -> bool:
+        """Return whether a router was held in between or, where *by_cuts*, cut off."""
+        return any(
+            (span.is_held or (by_cuts and not span.is_lossless))
+            and span.until_ms >= from_ms
+            and span.from_ms <= until_ms
+            for span in self._disturbed.get(router, ())
+        )
 
     def _unasked(self) -> list[str]:
         found = []
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -29,6 +29,7 @@
         faults: How many faults; None draws it by the seed.
         within_s: Time within which they begin.
         busy: Whether faults of busy loops are drawn, too.
+        words: Whether servers say that they leave or want a pause.
         size: Size of the deployment.
     """
 
@@ -36,6 +37,7 @@
     faults: int | None = None
     within_s: float = 8.0
     busy: bool = True
+    words: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -62,7 +64,7 @@
 
 
 async def _run(plan: SoakPlan, directory: Path) -> SoakResult:
-    faults = draw_faults(plan.seed, plan.faults, plan.within_s, busy=plan.busy)
+    faults = draw_faults(plan.seed, plan.faults, plan.within_s, busy=plan.busy, words=plan.words)
     world = SoakWorld(plan.size, directory)
     async with world.running():
         callers = Callers(world, plan.seed)
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -22,6 +22,7 @@
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Ledger, SoakBounds
 from cicadaledge.soak._ports import claim_ports, first_of_two, free_ports
 from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._words import ServerRecord
 from cicadaledge.standins import (
     NODE_FILE_VARIABLE,
     READY_PATH,
@@ -230,8 +231,10 @@
 
     def collect(self, server: SoakServer) -> None:
         """Take over the runs of a server's incarnation."""
-        self.ledger.runs += [(server.name, run) for run in server.runner.runs]
-        server.runner.runs = []
+        runner = server.runner
+        self.ledger.runs += [(server.name, run) for run in runner.runs]
+        self.ledger.records.append(ServerRecord(server.name, runner.runs, runner.refusals))
+        runner.runs, runner.refusals = [], []
 
     def start_router(self, router: RouterProcess) -> None:
         """Start the process of a router."""
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define
+from attrs import define, frozen
 
 from cicadaledge.edge import AnswerWriter, Headers, RequestHead, clock_ms
 from cicadaledge.standins._http_service import HttpService
@@ -23,6 +23,7 @@
         at_ms: When it arrived.
         answer: Body of the whole answer.
         sent_bytes: What was sent of an endless answer.
+        said_leaving: Whether the answer said that the server leaves.
         ended_ms: When the server stopped working on it.
     """
 
@@ -37,9 +38,23 @@
     finished: bool = False
     gone: bool = False
     sent_bytes: int = 0
+    said_leaving: bool = False
     ended_ms: float | None = None
 
 
+@frozen
+class Refusal:
+    """One request that the server refused.
+
+    Args:
+        pause_s: For how long it wanted nothing more.
+    """
+
+    request_id: str
+    at_ms: float
+    pause_s: float
+
+
 @define
 class RunnerFaults:
     """What the next requests meet.
@@ -96,7 +111,7 @@
         self.faults = RunnerFaults()
         self.runs: list[Run] = []
         self.refused = 0
-        self.refused_ms: list[float] = []
+        self.refusals: list[Refusal] = []
         self.born_ms = 1_000
         self._sequence = 0
 
@@ -130,11 +145,13 @@
             self.refused += 1
             if self.faults.pause_s is not None:
                 named.append((b"Retry-After", f"{self.faults.pause_s:g}".encode()))
-            self.refused_ms.append(clock_ms())
+            request_id = headers.get("attempt-id", "")
+            self.refusals.append(Refusal(request_id, clock_ms(), self.faults.pause_s or 0.0))
             await writer.whole(503, [*named, (b"Not-Executed", b"1")], b"full")
             return
         run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
         run.at_ms = clock_ms()
+        run.said_leaving = self.faults.leaving
         self.runs.append(run)
         run.seal = f"{self.instance}.{len(self.runs)}"
         try:
--- a/tests/edge/test_server_words.py
+++ b/tests/edge/test_server_words.py
@@ -161,7 +161,7 @@
             paused, other = world.runners[:2]
             paused.faults = RunnerFaults(full=True, pause_s=1.0)
             await asyncio.gather(*(hear(world, paused) for _ in range(4)))
-            told_ms = paused.refused_ms[-1]
+            told_ms = paused.refusals[-1].at_ms
             refused = paused.refused
             paused.faults = RunnerFaults()
             runs = len(paused.runs)
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from cicadaledge.soak import BUSY_KINDS, KINDS, SoakPlan, SoakSize, draw_faults, run_round
+from cicadaledge.soak import (
+    BUSY_KINDS,
+    KINDS,
+    WORD_KINDS,
+    SoakPlan,
+    SoakSize,
+    draw_faults,
+    run_round,
+)
 
 FIRST_PORT = 27_700  # by blocks away from that of the command
 
@@ -21,7 +29,8 @@
 
 def plan(seed, **changes):
     size = SoakSize(routers_per_zone=1, callers=8, first_port=FIRST_PORT)
-    return SoakPlan(seed, size=size, **{"faults": 4, "within_s": 4.0, **changes})
+    usual = {"faults": 4, "within_s": 4.0, "words": False}
+    return SoakPlan(seed, size=size, **{**usual, **changes})
 
 
 def test_a_seed_draws_the_same_faults_each_time():
@@ -41,6 +50,24 @@
     assert drawn == set(BUSY_KINDS)
 
 
+def test_words_of_servers_leave_the_faults_of_a_seed_as_they_were():
+    drawn = set()
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, words=True)
+        assert [fault for fault in more if fault.kind not in WORD_KINDS] == plain
+        drawn |= {fault.kind for fault in more} & set(WORD_KINDS)
+    assert drawn == set(WORD_KINDS)
+
+
+@pytest.mark.timeout(90)
+def test_routers_heed_what_servers_say(tmp_path):
+    result = run_round(plan(8, faults=0, busy=False, words=True), tmp_path)
+    assert {fault.kind for fault in result.faults} == set(WORD_KINDS)
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 @pytest.mark.timeout(90)
 def test_a_short_round_keeps_all_promises(tmp_path):
     result = run_round(plan(1), tmp_path)
@@ -62,5 +89,5 @@
 def test_seeds_that_once_failed_hold(seed, tmp_path):
     size = SoakSize(first_port=FIRST_PORT)
     faults = None if seed in DRAWN else 7
-    result = run_round(SoakPlan(seed, faults=faults, size=size, busy=False), tmp_path)
+    result = run_round(SoakPlan(seed, faults=faults, size=size, busy=False, words=False), tmp_path)
     assert result.broken == []
--- /dev/null
+++ b/tests/soak/test_words.py
@@ -0,0 +1,54 @@
+"""The judge of what servers say finds breaches, and no others."""
+
+import pytest
+
+from cicadaledge.soak import ServerRecord, WordJudge
+from cicadaledge.standins import Refusal, Run
+
+DRAIN_MS = 3_000.0
+
+
+def run(request_id, at_ms, *, leaving=False):
+    one = Run(request_id, "GET", "/", {}, b"", at_ms=at_ms, finished=True)
+    one.said_leaving = leaving
+    return one
+
+
+def judge(runs=(), refusals=(), *, times, excused=lambda *_: False):
+    record = ServerRecord("desk-0", list(runs), list(refusals))
+    return WordJudge(DRAIN_MS, times.get, excused, [record]).broken()
+
+
+@pytest.mark.parametrize(
+    ("sent_ms", "router", "is_broken"),
+    [(3_200.0, "a", True), (3_000.0, "a", False), (9_000.0, "b", False)],
+)
+def test_requests_after_a_word_of_leaving_break_the_promise(sent_ms, router, is_broken):
+    runs = [run("first", 50.0, leaving=True), run("later", sent_ms + 1.0)]
+    times = {"first": ("a", 0.0, 100.0), "later": (router, sent_ms, None)}
+    assert bool(judge(runs, times=times)) is is_broken
+    assert judge(runs, times=times, excused=lambda *_: True) == []
+
+
+def test_an_answer_that_was_not_passed_on_binds_nobody():
+    runs = [run("first", 50.0, leaving=True), run("later", 9_000.0)]
+    times = {"first": ("a", 0.0, None), "later": ("a", 8_000.0, None)}
+    assert judge(runs, times=times) == []
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "router", "is_broken"),
+    [
+        ([700.0, 800.0, 900.0], "a", True),
+        ([700.0, 800.0], "a", False),
+        ([100.0, 200.0, 499.0], "a", False),
+        ([1_001.0, 1_002.0, 1_003.0], "a", False),
+        ([700.0, 800.0, 900.0], "b", False),
+    ],
+)
+def test_more_than_two_requests_within_a_pause_break_the_promise(at_ms, router, is_broken):
+    runs = [run(f"run-{at}", at) for at in at_ms[1:]]
+    refusals = [Refusal("first", 0.0, 1.0), Refusal("again", at_ms[0], 0.0)]
+    names = [one.request_id for one in runs] + ["again"]
+    times = {"first": ("a", 0.0, 1.0)} | {name: (router, 0.0, None) for name in names}
+    assert bool(judge(runs, refusals, times=times)) is is_broken
