Let a want of descriptors and a full line of callers end by themselves

By reading: a listener that was short of descriptors said so until it accepted one more, and a router that is not ready gets nobody; and where all callers had been at work when the limit was met, those that became idle made no room. Both would keep a router out for good. Callers that have gone before they are turned away are counted, not logged one by one.

--- a/src/cicadaledge/edge/_callers.py
+++ b/src/cicadaledge/edge/_callers.py
@@ -10,6 +10,7 @@
 _CALLER_PART = 0.6  # of the descriptors; the rest is for servers, the store and peers
 _FULL_PART = 0.95  # of the callers' part, from which idle callers make room
 _CROWDED_PART = 0.5  # of the callers' part, from which refused callers are sent away
+_IN_VAIN_MS = 100.0  # until callers are looked through again of whom none was idle
 _ROOM_PART = 0.1  # of the callers' part that is made free at once
 _log = PartLog("callers")
 
@@ -27,6 +28,7 @@
     def __init__(self, settings: EdgeSettings) -> None:
         self.limit = max(1, int(settings.connections * _CALLER_PART))
         self._connections: set[CallerConnection] = set()
+        self._in_vain_until_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -38,8 +40,11 @@
 
     @property
     def has_room(self) -> bool:
-        """Whether one more may connect."""
-        return len(self._connections) < self.limit
+        """Whether one more may connect; if not, idle callers are closed for those who follow."""
+        if len(self._connections) < self.limit:
+            return True
+        self._make_room()
+        return False
 
     def add(self, connection: CallerConnection) -> None:
         """Count a connection; make room if there are too many."""
@@ -60,9 +65,14 @@
 
     def _make_room(self) -> None:
         """Close the connections that have been idle for longest."""
+        now_ms = clock_ms()
+        if now_ms < self._in_vain_until_ms:
+            return
         idle = sorted(self._idle(), key=lambda connection: connection.idle_since_ms)
         closed = self._close(idle, most=max(1, int(self.limit * _ROOM_PART)))
-        if closed:
+        if not closed:
+            self._in_vain_until_ms = now_ms + _IN_VAIN_MS
+        else:
             _log.warning(
                 "Too many callers; idle ones are closed.",
                 callers=len(self._connections),
--- a/src/cicadaledge/edge/_gate.py
+++ b/src/cicadaledge/edge/_gate.py
@@ -35,6 +35,7 @@
         self._answer = _answer(dialect)
         self._answered = 0
         self._unread = 0
+        self._left = 0
 
     def has_room(self) -> bool:
         """Return whether one more caller may connect."""
@@ -49,23 +50,26 @@
                     sock.shutdown(socket.SHUT_WR)
                     self._answered += 1
                     return
-            except OSError as error:
-                _log.info("Caller has left before it was turned away.", error=str(error))
-            self._unread += 1
+            except OSError:
+                self._left += 1
+            else:
+                self._unread += 1
 
     def report(self) -> None:
         """Log how many were turned away since the last report."""
-        if not self._answered and not self._unread:
+        count = self._answered + self._unread + self._left
+        if not count:
             return
-        self._metrics.turned_away(self._answered + self._unread)
+        self._metrics.turned_away(count)
         _log.warning(
             "New callers are turned away.",
             answered=self._answered,
             unread=self._unread,
+            left=self._left,
             callers=len(self._callers),
             limit=self._callers.limit,
         )
-        self._answered = self._unread = 0
+        self._answered = self._unread = self._left = 0
 
 
 def _has_request(sock: socket.socket) -> bool:
--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -193,7 +193,12 @@
             self.is_short = True
             loop = asyncio.get_running_loop()
             loop.remove_reader(self._sock.fileno())
-            loop.call_later(_FULL_PAUSE_S, self._watch)
+            loop.call_later(_FULL_PAUSE_S, self._watch_again)
+
+    def _watch_again(self) -> None:
+        """Go on after a want of descriptors, which is over unless accepting fails once more."""
+        self.is_short = self.has_waiting
+        self._watch()
 
     async def _connect(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -36,6 +36,26 @@
     asyncio.run(play())
 
 
+def test_callers_that_became_idle_make_room_where_none_could_before():
+    async def play():
+        async with small_world(descriptors=FEW) as world:
+            world.runners[0].gap_s = 0.4
+            working = [await world.connect() for _ in range(36)]
+            asked = [asyncio.create_task(ask(connection, "/book/1")) for connection in working]
+            await asyncio.sleep(0.2)
+            turned_away = await world.connect()
+            assert await ask(turned_away, "/book/2") == 503
+            await asyncio.gather(*asked)
+            await asyncio.sleep(0.2)
+
+            async def taken():
+                return await ask(await world.connect(), "/book/3") == 200
+
+            await world.until(taken)
+
+    asyncio.run(play())
+
+
 def test_a_refused_caller_is_sent_away_where_there_are_many():
     async def play():
         async with small_world(descriptors=FEW) as world:
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -106,6 +106,28 @@
         runner.run(play())
 
 
+@pytest.mark.parametrize("waits", [True, False])
+def test_a_want_of_descriptors_is_over_when_one_was_accepted_or_nobody_waits(waits):
+    """A router that was not ready for it got no caller that could have shown that it is over."""
+
+    async def play():
+        listener = Listener(asyncio.Protocol)
+        listener._sock = Faulty(listener._sock, [errno.EMFILE])
+        listener.start(HOST, 0)
+        caller = socket.create_connection((HOST, listener.port))
+        async with asyncio.timeout(2.0):
+            while not listener.is_short:
+                await asyncio.sleep(0.005)
+            if not waits:
+                listener._sock._sock.accept()[0].close()
+            while listener.is_short:
+                await asyncio.sleep(0.005)
+        caller.close()
+        listener.close()
+
+    uvloop.run(play())
+
+
 @pytest.mark.parametrize("loop", LOOPS)
 def test_connections_are_taken_though_the_loop_does_not_watch_any_more(loop):
     async def play():
