--- a/benchmarks/request_costs.py
+++ b/benchmarks/request_costs.py
@@ -128,7 +128,7 @@
         load = LoadBook(self._fleet)
         shares = AccountShares(settings.bounds.share_window_ms, self._fleet)
         health = ServerHealth()
-        self.callers = CallerConnections(settings.descriptors)
+        self.callers = CallerConnections(settings)
         self.desk = CallDesk(
             settings,
             PlatformDialect(),
@@ -137,7 +137,7 @@
             shares,
             health,
             Placer(settings.placing, beliefs.directory, load, health, settings.region_of, "north"),
-            MemoryPool(settings.timing),
+            MemoryPool(settings),
             self.callers,
             Shedding(settings.shedding),
             EdgeMetrics(),
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -26,20 +26,23 @@
 class AnswerHead:
     """Status and headers of an answer."""
 
-    __slots__ = ("headers", "status")
+    __slots__ = ("_by_name", "headers", "status")
 
     def __init__(self, status: int, headers: Headers) -> None:
         self.status = status
         self.headers = headers
+        self._by_name: dict[bytes, list[bytes]] = {}
+        for name, value in headers:
+            self._by_name.setdefault(name.lower(), []).append(value)
 
     def get(self, name: bytes) -> str | None:
         """Return the first header of a name (any case), or None."""
-        return next(iter(self.get_all(name)), None)
+        values = self._by_name.get(name.lower())
+        return values[0].decode("latin-1") if values else None
 
     def get_all(self, name: bytes) -> list[str]:
         """Return all headers of a name (any case), in order."""
-        lowered = name.lower()
-        return [value.decode("latin-1") for key, value in self.headers if key.lower() == lowered]
+        return [value.decode("latin-1") for value in self._by_name.get(name.lower(), ())]
 
 
 class HttpConnection:
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -158,9 +158,10 @@
 
     def value(self, name: bytes, parse: Callable[[str], T]) -> T | None:
         """Return what a header says; None if it is missing, malformed or contradicts itself."""
-        values = {value.strip() for value in self._head.get_all(name)}
-        if not values:
+        found = self._head.get_all(name)
+        if not found:
             return None
+        values = {value.strip() for value in found}
         try:
             (value,) = values
             return parse(value)
