--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -13,7 +13,8 @@
 
 from cicadaledge.errors import FrameError
 from cicadaledge.wire import _messages
-from cicadaledge.wire._messages import IS_NAME
+from cicadaledge.wire._columns import from_columns, to_columns
+from cicadaledge.wire._messages import IN_COLUMNS, IS_NAME, ServerUse
 
 FRAME_LIMIT_BYTES = 4 * 1_048_576
 _TRAVERSAL_LIMIT_WORDS = 4 * 1_048_576
@@ -73,6 +74,16 @@
     return _table.name(value)
 
 
+def _to_uses(uses: list[ServerUse]) -> dict[str, Any]:
+    names = [_table.index(use.server) for use in uses]
+    return {"servers": names, "figures": to_columns(uses)}
+
+
+def _from_uses(value: dict[str, Any], kind: Any) -> list[ServerUse]:
+    names = [_table.name(index) for index in value["servers"]]
+    return from_columns(names, value["figures"])
+
+
 def _camel(name: str) -> str:
     first, *rest = name.split("_")
     return first + "".join(part.title() for part in rest)
@@ -83,6 +94,10 @@
         return override(
             rename=_camel(attribute.name), unstruct_hook=_to_name, struct_hook=_from_name
         )
+    if attribute.metadata.get(IN_COLUMNS):
+        return override(
+            rename=_camel(attribute.name), unstruct_hook=_to_uses, struct_hook=_from_uses
+        )
     return override(rename=_camel(attribute.name))
 
 
@@ -105,7 +120,6 @@
     _messages.TransferItem,
     _messages.AccountCost,
     _messages.Death,
-    _messages.ServerUse,
     _messages.AccountUse,
     _messages.DepartingServer,
 )
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -8,6 +8,11 @@
 
 IS_NAME = "is_name"
 
+IN_COLUMNS = "in_columns"
+
+# Marks a long list of records of a name and whole numbers, sent as one block of numbers.
+COLUMNS = {IN_COLUMNS: True}
+
 # Marks fields whose text is sent once on each link, and then as an index.
 NAME = {IS_NAME: True}
 
@@ -389,7 +394,7 @@
     scope: int
     routers: int
     leaving: bool
-    servers: list[ServerUse]
+    servers: list[ServerUse] = field(metadata=COLUMNS)
     accounts: list[AccountUse]
     late_ms: int = 0
     shedding: int = 0
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -220,11 +220,17 @@
   scope @1 :UInt8;           # ViewScope
   routers @2 :UInt32;
   leaving @3 :Bool;
-  servers @4 :List(ServerUse);
+  formerServers @4 :List(ServerUse);  # of former versions
   accounts @5 :List(AccountUse);
   lateMs @6 :UInt32;         # sum over the routers
   shedding @7 :UInt32;       # how many of them keep new callers away
   departing @8 :List(DepartingServer);
+  servers @9 :ServerUses;
+}
+
+struct ServerUses {
+  servers @0 :List(Name);
+  figures @1 :Data;          # UInt32, little-endian: a column for each figure of ServerUse, in order
 }
 
 struct DepartingServer {
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -15,11 +15,15 @@
     Heartbeat,
     LeaseGrant,
     LeaseReply,
+    LoadView,
     NameTable,
     PeerLinks,
+    ServerUse,
+    ViewScope,
     decode_message,
     encode_message,
 )
+from cicadaledge.wire._columns import from_columns
 from cicadaledge.wire._messages import AccountCost
 
 KEY = "a-fleet-key-for-tests"
@@ -148,3 +152,21 @@
         await second.links.close()
 
     asyncio.run(run())
+
+
+@given(
+    st.lists(st.tuples(st.text(max_size=8), *[st.integers(0, 2**32 - 1)] * 8), max_size=20).map(
+        lambda rows: [ServerUse(*row) for row in rows]
+    )
+)
+def test_the_uses_of_servers_survive_as_columns(uses):
+    view = LoadView(5, int(ViewScope.ZONE), 3, False, uses, [])
+    sender, receiver = NameTable(), NameTable()
+    for _ in range(2):
+        assert decode_message(encode_message(view, sender), receiver) == view
+
+
+@pytest.mark.parametrize("figures", [b"", b"\0" * 28, b"\0" * 31, b"\0" * 64])
+def test_columns_that_do_not_belong_to_the_servers_are_no_message(figures):
+    with pytest.raises(ValueError):
+        from_columns(["desk-0"], figures)
