--- a/src/cicadaledge/edge/_callers.py
+++ b/src/cicadaledge/edge/_callers.py
@@ -38,9 +38,8 @@
         """Whether a caller that is refused should open another connection elsewhere."""
         return len(self._connections) > self.limit * _CROWDED_PART
 
-    @property
     def has_room(self) -> bool:
-        """Whether one more may connect; if not, idle callers are closed for those who follow."""
+        """Return whether one more may connect; if not, close idle callers for those who follow."""
         if len(self._connections) < self.limit:
             return True
         self._make_room()
--- a/src/cicadaledge/edge/_gate.py
+++ b/src/cicadaledge/edge/_gate.py
@@ -39,7 +39,7 @@
 
     def has_room(self) -> bool:
         """Return whether one more caller may connect."""
-        return self._callers.has_room
+        return self._callers.has_room()
 
     def turn_away(self, sock: socket.socket) -> None:
         """Say that the request was not run, if it is there, and close the connection."""
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -113,15 +113,22 @@
     async def play():
         listener = Listener(asyncio.Protocol)
         listener._sock = Faulty(listener._sock, [errno.EMFILE])
+        watch_again = listener._watch_again
+        was_short = []
+
+        def note():
+            was_short.append(listener.is_short)
+            if not waits:
+                listener._sock.accept()[0].close()
+            watch_again()
+
+        listener._watch_again = note
         listener.start(HOST, 0)
         caller = socket.create_connection((HOST, listener.port))
         async with asyncio.timeout(2.0):
-            while not listener.is_short:
-                await asyncio.sleep(0.005)
-            if not waits:
-                listener._sock._sock.accept()[0].close()
-            while listener.is_short:
+            while not was_short or listener.is_short:
                 await asyncio.sleep(0.005)
+        assert was_short == [True]
         caller.close()
         listener.close()
 
