--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -73,6 +73,8 @@
         await FaultLine(world, callers).run(faults)
         for unready in await world.unready_after(_RECOVERY_S):
             world.ledger.exits.append(f"recovery: not ready in time: {unready}")
+        for name in await world.deaf_routers():
+            world.ledger.exits.append(f"recovery: {name} says that it is ready and takes nobody")
         begin_ms = clock_ms()
         await asyncio.sleep(_CALM_S)
         world.ledger.exits += _unserved(world.ledger, begin_ms)
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -42,6 +42,7 @@
 _POLL_S = 0.05
 _STARVED_S = 40.0  # a machine that starts nothing for longer than this shows nothing
 _HEARTBEAT_S = 0.6
+_CALLER_WAITS_S = 1.0
 _EVENTS = 6  # of a stream
 _EVENT_GAP_S = 0.03
 _PROGRAM = "from cicadaledge.platform import main; main()"
@@ -273,6 +274,31 @@
         finally:
             connection.abort()
 
+    async def deaf_routers(self) -> list[str]:
+        """Return the routers that say that they are ready and answer no new caller."""
+        return [
+            router.name
+            for router in self.routers.values()
+            if await self.is_ready(router) and not await self._takes_caller(router)
+        ]
+
+    async def _takes_caller(self, router: RouterProcess) -> bool:
+        """Return whether a new caller gets any answer within the time that callers wait."""
+        callers = router.callers
+        try:
+            async with asyncio.timeout(_CALLER_WAITS_S):
+                connection = await HttpConnection.open(
+                    callers.host, callers.port, router.name, _CALLER_WAITS_S * 1000
+                )
+                try:
+                    connection.send("GET", "/nowhere", [(b"Host", b"soak")], b"")
+                    await connection.head()
+                finally:
+                    connection.abort()
+        except (BackendError, TimeoutError):
+            return False
+        return True
+
     async def unready_after(self, within_s: float = _READY_S) -> list[str]:
         """Wait until all routers are ready; return what was seen last of those that are not.
 
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import signal
+import socket
 import time
 
 import pytest
 
+from cicadaledge.settings import Address
 from cicadaledge.soak import SoakSize, SoakWorld
 from cicadaledge.soak._ports import claim_ports
 from cicadaledge.soak._world import RouterProcess
@@ -67,3 +69,23 @@
     assert len(stopped) == 1
     assert stopped_s < 4.0
     assert starved == []
+
+
+@pytest.mark.timeout(60)
+def test_a_ready_router_that_answers_no_new_caller_is_named(tmp_path):
+    async def run():
+        size = SoakSize(zones=1, routers_per_zone=2, pools=1, desks=1, first_port=FIRST_PORT)
+        world = SoakWorld(size, tmp_path)
+        async with world.running():
+            assert await world.unready_after() == []
+            sound = await world.deaf_routers()
+            deaf, _ = world.routers.values()
+            with socket.socket() as silent:
+                silent.bind((deaf.callers.host, 0))
+                silent.listen()
+                deaf.callers = Address(deaf.callers.host, silent.getsockname()[1])
+                return sound, await world.deaf_routers()
+
+    sound, deaf = asyncio.run(run())
+    assert sound == []
+    assert deaf == ["router-zone-0-0"]
