--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -3,12 +3,13 @@
 Answers the load of days that ask more of a model pool than its engines produce.
 """
 
+from cicadaledge.placing._choice import Chosen, Limit, Refused
 from cicadaledge.placing._engine import EngineModel, EngineSettings
 from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._fleet import FleetLoad, RouterTotals
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load import LoadBook, Placement
-from cicadaledge.placing._placer import Chosen, Limit, Placer, PlacingSettings, Refused
+from cicadaledge.placing._placer import Placer, PlacingSettings
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._shares import AccountShares, ShareUse, fair_level
 from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
