--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, frozen
@@ -13,6 +15,7 @@
 _FOREVER_S = 3600.0
 _ENDLESS_LIMIT_BYTES = 96 * 1_048_576  # far over every limit, and a test's memory still holds it
 _ENDLESS_SLICE_BYTES = 65_536
+_RESTART_S = 0.4
 
 
 @define
@@ -72,6 +75,7 @@
         leaving: Say in each answer that it leaves.
         pause_s: Say in each refusal for how long it wants nothing.
         headers: Add these to each answer.
+        fatal: Targets that contain this end the server as soon as it runs them.
     """
 
     full: bool = False
@@ -86,6 +90,7 @@
     leaving: bool = False
     pause_s: float | None = None
     headers: tuple[tuple[bytes, bytes], ...] = ()
+    fatal: str | None = None
 
 
 class PlatformRunner(HttpService):
@@ -97,6 +102,10 @@
         zone: Availability zone.
         events: Length of its streams.
         gap_s: Time between events, and that of a plain request.
+
+    Attributes:
+        ended_ms: When its incarnations ended by a request.
+        on_restart: Called when it listens again as a new incarnation.
     """
 
     def __init__(
@@ -113,7 +122,10 @@
         self.refused = 0
         self.refusals: list[Refusal] = []
         self.born_ms = 1_000
+        self.ended_ms: list[float] = []
+        self.on_restart: Callable[[PlatformRunner], None] = _ignore
         self._sequence = 0
+        self._restart: asyncio.Task[None] | None = None
 
     def heartbeat(self, state: str = "ready", cold_ms: int = 0) -> dict[str, Any]:
         """Return its next entry in the store."""
@@ -130,6 +142,32 @@
             "born": self.born_ms,
         }
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it has ended and does not listen yet."""
+        return self._restart is not None and not self._restart.done()
+
+    def crash(self) -> None:
+        """End now and come back after a while as a new incarnation at the same address."""
+        if not self.is_down:
+            self.ended_ms.append(clock_ms())
+            self._restart = asyncio.create_task(self._end_and_restart())
+
+    async def stop(self) -> None:
+        """Stop for good."""
+        if self._restart is not None:
+            self._restart.cancel()
+            await asyncio.wait([self._restart])
+        await super().stop()
+
+    async def _end_and_restart(self) -> None:
+        await super().stop()
+        await asyncio.sleep(_RESTART_S)
+        self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
+        self._sequence = 0
+        await self.start(self.port)
+        self.on_restart(self)
+
     async def answer(self, head: RequestHead, body: bytes, writer: AnswerWriter) -> None:
         """Run one request, or refuse it."""
         headers: dict[str, str] = {}
@@ -164,6 +202,9 @@
 
     async def _run(self, run: Run, writer: AnswerWriter) -> None:
         faults = self.faults
+        if faults.fatal is not None and faults.fatal in run.target:
+            self.crash()
+            await asyncio.sleep(_FOREVER_S)
         if faults.silent:
             await asyncio.sleep(_FOREVER_S)
         if faults.raw is not None:
@@ -234,3 +275,7 @@
         """Return what it says of itself in each answer."""
         leaving = [(b"Server-Leaving", b"1")] if self.faults.leaving else []
         return [*leaving, *self.faults.headers]
+
+
+def _ignore(runner: PlatformRunner) -> None:
+    """Do nothing."""
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -138,6 +138,7 @@
     ) -> PlatformRunner:
         """Start a backend server and write its entry."""
         runner = PlatformRunner(instance, service, zone, **how)
+        runner.on_restart = self.beat
         await runner.start()
         self.runners.append(runner)
         self.beat(runner)
