Keep requests that crash servers from all servers, fleet-wide

What callers saw: a request that crashes each server that runs it was sent again each time it came, at any router, to as many servers as its route allows; everything else on those servers was lost with it. Cause: the edge told requests apart by their id, which is new each time. The book of suspects was used by the own interface only. Class: state that should span attempts was kept per attempt. How: edge/_crash_watch.py tells a crash (nobody listens, or another incarnation is there, and nothing said that the server leaves) from a broken connection; edge/_suspicion.py knows a request again by all that decides its run, hashed only while there are suspects; edge/_suspect_news.py shares evidence through a keyed topic of the store. suspects/ is the one book for both halves: whoever ran in most crashes explains them, a whole answer clears, two crashes among many others are chance. It replaces the count of two deaths, which refused hot requests.

--- a/src/cicadaledge/capacity/__init__.py
+++ b/src/cicadaledge/capacity/__init__.py
@@ -4,7 +4,6 @@
 from cicadaledge.capacity._fair_queue import FairQueue
 from cicadaledge.capacity._hints import HintCorrection
 from cicadaledge.capacity._home import HomeLessor, LoadReport
-from cicadaledge.capacity._suspects import SuspectBook
 from cicadaledge.capacity._warm_up import WarmUp
 
 __all__ = [
@@ -13,6 +12,5 @@
     "HintCorrection",
     "HomeLessor",
     "LoadReport",
-    "SuspectBook",
     "WarmUp",
 ]
--- a/src/cicadaledge/codes.py
+++ b/src/cicadaledge/codes.py
@@ -41,6 +41,7 @@
     ANSWER_MISMATCH = 3005
     OLD_SYSTEM_UNAVAILABLE = 3006
     BACKEND_REFUSED = 3007
+    CRASHES_SERVERS = 3008
     CLAIMS_UNAVAILABLE = 4001
     CLAIM_IN_PROGRESS = 4002
     OUTCOME_UNKNOWN = 4003
@@ -110,6 +111,9 @@
         502, _MAY_HAVE_RUN, "The old routing system did not answer."
     ),
     Code.BACKEND_REFUSED: CodeInfo(502, _MAY_HAVE_RUN, "The backend server refused the request."),
+    Code.CRASHES_SERVERS: CodeInfo(
+        503, _NOT_RUN, "Backend servers crashed while running this request; it was not run again."
+    ),
     Code.CLAIMS_UNAVAILABLE: CodeInfo(
         503, _NOT_RUN, "The request cannot be claimed because the log is unavailable."
     ),
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -104,6 +104,7 @@
         note_signs: Callable[[AnswerSigns], None],
     ) -> None:
         self.resume_after: str | None = None
+        self.was_sent = False
         self.first_ms: float | None = None
         self._began_ms = clock_ms()
         self._work = work
@@ -152,6 +153,7 @@
             call, self._chosen.server, self._work.account_name, left_ms, self.resume_after
         )
         connection.send(call.method, call.target, headers, call.body)
+        self.was_sent = True
         ran_before = self._work.may_have_run
         self._work.may_have_run = True
         head, signs = await self._own_head(connection)
--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -5,6 +5,7 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import (
     Change,
+    EvidenceSeen,
     ForeignEntry,
     MemberSeen,
     ServerChanged,
@@ -60,7 +61,7 @@
             case ForeignEntry(server, reason):
                 if self.directory.note_foreign(server):
                     _log.warning("Server entry is foreign.", server=server, reason=reason)
-            case MemberSeen():
+            case MemberSeen() | EvidenceSeen():
                 pass
 
     def keep_only(self, servers: set[str], now_ms: float) -> None:
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -17,6 +17,7 @@
 from cicadaledge.edge._caller import AnswerWriter, CallerConnection, CallerService, RequestHead
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._crash_watch import CrashWatch
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
 from cicadaledge.edge._follow import FollowTimes, TopicFollower
@@ -29,6 +30,8 @@
 from cicadaledge.edge._shedding import Shedding
 from cicadaledge.edge._source import StoreTopics
 from cicadaledge.edge._store_reach import StoreReach
+from cicadaledge.edge._suspect_news import SuspectNews
+from cicadaledge.edge._suspicion import Suspicion
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadBook, Placer, ServerHealth
 from cicadaledge.routing import Limits
@@ -120,6 +123,16 @@
             settings.region_of,
             settings.region,
         )
+        self._suspicion = Suspicion(self._metrics)
+        self._suspect_news = SuspectNews(settings.router, self._suspicion, topics.registry.suspects)
+        self._crashes = CrashWatch(
+            self._beliefs.directory,
+            self._load,
+            self._pool,
+            settings.timing.connect_ms,
+            self._suspicion.note_crash,
+            self._suspicion.note_life,
+        )
         self._desk = CallDesk(
             settings,
             dialect,
@@ -131,6 +144,8 @@
             self._pool,
             self._callers,
             self._shedding,
+            self._crashes,
+            self._suspicion,
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
@@ -191,6 +206,7 @@
             *[follower.follow for follower in self._followers],
             self._peers.keep_announced,
             self._peers.keep_views,
+            self._suspect_news.keep_published,
             self._settle_removals,
             self._watch_loop,
             self._keep_up,
@@ -210,10 +226,17 @@
             timing.member_poll_ms + silence_ms,
             timing.first_member_pauses_ms,
         )
+        suspects = FollowTimes(
+            timing.suspect_wait_ms,
+            0.0,
+            timing.suspect_silence_ms,
+            (timing.first_control_pause_ms,),
+        )
         return [
             TopicFollower(topics.control, ControlSink(self._beliefs), control, news, reach),
             TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news, reach),
             TopicFollower(topics.members, self._peers, members, news, reach),
+            TopicFollower(topics.registry.suspects, self._suspect_news, suspects, news, reach),
         ]
 
     async def _keep_running(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -263,6 +286,7 @@
     async def _settle_removals(self) -> None:
         while True:
             self._beliefs.settle_removals(clock_ms())
+            self._crashes.check()
             await asyncio.sleep(_SETTLE_S)
 
     async def _keep_up(self) -> None:
@@ -270,6 +294,7 @@
             self._pool.close_idle()
             self._placer.forget_servers(self._beliefs.directory.names())
             self._gate.report()
+            self._suspicion.expire()
             self._metrics.set_state("callers", len(self._callers))
             self._metrics.set_state("server_connections", len(self._pool))
             self._metrics.set_state("active", self._desk.active)
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -14,6 +14,7 @@
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._crash_watch import CrashWatch
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
@@ -24,6 +25,7 @@
 from cicadaledge.edge._server_words import ServerWords
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._shedding import Shedding
+from cicadaledge.edge._suspicion import Suspicion
 from cicadaledge.edge._work import Work
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
@@ -41,6 +43,7 @@
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
 _HOLD_STEP_S = 0.05  # the shortest time between two load views
 _UNREACHED_TRIES = 3  # servers that cannot be reached before a request is refused
+_LOSSES_TO_SETTLE = 2  # after two losses a request is sent on only once both are explained
 _BUSY_RETRY_MS = 200.0  # a full server has a place after a fraction of a request's time
 _STALE_RETRY_MS = 1_000.0  # another router may read the store; this one needs seconds
 _LEAVING_RETRY_MS = 50.0  # any other router can serve it
@@ -66,6 +69,8 @@
         pool: ServerPool,
         callers: CallerConnections,
         shedding: Shedding,
+        crashes: CrashWatch,
+        suspicion: Suspicion,
         metrics: EdgeMetrics,
     ) -> None:
         self.closing = False
@@ -82,6 +87,8 @@
         self._pool = pool
         self._callers = callers
         self._shedding = shedding
+        self._crashes = crashes
+        self._suspicion = suspicion
         self._metrics = metrics
         self._held = HeldBytes()
         self._words = ServerWords(beliefs.directory, metrics)
@@ -260,6 +267,8 @@
             resume_after = attempt.resume_after
             if not self._may_repeat(work, result, writer):
                 raise self._loss(work, result)
+            if result.end is AttemptEnd.LOST and work.attempts >= _LOSSES_TO_SETTLE:
+                await self._crashes.settle(chosen.server)
 
     async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
         now_ms = clock_ms()
@@ -267,8 +276,11 @@
         self._lines.placed(work, chosen, self._share_use(work, now_ms), now_ms)
         server = chosen.server.server
         try:
-            result = await attempt.run()
+            with self._suspicion.running(work, server):
+                result = await attempt.run()
         except asyncio.CancelledError:
+            if attempt.was_sent:
+                self._crashes.note_unanswered(chosen.server, work, broke=False)
             silent_ms = clock_ms() - now_ms
             if attempt.first_ms is None and silent_ms > chosen.predicted_ms:
                 self._load.note_wait(chosen.placement, silent_ms, clock_ms())
@@ -278,6 +290,10 @@
         finally:
             self._load.end(chosen.placement)
         ended_ms = clock_ms()
+        if result.end is AttemptEnd.LOST:
+            self._crashes.note_unanswered(chosen.server, work, broke=True)
+        elif result.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
+            self._suspicion.note_whole(work)
         if result.end is AttemptEnd.UNREACHED:
             self._health.note_unreachable(server, ended_ms)
         elif result.end not in (AttemptEnd.WITHDRAWN, AttemptEnd.CROWDED):
@@ -305,7 +321,7 @@
         """Return whether the configuration, the key and the server still allow a request."""
         beliefs = self._beliefs
         now_ms = clock_ms()
-        if beliefs.table is not work.table:
+        if beliefs.table is not work.table or self._suspicion.is_blamed(work):
             return False
         if not beliefs.directory.is_usable(chosen.server, now_ms):
             return False
@@ -321,10 +337,9 @@
         while True:
             now_ms = clock_ms()
             self._recheck(work)
+            self._suspicion.check(work)
             use = self._share_use(work, now_ms)
-            choice = self._placer.choose(
-                work.call, work.route, work.service, work.regions, work.tried, use, now_ms
-            )
+            choice = self._choose(work, use, now_ms)
             if isinstance(choice, Chosen):
                 if work.account is not None and work.service.engine is not None:
                     self._shares.note_admitted(work.account.name, work.call.cost_tokens, now_ms)
@@ -335,6 +350,17 @@
                 raise self._no_capacity(work, choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
 
+    def _choose(self, work: Work, use: ShareUse, now_ms: float) -> Chosen | Refused:
+        """Return a server; for a suspect one where no other suspect runs, if there is one."""
+        apart = self._suspicion.apart_from(work)
+        for avoided in (work.tried | apart, work.tried) if apart else (work.tried,):
+            choice = self._placer.choose(
+                work.call, work.route, work.service, work.regions, avoided, use, now_ms
+            )
+            if isinstance(choice, Chosen):
+                break
+        return choice
+
     @staticmethod
     def _no_capacity(work: Work, reason: str, retry_after_ms: float) -> RefusalError:
         """Return the refusal of a request that no server can take now."""
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -31,6 +31,11 @@
             "What servers said of themselves in answers.",
             registry=registry,
         )
+        self._crashes = aioprometheus.Counter(
+            "cicadaledge_server_crashes_total",
+            "Crashes of servers by what told of them.",
+            registry=registry,
+        )
         self._turned_away = aioprometheus.Counter(
             "cicadaledge_callers_turned_away_total",
             "New callers that were turned away before their request was taken.",
@@ -73,6 +78,10 @@
         """Count what a server said of itself."""
         self._said.inc({"what": what})
 
+    def crashed(self, told_by: str) -> None:
+        """Count a crash of a server."""
+        self._crashes.inc({"told_by": told_by})
+
     def turned_away(self, count: int) -> None:
         """Count new callers that were turned away."""
         self._turned_away.add({}, count)
--- a/src/cicadaledge/edge/_server_pool.py
+++ b/src/cicadaledge/edge/_server_pool.py
@@ -31,7 +31,7 @@
         self._timing = settings.timing
         self._most = max(1, int(settings.connections * _SERVER_PART))
         self._idle: dict[_Key, deque[HttpConnection]] = {}
-        self._open: set[HttpConnection] = set()
+        self._open: dict[HttpConnection, _Key] = {}
         self._opening = 0
 
     def __len__(self) -> int:
@@ -65,8 +65,8 @@
             )
         finally:
             self._opening -= 1
-        self._open.add(connection)
-        connection.channel.when_gone(lambda: self._open.discard(connection))
+        self._open[connection] = (server.server, server.born_ms)
+        connection.channel.when_gone(lambda: self._forget(connection))
         return connection
 
     def _make_room(self) -> None:
@@ -79,9 +79,17 @@
         self._close(min(lines, key=lambda idle: idle[0].used_ms).popleft())
 
     def _close(self, connection: HttpConnection) -> None:
-        self._open.discard(connection)
+        self._forget(connection)
         connection.channel.close()
 
+    def _forget(self, connection: HttpConnection) -> None:
+        self._open.pop(connection, None)
+
+    def has_open(self, server: ServerEntry) -> bool:
+        """Return whether a connection to an incarnation of a server has not ended."""
+        key = (server.server, server.born_ms)
+        return any(one == key and not own.channel.gone for own, one in self._open.items())
+
     def give_back(self, server: ServerEntry, connection: HttpConnection) -> None:
         """Keep a connection whose exchange is complete, or close it."""
         if not connection.finish():
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -49,6 +49,10 @@
         first_control_pause_ms: Pause after the first read of the control topic: by then a router
             that has started is linked to a relay that reads for it.
         first_server_pause_ms: The same for the servers' heartbeats.
+        suspect_wait_ms: How long the store keeps a read of the routers' evidence on crashes waiting;
+            a connection that has gone silent is noticed within a second after that.
+        suspect_silence_ms: Silence of the zone's relay after which a router reads that evidence
+            itself; a little over the wait.
         news_silence_ms: Silence of the zone's relay after which a router reads the store
             itself; a little over the longest pause between two pages of the relay.
         view_ms: Between load views to peers; half of a request's way across regions.
@@ -74,6 +78,8 @@
     first_member_pauses_ms: tuple[float, ...] = (800.0, 2_000.0)
     first_control_pause_ms: float = field(default=1_500.0, validator=ge(0))
     first_server_pause_ms: float = field(default=2_000.0, validator=ge(0))
+    suspect_wait_ms: int = field(default=2_000, validator=ge(0))
+    suspect_silence_ms: float = field(default=2_400.0, validator=gt(0))
     news_silence_ms: float = field(default=1_600.0, validator=gt(0))
     view_ms: int = field(default=50, validator=gt(0))
     idle_view_ms: int = field(default=500, validator=gt(0))
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -8,6 +8,7 @@
 
 from cicadaledge.errors import CicadaledgeError
 from cicadaledge.routing import RoutingTable, ServerEntry
+from cicadaledge.suspects import Evidence
 
 
 class StoreError(CicadaledgeError):
@@ -79,7 +80,23 @@
     member: FleetMember
 
 
-Change = TableChanged | ZoneChanged | ServerChanged | ServerRemoved | ForeignEntry | MemberSeen
+@frozen
+class EvidenceSeen:
+    """A router wrote which requests were running in crashes of servers."""
+
+    router: str
+    evidence: Evidence
+
+
+Change = (
+    TableChanged
+    | ZoneChanged
+    | ServerChanged
+    | ServerRemoved
+    | ForeignEntry
+    | MemberSeen
+    | EvidenceSeen
+)
 
 
 @frozen
@@ -131,8 +148,25 @@
         """
 
 
+class SuspectRegistry(ChangeSource, Protocol):
+    """The topic in which routers share which requests were running in crashes."""
+
+    async def publish(self, router: str, evidence: Evidence) -> None:
+        """Write all that a router has seen.
+
+        Raises:
+            StoreError: The store did not answer; the entry may be written.
+        """
+
+
 class MemberRegistry(Protocol):
-    """Where router processes announce themselves."""
+    """Where router processes announce themselves, and what they tell each other.
+
+    Attributes:
+        suspects: What they tell of requests that crash servers.
+    """
+
+    suspects: SuspectRegistry
 
     async def announce(self, member: FleetMember) -> None:
         """Write this process's entry.
--- /dev/null
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -0,0 +1,214 @@
+"""Which requests are kept from backend servers as they crash them.
+
+Answers a request that comes again and again at any router of the fleet: after a second or third
+crash it is refused everywhere. Sound requests that ran beside it are cleared by whole answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+from cicadaledge.codes import Code
+from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._fingerprint import fingerprint, outline
+from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._work import Work
+from cicadaledge.errors import RefusalError
+from cicadaledge.logs import PartLog
+from cicadaledge.suspects import Evidence, SuspectBook
+
+_WINDOW_MS = 600_000.0  # ten minutes: time for operators to look, as in the own interface
+_RECENT = 32  # whole answers that are looked at after a crash: about two seconds of one router
+_RECENT_MS = 2_000.0  # a request that was answered this shortly before a crash did not cause it
+_RECENT_BODY_BYTES = 65_536  # longer bodies are not kept: 2 MB in all
+_LINE_REQUESTS = 16  # that a line on a crash names
+_log = PartLog("crashes")
+
+
+class Suspicion:
+    """What this router knows of requests that crash servers, its own evidence and the fleet's.
+
+    Attributes:
+        has_news: Set when this router has evidence that others do not know.
+    """
+
+    def __init__(self, metrics: EdgeMetrics) -> None:
+        self.has_news = asyncio.Event()
+        self._metrics = metrics
+        self._own = SuspectBook(_WINDOW_MS)
+        self._fleet = SuspectBook(_WINDOW_MS)
+        self._recent: deque[tuple[float, Work]] = deque(maxlen=_RECENT)
+        self._running: dict[str, Counter[str]] = {}
+
+    def note_crash(self, crash: str, told_by: str, works: list[Work]) -> None:
+        """Suspect the requests that were running in a crash, unless they were just answered."""
+        at_ms = _wall_ms()
+        digests = {_known_by(work) for work in works}
+        digests -= self._answered_lately(digests)
+        _log.warning(
+            "Server has crashed.",
+            crash=crash,
+            told_by=told_by,
+            running=len(works),
+            suspects=sorted(digests)[:_LINE_REQUESTS],
+            request_ids=[work.call.request_id for work in works[:_LINE_REQUESTS]],
+        )
+        self._metrics.crashed(told_by)
+        self._own.note(crash, digests, at_ms)
+        if self._take(Evidence({crash: at_ms}, {crash: sorted(digests)})):
+            self.has_news.set()
+
+    def note_life(self, crash: str) -> None:
+        """Take back what was suspected for a crash that was none."""
+        digests = self._fleet.requests_of(crash)
+        _log.info("Server goes on; it has not crashed.", crash=crash, cleared=len(digests))
+        for digest in digests:
+            self._clear(digest, [crash])
+
+    def note_whole(self, work: Work) -> None:
+        """Note that a request was answered whole."""
+        if len(work.call.body) <= _RECENT_BODY_BYTES:
+            self._recent.append((clock_ms(), work))
+        if self._fleet.size() and outline(work) in self._fleet.outlines():
+            digest = _known_by(work)
+            self._clear(digest, list(self._fleet.crashes_of(digest)))
+
+    def check(self, work: Work) -> None:
+        """Refuse a request that is held to crash servers.
+
+        Raises:
+            RefusalError: It is not sent to a server, or not once more.
+        """
+        digest = self._suspect(work)
+        if digest is None or not self._fleet.is_blamed(digest):
+            return
+        now_ms = _wall_ms()
+        crashes = self._fleet.crashes_of(digest)
+        _log.warning(
+            "Request is kept from servers.",
+            request_id=work.call.request_id,
+            route=work.route.name,
+            account=work.account_name,
+            fingerprint=digest,
+            crashes=sorted(crashes),
+            crash_ages_ms=sorted(round(now_ms - self._fleet.crash_ms(one)) for one in crashes),
+        )
+        retry_after_ms = int(self._fleet.expires_in_ms(digest, now_ms))
+        code = Code.BACKEND_LOST if work.may_have_run else Code.CRASHES_SERVERS
+        raise RefusalError(code, retry_after_ms=retry_after_ms)
+
+    def is_blamed(self, work: Work) -> bool:
+        """Return whether a request is held to crash servers."""
+        digest = self._suspect(work)
+        return digest is not None and self._fleet.is_blamed(digest)
+
+    def apart_from(self, work: Work) -> set[str]:
+        """Return the servers on which a suspect would run beside another one."""
+        if not self._running:
+            return set()
+        digest = self._suspect(work)
+        if digest is None:
+            return set()
+        return {name for name, digests in self._running.items() if digests.keys() - {digest}}
+
+    @contextmanager
+    def running(self, work: Work, server: str) -> Iterator[None]:
+        """Note that a request runs on a server, if it is a suspect."""
+        digest = self._suspect(work)
+        if digest is None:
+            yield
+            return
+        here = self._running.setdefault(server, Counter())
+        here[digest] += 1
+        try:
+            yield
+        finally:
+            here[digest] -= 1
+            if not here[digest]:
+                del here[digest]
+            if not here:
+                self._running.pop(server, None)
+
+    def evidence(self) -> Evidence:
+        """Return what this router itself has seen."""
+        return self._own.evidence()
+
+    def merge(self, evidence: Evidence, *, is_own: bool) -> None:
+        """Take over what a router has seen.
+
+        Args:
+            is_own: It is of this router before it was restarted.
+        """
+        if is_own:
+            self._own.merge(evidence, _wall_ms())
+        self._take(evidence)
+
+    def expire(self) -> None:
+        """Forget old crashes."""
+        now_ms = _wall_ms()
+        self._own.expire(now_ms)
+        self._fleet.expire(now_ms)
+        self._metrics.set_state("requests_kept_from_servers", len(self._fleet.blamed()))
+
+    def _take(self, evidence: Evidence) -> bool:
+        """Take evidence over; return whether it held news."""
+        before = set(self._fleet.blamed())
+        news = self._fleet.merge(evidence, _wall_ms())
+        if not news:
+            return False
+        named = {digest for digests in evidence.ran.values() for digest in digests}
+        for digest in self._answered_lately(named):
+            self._clear(digest, list(self._fleet.crashes_of(digest)))
+        for digest in self._fleet.blamed() - before:
+            _log.warning(
+                "Request is held to crash servers.",
+                fingerprint=digest,
+                crashes=sorted(self._fleet.crashes_of(digest)),
+            )
+        return True
+
+    def _clear(self, digest: str, crashes: Iterable[str]) -> None:
+        """Note, and tell the others, that a request did not cause some crashes."""
+        crashes = list(crashes)
+        was_blamed = self._fleet.is_blamed(digest)
+        if not crashes or not self._fleet.clear(digest, crashes):
+            return
+        for crash in crashes:
+            self._own.note(crash, [digest], self._fleet.crash_ms(crash))
+        self._own.clear(digest, crashes)
+        self.has_news.set()
+        if was_blamed and not self._fleet.is_blamed(digest):
+            _log.warning("Request is cleared.", fingerprint=digest, crashes=sorted(crashes))
+
+    def _suspect(self, work: Work) -> str | None:
+        """Return the fingerprint of a request if it is a suspect; others are not hashed."""
+        if not self._fleet.size() or outline(work) not in self._fleet.outlines():
+            return None
+        digest = _known_by(work)
+        return digest if self._fleet.is_suspect(digest) else None
+
+    def _answered_lately(self, digests: set[str]) -> set[str]:
+        """Return those that were answered whole a short time ago."""
+        outlines = {digest[: SuspectBook.OUTLINE_LENGTH] for digest in digests}
+        from_ms = clock_ms() - _RECENT_MS
+        lately = {
+            _known_by(work)
+            for at_ms, work in self._recent
+            if at_ms >= from_ms and outline(work) in outlines
+        }
+        return digests & lately
+
+
+def _known_by(work: Work) -> str:
+    if work.fingerprint is None:
+        work.fingerprint = fingerprint(work)
+    return work.fingerprint
+
+
+def _wall_ms() -> float:
+    """Return the time of day: routers tell each other when crashes were."""
+    return time.time() * 1000
--- a/src/cicadaledge/edge/_work.py
+++ b/src/cicadaledge/edge/_work.py
@@ -22,6 +22,7 @@
         until_ms: When its time runs out.
         is_bound: Whether the caller got a part of an answer that no other server can end.
         failure: The newest failure that a server itself answered with.
+        fingerprint: What it is known by when it comes again, once somebody has asked.
     """
 
     call: Call
@@ -36,6 +37,7 @@
     may_have_run: bool = False
     is_bound: bool = False
     failure: WholeAnswer | None = None
+    fingerprint: str | None = None
 
     @property
     def account_name(self) -> str | None:
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -17,6 +17,7 @@
     Service,
     ServiceWeight,
 )
+from cicadaledge.suspects import Evidence
 
 _KINDS = {
     "safe": RouteKind.SAFE,
@@ -70,6 +71,27 @@
         raise ValueError(f"the entry of server {server!r} cannot be decoded: {error!r}") from error
 
 
+def decode_evidence(data: bytes) -> Evidence:
+    """Return what a router has seen of crashes.
+
+    Raises:
+        ValueError: No router wrote the data.
+    """
+    try:
+        plain = json.loads(data)
+        return Evidence(
+            crashed_ms={str(name): float(at_ms) for name, at_ms in plain["crashed"].items()},
+            ran=_lists(plain["ran"]),
+            cleared=_lists(plain["cleared"]),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"the evidence cannot be decoded: {error!r}") from error
+
+
+def _lists(plain: dict[str, Any]) -> dict[str, list[str]]:
+    return {str(name): [str(one) for one in values] for name, values in plain.items()}
+
+
 def _route(plain: dict[str, Any]) -> Route:
     split = plain.get("trafficSplit") or [{"service": plain["service"], "weight": 1}]
     return Route(
--- a/src/cicadaledge/platform/_dialect.py
+++ b/src/cicadaledge/platform/_dialect.py
@@ -77,6 +77,7 @@
             started_ms=started_ms,
             deadline_ms=_deadline_ms(named.get(b"deadline-ms")),
             key=_key(named.get(b"authorization")),
+            model=named.get(b"model"),
             prompt_tokens=tokens_in,
             output_tokens=tokens_out,
             parts=_prompt_parts(named.get(b"prompt-prefix")),
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -13,6 +13,7 @@
 from cicadaledge.edge import (
     Change,
     ChangePage,
+    EvidenceSeen,
     FleetMember,
     ForeignEntry,
     HistoryLostError,
@@ -21,13 +22,15 @@
     ServerChanged,
     ServerRemoved,
     StoreError,
+    SuspectRegistry,
     TableChanged,
     ZoneChanged,
     clock_ms,
     timeout_after_reads,
 )
 from cicadaledge.errors import BackendError
-from cicadaledge.platform._decode import decode_server, decode_table
+from cicadaledge.platform._decode import decode_evidence, decode_server, decode_table
+from cicadaledge.suspects import Evidence
 
 _OK = 200
 _GONE = 410
@@ -240,12 +243,43 @@
             return ForeignEntry(record.key, str(error))
 
 
+class SuspectTopic(_KeyedTopic):
+    """What each router has seen of crashes of servers, under its name."""
+
+    name = "suspects"
+    topic = "keyed.crashes"
+
+    async def publish(self, router: str, evidence: Evidence) -> None:
+        """Write all that a router has seen."""
+        plain = {
+            "crashed": evidence.crashed_ms,
+            "ran": evidence.ran,
+            "cleared": evidence.cleared,
+        }
+        value = json.dumps(plain, separators=(",", ":")).encode()
+        await self._client.append(self.topic, router, value)
+
+    def _change(self, record: _KeyedRecord) -> Change | None:
+        try:
+            return EvidenceSeen(record.key, decode_evidence(record.value))
+        except ValueError as error:
+            return ForeignEntry(record.key, str(error))
+
+
 class MemberTopic(_KeyedTopic):
-    """Router processes, each under its name."""
+    """Router processes, each under its name.
+
+    Attributes:
+        suspects: What they tell of requests that crash servers.
+    """
 
     name = "members"
     topic = "keyed.routers"
 
+    def __init__(self, client: StoreClient) -> None:
+        super().__init__(client)
+        self.suspects: SuspectRegistry = SuspectTopic(client)
+
     async def announce(self, member: FleetMember) -> None:
         """Write a process's entry."""
         plain = {
--- a/src/cicadaledge/router/_context.py
+++ b/src/cicadaledge/router/_context.py
@@ -8,12 +8,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
-from cicadaledge.capacity import SuspectBook
 from cicadaledge.config import FleetState, Record
 from cicadaledge.errors import LogUnavailableError
 from cicadaledge.log import LogClient, LogPage
 from cicadaledge.membership import Liveness, Member, rank
 from cicadaledge.settings import RouterSettings
+from cicadaledge.suspects import SuspectBook
 from cicadaledge.wire import Heartbeat, PeerLinks
 from cicadaledge.world import Configuration, ZoneState
 
--- a/src/cicadaledge/router/_deaths.py
+++ b/src/cicadaledge/router/_deaths.py
@@ -9,7 +9,7 @@
 from cicadaledge.errors import BackendError, RefusalError
 from cicadaledge.router._context import RouterContext, monotonic_ms
 from cicadaledge.router._desk import Ticket
-from cicadaledge.wire import Death, Outcome, Poisoned
+from cicadaledge.wire import Crash, Crashes, Outcome
 
 _PROBE_TIMEOUT_MS = 1000
 _SPREAD_PAUSE_S = 0.1
@@ -22,19 +22,25 @@
         self._context = context
 
     def is_suspect(self, digest: str) -> bool:
-        """Return whether a request was running when a server died."""
-        return self._context.suspects.is_suspect(digest, monotonic_ms())
+        """Return whether a request can have caused a server's death."""
+        return self._context.suspects.is_suspect(digest)
+
+    def note_whole(self, digest: str) -> None:
+        """Note that a request was answered whole: it has not caused the deaths it ran in."""
+        suspects = self._context.suspects
+        deaths = list(suspects.crashes_of(digest))
+        if deaths and suspects.clear(digest, deaths):
+            self._tell([Crash(death, [digest], [digest]) for death in deaths])
 
     def refuse_poison(self, digest: str) -> None:
-        """Refuse a request that was running in two deaths.
+        """Refuse a request that is held to have caused deaths.
 
         Raises:
             RefusalError: Code 3004.
         """
-        now_ms = monotonic_ms()
-        if not self._context.suspects.is_poison(digest, now_ms):
+        if not self._context.suspects.is_blamed(digest):
             return
-        wait_ms = self._context.suspects.expires_in_ms(digest, now_ms)
+        wait_ms = int(self._context.suspects.expires_in_ms(digest, monotonic_ms()))
         # Peers learn of the deaths before the caller can send the request to them.
         time.sleep(_SPREAD_PAUSE_S)
         raise RefusalError(Code.POISON_REQUEST, retry_after_ms=wait_ms)
@@ -50,11 +56,13 @@
             return Outcome.LOST
         digest = ticket.body_digest
         death = f"{grant.server}/{grant.boot_id}"
-        self._context.suspects.note(digest, death, monotonic_ms())
-        message = Poisoned([Death(digest, [death])])
-        self._context.loop.call_soon_threadsafe(self._spread, message)
+        self._context.suspects.note(death, [digest], monotonic_ms())
+        self._tell([Crash(death, [digest], [])])
         return Outcome.DIED
 
+    def _tell(self, crashes: list[Crash]) -> None:
+        self._context.loop.call_soon_threadsafe(self._spread, Crashes(crashes))
+
     def _is_alive(self, server_name: str, boot_id: str) -> bool:
         server = self._context.configuration.servers.get(server_name)
         if server is None:
@@ -65,6 +73,6 @@
         except (BackendError, KeyError, TypeError):
             return False
 
-    def _spread(self, message: Poisoned) -> None:
+    def _spread(self, message: Crashes) -> None:
         for peer in self._context.links.peers():
             self._context.send(peer, message)
--- a/src/cicadaledge/router/_fleet.py
+++ b/src/cicadaledge/router/_fleet.py
@@ -10,7 +10,8 @@
 from cicadaledge.membership import Leave, Member, Remove, rank
 from cicadaledge.router._context import RouterContext
 from cicadaledge.router._control_log import ControlLog
-from cicadaledge.wire import Heartbeat, Poisoned, Witness
+from cicadaledge.suspects import Evidence
+from cicadaledge.wire import Crash, Crashes, Heartbeat, Witness
 
 _JOIN_PERIOD_S = 0.5
 _REMOVAL_PERIOD_S = 0.5
@@ -29,7 +30,7 @@
         self._witnesses: dict[tuple[str, int], dict[str, int]] = {}
         context.handlers[Heartbeat] = self._on_heartbeat
         context.handlers[Witness] = self._on_witness
-        context.handlers[Poisoned] = self._on_poisoned
+        context.handlers[Crashes] = self._on_crashes
         context.on_record.append(self._on_record)
         context.on_peer_up.append(self._on_up)
         context.beat = self._beat
@@ -164,7 +165,7 @@
         if beat.disowned:
             self._rejoin()
         if beat.poison_count < context.suspects.size():
-            context.send(peer, context.suspects.message())
+            context.send(peer, self._crashes())
 
     def _rejoin(self) -> None:
         context = self._context
@@ -176,8 +177,24 @@
         _log.warning("Peers have given up this incarnation; joining as a new one.")
         context.renew_incarnation()
 
-    def _on_poisoned(self, peer: str, message: Poisoned) -> None:
-        self._context.suspects.merge(message, self._context.now_ms())
+    def _crashes(self) -> Crashes:
+        """Return all that is known of crashes."""
+        known = self._context.suspects.evidence()
+        return Crashes(
+            [
+                Crash(crash, known.ran.get(crash, []), known.cleared.get(crash, []))
+                for crash in known.crashed_ms
+            ]
+        )
+
+    def _on_crashes(self, peer: str, message: Crashes) -> None:
+        now_ms = self._context.now_ms()
+        evidence = Evidence(
+            {one.crash: now_ms for one in message.crashes},
+            {one.crash: list(one.ran) for one in message.crashes},
+            {one.crash: list(one.cleared) for one in message.crashes},
+        )
+        self._context.suspects.merge(evidence, now_ms)
 
     def _on_record(self, record: Record | None) -> None:
         members = self._context.state.members.by_name
--- a/src/cicadaledge/router/_model_dispatch.py
+++ b/src/cicadaledge/router/_model_dispatch.py
@@ -139,6 +139,7 @@
             connection = self._granted.open(ticket)
             yield from self._send(call, ticket, connection, position)
             outcome = Outcome.FINISHED
+            self._granted.deaths.note_whole(call.body_digest)
         except BackendError as error:
             outcome = self._granted.outcome_of(ticket, error)
             raise
--- a/src/cicadaledge/router/_service_dispatch.py
+++ b/src/cicadaledge/router/_service_dispatch.py
@@ -149,6 +149,7 @@
         try:
             answer = self._send(call, ticket)
             outcome = Outcome.FINISHED
+            self._granted.deaths.note_whole(call.digest)
             return answer
         except BackendError as error:
             outcome = self._granted.outcome_of(ticket, error)
--- a/src/cicadaledge/routing/_call.py
+++ b/src/cicadaledge/routing/_call.py
@@ -23,6 +23,7 @@
         headers: Names as sent, without those that concern one connection only.
         deadline_ms: How long the caller waits, from `started_ms`; None if it did not say.
         started_ms: When the first byte arrived, on the clock that counts suspension.
+        model: Model that it names, or None.
         parts: Shared parts of the prompt in order; the last one is the caller's own.
         resume_after: Id of the last event that the caller has, or None.
     """
@@ -36,6 +37,7 @@
     started_ms: float
     deadline_ms: float | None = None
     key: str | None = field(default=None, repr=False)
+    model: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -238,13 +238,36 @@
         known = self._incarnation(entry)
         return known is not None and self._may_serve(known) and known.paused_until_ms <= now_ms
 
+    def is_to_stay(self, entry: ServerEntry) -> bool:
+        """Return whether nothing says that an incarnation leaves or has left."""
+        known = self._incarnation(entry)
+        return known is not None and self._stays(known)
+
+    def is_replaced(self, entry: ServerEntry) -> bool:
+        """Return whether a later incarnation has a server's name or its address."""
+        address = (entry.host, entry.port)
+        return any(
+            known.entry.born_ms > entry.born_ms
+            and known.removed_ms is None
+            and (name == entry.server or (known.entry.host, known.entry.port) == address)
+            for name, known in self._known.items()
+        )
+
+    def heartbeats(self, entry: ServerEntry) -> int:
+        """Return the number of an incarnation's newest heartbeat; 0 if another one is there."""
+        known = self._incarnation(entry)
+        return known.entry.sequence if known is not None else 0
+
     def _may_serve(self, known: _Known) -> bool:
+        return self._stays(known) and known.entry.zone not in self._evacuated
+
+    @staticmethod
+    def _stays(known: _Known) -> bool:
         return (
             known.removed_ms is None
             and not known.foreign
             and not known.says_leaving
             and known.entry.state is ServerState.READY
-            and known.entry.zone not in self._evacuated
         )
 
     def cold_until_ms(self, server: str) -> float:
--- /dev/null
+++ b/src/cicadaledge/suspects/__init__.py
@@ -0,0 +1,6 @@
+"""Which requests crash the backend servers that run them; usable without a network."""
+
+from cicadaledge.suspects._blame import blamed
+from cicadaledge.suspects._book import Evidence, SuspectBook
+
+__all__ = ["Evidence", "SuspectBook", "blamed"]
--- /dev/null
+++ b/src/cicadaledge/suspects/_blame.py
@@ -0,0 +1,61 @@
+"""Tells requests that crash servers from those that happened to run there.
+
+Answers a request that comes again and again and crashes each server that runs it, beside hot sound
+requests, which run in nearly every crash, and crashes that have other causes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Set
+
+_FEWEST_CRASHES = 2  # one crash alone blames nobody
+_SURE_CRASHES = 3  # from here on ties and other crashes no longer excuse a request
+_LOOK_BACK_MS = 10_000.0  # crashes this long before a suspect's first tell how common they are
+_LEAST_PART = 0.5  # of the crashes about that time, which two crashes must be to blame a request
+
+
+def blamed(running: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> set[str]:
+    """Return the requests that explain crashes better than chance does.
+
+    Whoever was running in most crashes explains them; the others are judged by what is left.
+
+    Args:
+        running: Crashes that each request was running in, without those that it was cleared of.
+        crashed_ms: When each crash was.
+    """
+    found: set[str] = set()
+    explained: set[str] = set()
+    while True:
+        left = {
+            digest: crashes - explained
+            for digest, crashes in running.items()
+            if digest not in found and len(crashes - explained) >= _FEWEST_CRASHES
+        }
+        causes = _likely_causes(left, crashed_ms)
+        if not causes:
+            return found
+        found |= causes
+        for digest in causes:
+            explained |= running[digest]
+
+
+def _likely_causes(left: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> set[str]:
+    most = max((len(crashes) for crashes in left.values()), default=0)
+    first = {digest: crashes for digest, crashes in left.items() if len(crashes) == most}
+    if most >= _SURE_CRASHES:
+        return set(first)
+    return {
+        digest
+        for digest, crashes in first.items()
+        if all(crashes.isdisjoint(other) for name, other in first.items() if name != digest)
+        and _is_usual_cause(crashes, crashed_ms)
+    }
+
+
+def _is_usual_cause(crashes: Set[str], crashed_ms: Mapping[str, float]) -> bool:
+    """Return whether few servers crashed about that time without the request."""
+    times_ms = [crashed_ms[crash] for crash in crashes]
+    begin_ms = min(times_ms) - _LOOK_BACK_MS
+    end_ms = max(times_ms)
+    about = sum(begin_ms <= at_ms <= end_ms for at_ms in crashed_ms.values())
+    return len(crashes) >= about * _LEAST_PART
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -119,7 +119,7 @@
     _messages.LeaseGrant,
     _messages.TransferItem,
     _messages.AccountCost,
-    _messages.Death,
+    _messages.Crash,
     _messages.AccountUse,
     _messages.DepartingServer,
 )
@@ -142,7 +142,7 @@
     _messages.TransferRequest,
     _messages.TransferReply,
     _messages.Counters,
-    _messages.Poisoned,
+    _messages.Crashes,
     _messages.Witness,
     _messages.LoadView,
     _messages.StoreNews,
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -298,18 +298,25 @@
 
 
 @frozen
-class Death:
-    """Server deaths that a request was running in."""
+class Crash:
+    """A crash of a backend server.
 
-    digest: str
-    deaths: list[str]
+    Args:
+        crash: Server and incarnation.
+        ran: Digests of the requests that were running.
+        cleared: Those of them that cannot have caused it.
+    """
+
+    crash: str
+    ran: list[str]
+    cleared: list[str]
 
 
 @frozen
-class Poisoned:
-    """Merges suspect requests by union."""
+class Crashes:
+    """What was seen of crashes; merges by union."""
 
-    deaths: list[Death]
+    crashes: list[Crash]
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -183,13 +183,14 @@
   accounts @5 :List(AccountCost);
 }
 
-struct Death {
-  digest @0 :Text;
-  deaths @1 :List(Text);
+struct Crash {
+  crash @0 :Text;
+  ran @1 :List(Text);
+  cleared @2 :List(Text);
 }
 
-struct Poisoned {
-  deaths @0 :List(Death);
+struct Crashes {
+  crashes @0 :List(Crash);
 }
 
 struct Witness {
@@ -267,7 +268,7 @@
     transferRequest @14 :TransferRequest;
     transferReply @15 :TransferReply;
     counters @16 :Counters;
-    poisoned @17 :Poisoned;
+    crashes @17 :Crashes;
     witness @18 :Witness;
     adopt @19 :Adopt;
     loadView @21 :LoadView;
