--- a/tests/edge/test_ending_servers.py
+++ b/tests/edge/test_ending_servers.py
@@ -119,3 +119,124 @@
             assert 503 not in statuses
 
     asyncio.run(play())
+
+
+def test_a_router_that_was_just_added_knows_requests_that_crash_servers():
+    async def play():
+        async with small_world(desks=6, routers=1) as world:
+            for runner in world.runners:
+                runner.faults = RunnerFaults(fatal="fatal")
+            for _ in range(3):
+                await world.call("/book/fatal")
+                await asyncio.sleep(0.5)
+            ended = len(ends_of(world))
+            await world.add_router("router-new")
+            answer = await world.call("/book/fatal", place=1)
+            assert answer.status == 503
+            assert float(answer.head.get(b"Retry-After")) > 60
+            assert len(ends_of(world)) == ended <= MOST_ENDS
+
+    asyncio.run(play())
+
+
+def test_a_router_that_hears_no_other_router_knows_requests_that_crash_servers():
+    async def play():
+        async with small_world(desks=6, routers=3) as world:
+            for runner in world.runners:
+                runner.faults = RunnerFaults(fatal="fatal")
+            alone = world.routers[2]
+            await alone._peers.links.close()
+            alone._peers.links.dial = lambda *address: None
+            for turn in range(6):
+                await world.call("/book/fatal", place=turn % 2)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(CONTACT_MS / 1000)
+            ended = len(ends_of(world))
+            assert (await world.call("/book/fatal", place=2)).status == 503
+            assert len(ends_of(world)) == ended <= MOST_ENDS
+
+    asyncio.run(play())
+
+
+def test_a_restarted_router_keeps_the_evidence_that_it_had_published():
+    async def play():
+        async with small_world(desks=6, routers=1) as world:
+            for runner in world.runners:
+                runner.faults = RunnerFaults(fatal="fatal")
+            await world.call("/book/fatal")
+            await asyncio.sleep(0.5)
+            world._tasks[0].cancel()
+            await asyncio.sleep(0.5)
+            await world.add_router("router-0")
+            await world.call("/book/fatal", place=1)
+            await asyncio.sleep(0.5)
+            assert (await world.call("/book/fatal", place=1)).status == 503
+            assert len(ends_of(world)) == 2
+            assert len(world.routers[1]._suspicion.evidence().crashed_ms) == 2
+
+    asyncio.run(play())
+
+
+def test_evidence_is_published_once_the_store_is_back():
+    async def play():
+        async with small_world(desks=6, routers=2) as world:
+            for runner in world.runners:
+                runner.faults = RunnerFaults(fatal="fatal")
+            world.cut_from_store(0)
+            for _ in range(3):
+                await world.call("/book/fatal", place=0)
+                await asyncio.sleep(0.3)
+            world._clients[0].is_cut = False
+            await asyncio.sleep(1.5)
+            assert (await world.call("/book/fatal", place=1)).status == 503
+            assert len(ends_of(world)) <= MOST_ENDS
+
+    asyncio.run(play())
+
+
+def test_servers_that_leave_make_no_request_suspect():
+    async def play():
+        async with small_world(desks=4, routers=1) as world:
+            for runner in world.runners:
+                runner.gap_s = 5.0
+            for runner in world.runners[:3]:
+                world.beat(runner, state="draining")
+            await asyncio.sleep(0.2)
+            requests = [asyncio.create_task(world.call("/look/1")) for _ in range(2)]
+            await asyncio.sleep(0.2)
+            world.beat(world.runners[3], state="draining")
+            await asyncio.sleep(0.2)
+            world.runners[3].crash()
+            await asyncio.gather(*requests)
+            await asyncio.sleep(1.0)
+            assert not world.routers[0]._suspicion.evidence().crashed_ms
+
+    asyncio.run(play())
+
+
+def test_a_server_that_goes_on_though_nobody_could_connect_clears_its_requests():
+    """A cut can refuse connections; the server's heartbeats go on."""
+
+    async def play():
+        async with small_world(desks=2, routers=1) as world:
+            runner = world.runners[0]
+            other = world.runners[1]
+            world.beat(other, state="draining")
+            runner.gap_s = 5.0
+            await asyncio.sleep(0.2)
+            request = asyncio.create_task(world.call("/look/1"))
+            await asyncio.sleep(0.2)
+            port = runner.port
+            await runner.stop()
+            assert (await request).status in (502, 503)
+            await asyncio.sleep(0.2)
+            suspicion = world.routers[0]._suspicion
+            (crash,) = suspicion.evidence().crashed_ms
+            assert suspicion._fleet.requests_of(crash)
+            await runner.start(port)
+            for _ in range(12):
+                world.beat(runner)
+                await asyncio.sleep(0.25)
+            assert not suspicion._fleet.requests_of(crash)
+
+    asyncio.run(play())
