Split the budget of second sendings by all routers that may be there

Cause: the budget was divided by the routers that are heard. Class: a bound of the fleet split by what one router hears; cold rates already take the larger of heard and listed routers.

--- a/src/cicadaledge/edge/_retries.py
+++ b/src/cicadaledge/edge/_retries.py
@@ -28,7 +28,7 @@
         """Count one more sending and return True, or return False if none is left.
 
         Args:
-            routers: Routers that share the budget.
+            routers: Routers that may share the budget, those that are not heard included.
         """
         requests = self._window(self._requests, service).count(now_ms)
         retries = self._window(self._retries, service)
--- /dev/null
+++ b/tests/edge/test_retries.py
@@ -0,0 +1,33 @@
+"""The fleet's budget of second sendings, split over its routers."""
+
+import pytest
+
+from cicadaledge.edge import BoundSettings
+from cicadaledge.edge._retries import RetryBudget
+from cicadaledge.placing import FleetLoad, LoadBook
+from cicadaledge.wire import LoadView, ViewScope
+
+BOUNDS = BoundSettings(retry_ratio=0.2, retry_slack=58.0, retry_window_ms=10_000.0)
+ROUTERS = 9
+NOW_MS = 1_000.0
+
+
+def taken(routers):
+    """Return what one router sends again if every request is lost."""
+    budget = RetryBudget(BOUNDS)
+    count = 0
+    for _ in range(100):
+        count += budget.take("desk", routers, NOW_MS)
+    return count
+
+
+@pytest.mark.parametrize("heard", [0, 2, 8])
+def test_routers_that_do_not_hear_each_other_keep_within_the_fleets_budget(heard):
+    """In a cut each zone hears its own routers only, by views that are fresh."""
+    fleet = FleetLoad("router-0")
+    load = LoadBook(fleet)
+    fleet.set_roles("router-0", is_relay=True, members=ROUTERS, turn_ms=50.0)
+    for name in range(heard):
+        view = LoadView(0, int(ViewScope.SENDER), 1, False, [], [])
+        fleet.take(f"router-{name + 1}", view, NOW_MS)
+    assert taken(load.routers_at_most(NOW_MS)) * ROUTERS <= BOUNDS.retry_slack
