Answer every request of a planned stop before the process is killed

What callers saw: where the grace is short, or a second try is sent late in it, requests that had been taken and sent to a server were cut without an answer, among them requests that may not be repeated. Cause: taking went on for a fixed 2.6 s whatever the grace, a request was admitted by the time since the signal and sent by nothing, and at the end connections were reset. Class: a constant in place of the time that is left. Evidence: four tests failed before: 16 callers at a grace of 1.2 and 2.5 s, a request that outlasts the grace (reset; now 504, may have run), a second try that is sent late (reset; now 502 at once). A grace of 4 s and a body that arrives late were sound before. Refusing goes by the clock, not by a timer that a late loop delays. Requests without an answer get a 504 by then, which says that they may have run.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -18,6 +18,7 @@
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._crash_watch import CrashWatch
+from cicadaledge.edge._departure import Departure
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
 from cicadaledge.edge._follow import FollowTimes, TopicFollower
@@ -123,6 +124,7 @@
             settings.region_of,
             settings.region,
         )
+        self._departure = Departure(settings)
         self._suspicion = Suspicion(self._metrics)
         self._suspect_news = SuspectNews(settings.router, self._suspicion, topics.registry.suspects)
         self._crashes = CrashWatch(
@@ -144,6 +146,7 @@
             self._pool,
             self._callers,
             self._shedding,
+            self._departure,
             self._crashes,
             self._suspicion,
             self._metrics,
@@ -174,7 +177,6 @@
         _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
         await self._stopping.wait()
         await self._shut_down(callers)
-        broken_off = self._desk.active
         self._desk.breaking_off = True
         for listener in (probes, metrics):
             listener.close()
@@ -183,10 +185,12 @@
             task.cancel()
         await asyncio.wait(tasks, timeout=_LAST_S)
         await self._peers.links.close()
+        broken_off = self._desk.broken_off
         _log.info("Router has stopped.", router=self._settings.router, broken_off=broken_off)
 
     def stop(self) -> None:
         """Leave gracefully; `run` returns when it is done."""
+        self._departure.begin(clock_ms())
         self._stopping.set()
 
     def reload(self) -> None:
@@ -346,17 +350,14 @@
 
     async def _shut_down(self, callers: Listener) -> None:
         """Take connections until the balancer knows, then finish what was accepted."""
-        timing = self._settings.timing
-        started_ms = clock_ms()
-        end_ms = started_ms + self._settings.bounds.grace_ms - timing.stop_margin_ms
+        departure = self._departure
         _log.info("Router is leaving.", router=self._settings.router, active=self._desk.active)
-        self._desk.closing = True
+        self._desk.leave()
         self._peers.leaving = True
-        await asyncio.sleep(timing.stop_accept_ms / 1000)
-        self._desk.refusing = True
+        await asyncio.sleep(max(0.0, departure.taking_until_ms - clock_ms()) / 1000)
         waited = await callers.drain()
         _log.info("No more connections are taken.", waited=waited, callers=len(self._callers))
-        while clock_ms() < end_ms:
+        while clock_ms() < departure.ends_ms:
             self._callers.close_idle()
             if not self._desk.active and not self._callers:
                 return
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 from functools import partial
 from typing import Any
@@ -15,6 +16,7 @@
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._crash_watch import CrashWatch
+from cicadaledge.edge._departure import Departure
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
@@ -68,14 +70,16 @@
         pool: ServerPool,
         callers: CallerConnections,
         shedding: Shedding,
+        departure: Departure,
         crashes: CrashWatch,
         suspicion: Suspicion,
         metrics: EdgeMetrics,
     ) -> None:
-        self.closing = False
-        self.refusing = False
         self.breaking_off = False
+        self.broken_off = 0
         self.active = 0
+        self._departure = departure
+        self._time_outs: set[asyncio.Timeout] = set()
         self._settings = settings
         self._dialect = dialect
         self._beliefs = beliefs
@@ -111,7 +115,9 @@
 
     def ends_connection(self) -> bool:
         """Return whether the connection of the answer that begins now is to be closed behind it."""
-        return self.closing or self._shedding.sends_away(self._chance.random(), clock_ms())
+        return self._departure.is_begun or self._shedding.sends_away(
+            self._chance.random(), clock_ms()
+        )
 
     def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return headers and body of a refusal that needs no route."""
@@ -146,11 +152,11 @@
             _log.warning("Request met an internal error.", request_id=request_id, error=repr(error))
             await self._send_refusal(RefusalError(Code.INTERNAL), call, writer)
         except asyncio.CancelledError:
-            waited_ms = round(clock_ms() - head.started_ms)
             request_id = call.request_id if call else None
             if self.breaking_off:
-                _log.warning("Answer is broken off.", request_id=request_id, after_ms=waited_ms)
+                self._note_broken_off(request_id, head.started_ms)
                 raise
+            waited_ms = round(clock_ms() - head.started_ms)
             _log.info("Caller has left.", request_id=request_id, after_ms=waited_ms)
             self._metrics.left()
             raise
@@ -165,7 +171,7 @@
 
     def _admit(self, call: Call) -> Work:
         """Return the work, or refuse it by the configuration alone."""
-        if self.refusing:
+        if not self._departure.takes(clock_ms()):
             raise RefusalError(Code.LEAVING, retry_after_ms=int(_LEAVING_RETRY_MS))
         table = self._beliefs.table
         if table is None or not self._beliefs.servers_known:
@@ -220,14 +226,39 @@
             raise RefusalError(Code.UNAUTHENTICATED)
         return account
 
+    def leave(self) -> None:
+        """Begin to leave: requests get their answers before the process is killed."""
+        now_ms = clock_ms()
+        self._departure.begin(now_ms)
+        last_s = asyncio.get_running_loop().time() + self._time_left_s(math.inf)
+        for time_out in self._time_outs:
+            time_out.reschedule(min(time_out.when() or last_s, last_s))
+
     async def _serve(self, work: Work, writer: AnswerWriter) -> None:
-        left_ms = work.until_ms - clock_ms()
         try:
-            async with asyncio.timeout(max(0.0, left_ms) / 1000):
-                await self._run_attempts(work, writer)
+            async with asyncio.timeout(self._time_left_s(work.until_ms)) as time_out:
+                self._time_outs.add(time_out)
+                try:
+                    await self._run_attempts(work, writer)
+                finally:
+                    self._time_outs.discard(time_out)
         except TimeoutError:
+            detail = ""
+            if clock_ms() < work.until_ms:
+                detail = "the router stops"
+                self._note_broken_off(work.call.request_id, work.call.started_ms)
             code = Code.TIMED_OUT if work.may_have_run else Code.QUEUE_TIMEOUT
-            raise RefusalError(code, retry_after_ms=None) from None
+            raise RefusalError(code, detail, retry_after_ms=None) from None
+
+    def _note_broken_off(self, request_id: str | None, started_ms: float) -> None:
+        """Note that the end of the process leaves no time for an answer of a server."""
+        self.broken_off += 1
+        waited_ms = round(clock_ms() - started_ms)
+        _log.warning("Answer is broken off.", request_id=request_id, after_ms=waited_ms)
+
+    def _time_left_s(self, until_ms: float) -> float:
+        """Return the time that is left until a request must be answered."""
+        return max(0.0, min(until_ms, self._departure.answers_until_ms) - clock_ms()) / 1000
 
     async def _run_attempts(self, work: Work, writer: AnswerWriter) -> None:
         """Send the request to one server after the other until it is answered."""
@@ -324,6 +355,8 @@
             return False
         if not beliefs.directory.is_usable(chosen.server, now_ms):
             return False
+        if not self._departure.leaves_time(work.route.aim_ms, now_ms):
+            return False
         return work.account is None or beliefs.may_use_keys(now_ms)
 
     async def _place(self, work: Work) -> Chosen:
@@ -336,6 +369,7 @@
         while True:
             now_ms = clock_ms()
             self._recheck(work)
+            self._check_time(work, now_ms)
             self._suspicion.check(work)
             use = self._share_use(work, now_ms)
             choice = self._choose(work, use, now_ms)
@@ -349,6 +383,16 @@
                 raise self._no_capacity(work, choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
 
+    def _check_time(self, work: Work, now_ms: float) -> None:
+        """Refuse a request whose server would be cut off by the end of the process.
+
+        Raises:
+            RefusalError: The router is leaving, and too little time is left.
+        """
+        if not self._departure.leaves_time(work.route.aim_ms, now_ms):
+            code = Code.BACKEND_LOST if work.may_have_run else Code.LEAVING
+            raise RefusalError(code, "the router is leaving", retry_after_ms=int(_LEAVING_RETRY_MS))
+
     def _choose(self, work: Work, use: ShareUse, now_ms: float) -> Chosen | Refused:
         """Return a server; for a suspect one where no other suspect runs, if there is one."""
         apart = self._suspicion.apart_from(work)
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -63,9 +63,9 @@
         member_life_ms: Age of an unchanged entry of a router that is not heard.
         connect_ms: Time for a connection to a server; a round trip across regions takes 60.
         revoke_margin_ms: Left of the time to revoke for requests on their way.
-        stop_accept_ms: How long a leaving router takes new connections; the balancer needs
-            two missed probes, a second apart.
-        stop_margin_ms: Left of the grace when the last answers are broken off.
+        stop_accept_ms: How long a leaving router takes new connections at most; the balancer
+            needs two missed probes, a second apart.
+        stop_margin_ms: Left of the grace at most when every request must be answered.
         lapse_outage_ms: Shortest time without the store in which an entry can lapse: two of the
             three heartbeats whose absence removes it.
         lapse_ms: How long removals wait after the store was away: entries of living servers
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -4,9 +4,11 @@
 import socket
 import time
 
-from edge_world import configuration, request_headers, small_world
+import pytest
+from edge_world import FAST, configuration, evolve, request_headers, small_world
 
-from cicadaledge.edge import EdgeRouter
+from cicadaledge.edge import BoundSettings, EdgeRouter
+from cicadaledge.errors import BackendError
 from cicadaledge.standins import RunnerFaults, platform_route
 
 
@@ -137,7 +139,7 @@
             request = b"GET /look/1 HTTP/1.1\r\n" + headers + b"\r\n"
             router.stop()
             async with asyncio.timeout(2.0):
-                while not router._desk.closing:
+                while not router._departure.is_begun:
                     await asyncio.sleep(0.01)
             await asyncio.sleep(0.1)
             socks = [socket.create_connection((address.host, address.port)) for _ in range(40)]
@@ -152,3 +154,115 @@
                 sock.close()
 
     asyncio.run(play())
+
+
+async def _keep_calling(world, numbers, answers, *, keeps):
+    """Send requests until the router takes no more connections."""
+    connection = None
+    for number in numbers:
+        try:
+            connection = connection or await world.connect()
+        except BackendError:
+            return
+        target = f"/book/{number}"
+        try:
+            answer = await world.call(target, connection=connection)
+            answers[target] = answer.status if answer.complete else None
+        except BackendError:
+            answers[target] = None
+        if not keeps or not connection.finish():
+            connection.channel.close()
+            connection = None
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("grace_ms", [1_200, 2_500, 4_000])
+def test_a_stop_answers_every_request_whatever_the_grace(grace_ms):
+    """Requests that came late in the grace were taken, sent on and cut without an answer."""
+
+    async def play():
+        timing = evolve(FAST, stop_accept_ms=2_600)
+        bounds = BoundSettings(grace_ms=grace_ms)
+        async with small_world(desks=4, timing=timing, bounds=bounds) as world:
+            for place, runner in enumerate(world.runners):
+                runner.gap_s = (0.05, 0.2, 0.4, 0.6)[place % 4]
+            answers = {}
+            callers = [
+                asyncio.create_task(
+                    _keep_calling(
+                        world, range(one * 1_000, one * 1_000 + 500), answers, keeps=one % 2
+                    )
+                )
+                for one in range(16)
+            ]
+            await asyncio.sleep(0.3)
+            world.routers[0].stop()
+            await asyncio.wait_for(world._tasks[0], grace_ms / 1000)
+            await asyncio.wait(callers, timeout=1.0)
+            for caller in callers:
+                caller.cancel()
+            ran = {run.target for runner in world.runners for run in runner.runs}
+            assert [target for target in ran if answers.get(target) is None] == []
+            assert sum(status == 200 for status in answers.values()) > 30
+
+    asyncio.run(play())
+
+
+def test_a_request_that_outlasts_the_grace_is_told_that_it_may_have_run():
+    async def play():
+        bounds = BoundSettings(grace_ms=1_500)
+        async with small_world(bounds=bounds) as world:
+            world.runners[0].gap_s = 10.0
+            request = asyncio.create_task(world.call("/book/1"))
+            await asyncio.sleep(0.1)
+            world.routers[0].stop()
+            answer = await request
+            assert answer.status == 504
+            assert b"may_have_run" in answer.body
+            await asyncio.wait_for(world._tasks[0], 1.5)
+
+    asyncio.run(play())
+
+
+def test_a_lost_request_is_not_sent_again_late_in_the_grace():
+    """The second server would be cut off in the middle of its work."""
+
+    async def play():
+        bounds = BoundSettings(grace_ms=1_500)
+        async with small_world(desks=2, bounds=bounds) as world:
+            plain = configuration(version=2)
+            plain["routes"][1]["targetLatencyMs"] = 400
+            world.store.put("keyed.op", "config", plain)
+            for runner in world.runners:
+                runner.gap_s = 1.0
+                runner.faults = RunnerFaults(reset=True)
+            await asyncio.sleep(0.4)
+            request = asyncio.create_task(world.call("/look/1"))
+            await asyncio.sleep(0.02)
+            world.routers[0].stop()
+            answer = await request
+            assert answer.status == 502
+            assert sum(len(runner.runs) for runner in world.runners) == 1
+            await asyncio.wait_for(world._tasks[0], 1.5)
+
+    asyncio.run(play())
+
+
+def test_a_request_whose_body_comes_late_in_the_grace_is_not_run():
+    async def play():
+        async with small_world() as world:
+            connection = await world.connect()
+            head = b"".join(b"%b: %b\r\n" % item for item in request_headers())
+            connection.channel.write(
+                b"POST /book/1 HTTP/1.1\r\n" + head + b"Content-Length: 2\r\n\r\n{"
+            )
+            await asyncio.sleep(0.05)
+            world.routers[0].stop()
+            await asyncio.sleep(0.4)
+            connection.channel.write(b"}")
+            data = await connection.channel.read(1_000)
+            assert data.startswith(b"HTTP/1.1 503")
+            assert not world.runners[0].runs
+            await asyncio.wait_for(world._tasks[0], 3.0)
+
+    asyncio.run(play())
