Let the soak send a request that crashes servers beside a hot sound one, and draw a short grace

The ledger judges what was sent of it after the third crash by routers in touch, and that no sound request is refused as if it crashed servers.

--- a/src/cicadaledge/soak/_ledger.py
+++ b/src/cicadaledge/soak/_ledger.py
@@ -9,6 +9,7 @@
 
 from cicadaledge.edge import BoundSettings
 from cicadaledge.routing import RouteKind
+from cicadaledge.soak._fatal import FatalJudge
 from cicadaledge.soak._words import ServerRecord, WordJudge
 from cicadaledge.standins import Run, account_of_run
 
@@ -135,6 +136,7 @@
     records: list[ServerRecord] = field(factory=list)
     acts: list[Act] = field(factory=list)
     exits: list[str] = field(factory=list)
+    crashes_ms: list[float] = field(factory=list)
     _disturbed: dict[str, list[_Span]] = field(factory=dict)
     _harmed: dict[str, list[_Span]] = field(factory=dict)
 
@@ -203,7 +205,16 @@
         found += self._held()
         found += self._retries(by_id)
         judge = WordJudge(self.bounds.drain_ms, self._times, self._is_excused, self.records)
-        return found + judge.broken()
+        fatal = FatalJudge(self.bounds.contact_ms, self._router_in_touch, self.crashes_ms)
+        answers = [(sent.target, sent.received) for sent in self.sent.values()]
+        return found + judge.broken() + fatal.broken(self.runs, answers)
+
+    def _router_in_touch(self, run: Run) -> str | None:
+        """Return the router that sent a run, if it was in touch then."""
+        sent = self.sent.get(run.request_id)
+        if sent is None or not self.in_touch(sent.router, run.at_ms, run.at_ms):
+            return None
+        return sent.router
 
     def _times(self, request_id: str) -> tuple[str, float, float | None] | None:
         """Return router, sending and answer of a request; no time for one without an answer."""
--- a/src/cicadaledge/soak/_proxy.py
+++ b/src/cicadaledge/soak/_proxy.py
@@ -64,13 +64,17 @@
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
-        if self._server is not None:
-            self._server.close()
-        self.reset()
+        self.shut()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def shut(self) -> None:
+        """Reset every connection and refuse new ones, until `start` is called for the same port."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
     def reset(self) -> None:
         """Reset every connection."""
         for pair in list(self._pairs):
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from pathlib import Path
 
 from attrs import frozen
 
 from cicadaledge.edge import clock_ms
 from cicadaledge.soak._callers import Callers
+from cicadaledge.soak._fatal import FATAL
 from cicadaledge.soak._faults import FaultLine, PlannedFault, draw_faults
-from cicadaledge.soak._ledger import Ledger, Sent
+from cicadaledge.soak._ledger import Ledger, Sent, SoakBounds
 from cicadaledge.soak._world import SoakSize, SoakWorld
 
 _WARM_S = 1.0  # load before the first fault
 _RECOVERY_S = 12.0  # the platform's bound for being ready again
 _CALM_S = 2.0  # load after recovery by which it is judged
 _CALM_SHARE = 0.9  # of the requests that must be answered then
+_SHORT_GRACE_MS = 2_500.0  # shorter than the time for which a balancer may send new callers
+_SHORT_GRACE_SHARE = 0.5
 _OK = 200
 
 
@@ -30,6 +34,8 @@
         within_s: Time within which they begin.
         busy: Whether faults of busy loops are drawn, too.
         words: Whether servers say that they leave or want a pause.
+        fatal: Whether a request crashes the servers that run it, beside a hot sound one, and the
+            grace of routers that are stopped is short in some rounds.
         size: Size of the deployment.
     """
 
@@ -38,6 +44,7 @@
     within_s: float = 8.0
     busy: bool = True
     words: bool = True
+    fatal: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -66,9 +73,12 @@
 async def _run(plan: SoakPlan, directory: Path) -> SoakResult:
     faults = draw_faults(plan.seed, plan.faults, plan.within_s, busy=plan.busy, words=plan.words)
     world = SoakWorld(plan.size, directory)
+    world.ledger.bounds = _bounds(plan, faults)
     async with world.running():
         callers = Callers(world, plan.seed)
         callers.start()
+        if plan.fatal:
+            callers.start_fatal()
         await asyncio.sleep(_WARM_S)
         await FaultLine(world, callers).run(faults)
         for unready in await world.unready_after(_RECOVERY_S):
@@ -83,12 +93,23 @@
     return SoakResult(plan.seed, faults, world.ledger.broken(), dict(world.ledger.statuses()))
 
 
+def _bounds(plan: SoakPlan, faults: list[PlannedFault]) -> SoakBounds:
+    """Return the bounds of a round; a router that is kept busy while it stops needs the usual ones."""
+    chance = random.Random(f"{plan.seed}/grace")
+    is_busy = any(fault.kind == "busy-stop" for fault in faults)
+    is_short = plan.fatal and not is_busy and chance.random() < _SHORT_GRACE_SHARE
+    return SoakBounds(grace_ms=_SHORT_GRACE_MS) if is_short else SoakBounds()
+
+
 def _unserved(ledger: Ledger, begin_ms: float) -> list[str]:
     """Check that nearly all requests are answered once the faults are over."""
     ended: list[Sent] = [
         sent
         for sent in ledger.sent.values()
-        if sent.sent_ms >= begin_ms and sent.ended_ms is not None and sent.left_ms is None
+        if FATAL not in sent.target
+        and sent.sent_ms >= begin_ms
+        and sent.ended_ms is not None
+        and sent.left_ms is None
     ]
     served = sum(sent.status == _OK and sent.complete for sent in ended)
     if served < len(ended) * _CALM_SHARE or not ended:
--- a/src/cicadaledge/soak/_world.py
+++ b/src/cicadaledge/soak/_world.py
@@ -19,6 +19,7 @@
 from cicadaledge.edge import HttpConnection
 from cicadaledge.errors import BackendError
 from cicadaledge.settings import Address
+from cicadaledge.soak._fatal import FATAL
 from cicadaledge.soak._ledger import ROUTE_TIMEOUT_MS, Ledger, SoakBounds
 from cicadaledge.soak._ports import claim_ports, first_of_two, free_ports
 from cicadaledge.soak._proxy import FaultProxy
@@ -175,6 +176,19 @@
         finally:
             await self._stop()
 
+    def _follow_crashes(self, server: SoakServer) -> None:
+        """Let a server's proxy refuse connections while the server is down by a fatal request."""
+        server.runner.fatal = FATAL
+        server.runner.on_crash = lambda _: server.proxy.shut()
+        server.runner.on_restart = lambda _: self._return(server)
+
+    def _return(self, server: SoakServer) -> None:
+        async def listen() -> None:
+            await server.proxy.start(server.proxy.port)
+            self.beat(server)
+
+        self._tasks.append(asyncio.create_task(listen()))
+
     def configure(self) -> None:
         """Write the configuration anew, as its next version."""
         self.version += 1
@@ -209,6 +223,7 @@
         await proxy.start()
         server = SoakServer(name, runner, proxy)
         self.servers[name] = server
+        self._follow_crashes(server)
         self.beat(server)
         return server
 
@@ -225,7 +240,10 @@
         again = await _started_runner(former.instance, former.service, former.zone)
         again.born_ms = max(again.born_ms, former.born_ms + 1)
         server.proxy.target = Address(_HOST, again.port)
+        if former.is_down:
+            await server.proxy.start(server.proxy.port)
         server.runner = again
+        self._follow_crashes(server)
         server.lives = server.present = True
         server.draining = False
         self.beat(server)
@@ -235,7 +253,8 @@
         runner = server.runner
         self.ledger.runs += [(server.name, run) for run in runner.runs]
         self.ledger.records.append(ServerRecord(server.name, runner.runs, runner.refusals))
-        runner.runs, runner.refusals = [], []
+        self.ledger.crashes_ms += runner.ended_ms
+        runner.runs, runner.refusals, runner.ended_ms = [], [], []
 
     def start_router(self, router: RouterProcess) -> None:
         """Start the process of a router."""
@@ -373,7 +392,7 @@
         while True:
             await asyncio.sleep(_HEARTBEAT_S)
             for server in self.servers.values():
-                if server.lives and server.present:
+                if server.lives and server.present and not server.runner.is_down:
                     self.beat(server)
 
     async def _stop(self) -> None:
--- a/src/cicadaledge/standins/_platform_runner.py
+++ b/src/cicadaledge/standins/_platform_runner.py
@@ -75,7 +75,6 @@
         leaving: Say in each answer that it leaves.
         pause_s: Say in each refusal for how long it wants nothing.
         headers: Add these to each answer.
-        fatal: Targets that contain this end the server as soon as it runs them.
     """
 
     full: bool = False
@@ -90,7 +89,6 @@
     leaving: bool = False
     pause_s: float | None = None
     headers: tuple[tuple[bytes, bytes], ...] = ()
-    fatal: str | None = None
 
 
 class PlatformRunner(HttpService):
@@ -104,7 +102,9 @@
         gap_s: Time between events, and that of a plain request.
 
     Attributes:
+        fatal: Targets with this word crash it as soon as it runs them; None for no target.
         ended_ms: When its incarnations ended by a request.
+        on_crash: Called when one ends.
         on_restart: Called when it listens again as a new incarnation.
     """
 
@@ -122,7 +122,9 @@
         self.refused = 0
         self.refusals: list[Refusal] = []
         self.born_ms = 1_000
+        self.fatal: str | None = None
         self.ended_ms: list[float] = []
+        self.on_crash: Callable[[PlatformRunner], None] = _ignore
         self.on_restart: Callable[[PlatformRunner], None] = _ignore
         self._sequence = 0
         self._restart: asyncio.Task[None] | None = None
@@ -151,6 +153,7 @@
         """End now and come back after a while as a new incarnation at the same address."""
         if not self.is_down:
             self.ended_ms.append(clock_ms())
+            self.on_crash(self)
             self._restart = asyncio.create_task(self._end_and_restart())
 
     async def stop(self) -> None:
@@ -202,7 +205,7 @@
 
     async def _run(self, run: Run, writer: AnswerWriter) -> None:
         faults = self.faults
-        if faults.fatal is not None and faults.fatal in run.target:
+        if self.fatal is not None and self.fatal in run.target:
             self.crash()
             await asyncio.sleep(_FOREVER_S)
         if faults.silent:
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -213,3 +213,44 @@
     sent, runs = many(30, a_request(kind=RouteKind.SAFE), a_run())
     assert judge(sent, [*runs, *runs[:26]]) == []
     assert judge(sent, [*runs, *runs[:27]]) == ["budget"]
+
+
+def judge_fatal(runs, crashes_ms, body=b"", disturbed=()):
+    ledger = Ledger(SoakBounds(), {KEY: "banksia"})
+    sent = [
+        a_request(
+            number,
+            target=run.target,
+            kind=RouteKind.SAFE,
+            received=body,
+            status=None,
+            ended_ms=None,
+        )
+        for number, run in enumerate(runs)
+    ]
+    ledger.sent = {one.request_id: one for one in sent}
+    ledger.runs = [("desk-0", run) for run in runs]
+    ledger.crashes_ms = list(crashes_ms)
+    for span in disturbed:
+        ledger.disturb(["router-0"], *span)
+    return [line.split(":")[0] for line in ledger.broken()]
+
+
+def fatal_runs(*times_ms):
+    return [a_run(n, target="/look/fatal", at_ms=at_ms) for n, at_ms in enumerate(times_ms)]
+
+
+def test_a_request_is_sent_three_times_at_most_after_servers_crashed_under_it():
+    crashes_ms = [1_000, 2_000, 3_000]
+    late = [7_100, 7_200, 7_300, 7_400]
+    assert judge_fatal(fatal_runs(*late), crashes_ms) == ["fatal"]
+    assert judge_fatal(fatal_runs(*late[1:]), crashes_ms) == []
+    assert judge_fatal(fatal_runs(6_900, *late[1:]), crashes_ms) == []
+    assert judge_fatal(fatal_runs(*late), crashes_ms[1:]) == []
+    assert judge_fatal(fatal_runs(*late), crashes_ms, disturbed=[(3_000, 4_000)]) == []
+
+
+def test_a_sound_request_is_not_refused_as_one_that_crashes_servers():
+    refused = b'{"error": {"code": 3008, "name": "crashes_servers"}}'
+    assert judge_fatal([a_run(0, target="/look/hot")], [], refused) == ["withheld"]
+    assert judge_fatal(fatal_runs(1_000), [], refused) == []
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -29,7 +29,7 @@
 
 def plan(seed, **changes):
     size = SoakSize(routers_per_zone=1, callers=8, first_port=FIRST_PORT)
-    usual = {"faults": 4, "within_s": 4.0, "words": False}
+    usual = {"faults": 4, "within_s": 4.0, "words": False, "fatal": False}
     return SoakPlan(seed, size=size, **{**usual, **changes})
 
 
@@ -68,6 +68,13 @@
     assert result.statuses["200"] > 50
 
 
+@pytest.mark.timeout(90)
+def test_a_request_that_crashes_servers_is_kept_from_them_in_storms(tmp_path):
+    result = run_round(plan(5, fatal=True), tmp_path)
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 @pytest.mark.timeout(90)
 def test_a_short_round_keeps_all_promises(tmp_path):
     result = run_round(plan(1), tmp_path)
@@ -89,5 +96,7 @@
 def test_seeds_that_once_failed_hold(seed, tmp_path):
     size = SoakSize(first_port=FIRST_PORT)
     faults = None if seed in DRAWN else 7
-    result = run_round(SoakPlan(seed, faults=faults, size=size, busy=False, words=False), tmp_path)
+    result = run_round(
+        SoakPlan(seed, faults=faults, size=size, busy=False, words=False, fatal=False), tmp_path
+    )
     assert result.broken == []
