Keep the book of suspects by increments, and probe once more before a crash is taken back

Sorting all evidence out after each news cost milliseconds in a storm of crashes. Heartbeats of a server that has crashed can be written late by the store, so they alone no longer clear its requests.

--- a/src/cicadaledge/edge/_crash_watch.py
+++ b/src/cicadaledge/edge/_crash_watch.py
@@ -32,7 +32,12 @@
 
 @define
 class _Incarnation:
-    """Requests that got no whole answer from one incarnation of a server."""
+    """Requests that got no whole answer from one incarnation of a server.
+
+    Args:
+        last_heartbeat: Number of its newest heartbeat when it was found to have crashed.
+        is_proved: Whether another incarnation, or a new connection, has shown what happened.
+    """
 
     entry: ServerEntry
     unanswered: deque[tuple[float, Work]] = field(factory=lambda: deque(maxlen=_KEPT_WORKS))
@@ -125,9 +130,8 @@
                 self._note_crash(known, "replaced", now_ms - _KEPT_MS)
         if known.crashed_ms is None and not self._is_to_stay(known.entry):
             return False
-        if known.crashed_ms is not None and not known.is_proved and self._lives(known, now_ms):
-            self._on_life(_name(known.entry))
-            return False
+        if self._seems_to_live(known, now_ms) and now_ms - known.probed_ms >= _PROBE_EVERY_MS:
+            known.probe = asyncio.get_running_loop().create_task(self._probe(known))
         return now_ms - known.unanswered[-1][0] <= _KEPT_MS
 
     def _is_to_stay(self, entry: ServerEntry) -> bool:
@@ -140,20 +144,26 @@
     async def _probe(self, known: _Incarnation) -> None:
         """Ask whether anybody listens at a server's address."""
         try:
-            if await self._is_refused(known.entry) and self._is_to_stay(known.entry):
-                self._note_crash(known, "refused", clock_ms() - _JUST_BEFORE_MS)
+            is_refused = await self._is_refused(known.entry)
+            if known.crashed_ms is None:
+                if is_refused and self._is_to_stay(known.entry):
+                    self._note_crash(known, "refused", clock_ms() - _JUST_BEFORE_MS)
+            elif is_refused is False and not known.is_proved:
+                known.is_proved = True
+                self._on_life(_name(known.entry))
         finally:
             known.probed_ms = clock_ms()
             known.probe = None
 
-    async def _is_refused(self, entry: ServerEntry) -> bool:
+    async def _is_refused(self, entry: ServerEntry) -> bool | None:
+        """Return whether nobody listens for a server, or None if there is no answer."""
         try:
             connection = await HttpConnection.open(
                 entry.host, entry.port, entry.server, self._connect_ms
             )
         except BackendError as error:
             if not isinstance(error.__cause__, ConnectionError):
-                return False
+                return None
         else:
             connection.channel.close()
             return False
@@ -166,9 +176,13 @@
         known.last_heartbeat = self._directory.heartbeats(known.entry)
         self._on_crash(_name(known.entry), told_by, known.works_since(from_ms))
 
-    def _lives(self, known: _Incarnation, now_ms: float) -> bool:
-        """Return whether heartbeats go on though nobody listened."""
-        assert known.crashed_ms is not None
+    def _seems_to_live(self, known: _Incarnation, now_ms: float) -> bool:
+        """Return whether heartbeats go on though nobody listened.
+
+        A cut can refuse connections; a store can take heartbeats over late.
+        """
+        if known.crashed_ms is None or known.is_proved:
+            return False
         if now_ms - known.crashed_ms < _PROOF_OF_LIFE_MS:
             return False
         heartbeats = self._directory.heartbeats(known.entry)
--- a/src/cicadaledge/edge/_suspicion.py
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -9,7 +9,7 @@
 import asyncio
 import time
 from collections import Counter, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 from cicadaledge.codes import Code
@@ -57,7 +57,8 @@
             suspects=sorted(digests)[:_LINE_REQUESTS],
             request_ids=[work.call.request_id for work in works[:_LINE_REQUESTS]],
         )
-        self._metrics.crashed(told_by)
+        if not self._own.knows(crash):
+            self._metrics.crashed(told_by)
         self._own.note(crash, digests, at_ms)
         if self._take(Evidence({crash: at_ms}, {crash: sorted(digests)})):
             self.has_news.set()
@@ -67,15 +68,15 @@
         digests = self._fleet.requests_of(crash)
         _log.info("Server goes on; it has not crashed.", crash=crash, cleared=len(digests))
         for digest in digests:
-            self._clear(digest, [crash])
+            self._clear(digest, frozenset([crash]))
 
     def note_whole(self, work: Work) -> None:
         """Note that a request was answered whole."""
         if len(work.call.body) <= _RECENT_BODY_BYTES:
             self._recent.append((clock_ms(), work))
-        if self._fleet.size() and outline(work) in self._fleet.outlines():
+        if self._has_outline(work):
             digest = _known_by(work)
-            self._clear(digest, list(self._fleet.crashes_of(digest)))
+            self._clear(digest, self._fleet.crashes_of(digest))
 
     def check(self, work: Work) -> None:
         """Refuse a request that is held to crash servers.
@@ -156,13 +157,13 @@
 
     def _take(self, evidence: Evidence) -> bool:
         """Take evidence over; return whether it held news."""
-        before = set(self._fleet.blamed())
+        before = self._fleet.blamed()
         news = self._fleet.merge(evidence, _wall_ms())
         if not news:
             return False
         named = {digest for digests in evidence.ran.values() for digest in digests}
         for digest in self._answered_lately(named):
-            self._clear(digest, list(self._fleet.crashes_of(digest)))
+            self._clear(digest, self._fleet.crashes_of(digest))
         for digest in self._fleet.blamed() - before:
             _log.warning(
                 "Request is held to crash servers.",
@@ -171,9 +172,8 @@
             )
         return True
 
-    def _clear(self, digest: str, crashes: Iterable[str]) -> None:
+    def _clear(self, digest: str, crashes: frozenset[str]) -> None:
         """Note, and tell the others, that a request did not cause some crashes."""
-        crashes = list(crashes)
         was_blamed = self._fleet.is_blamed(digest)
         if not crashes or not self._fleet.clear(digest, crashes):
             return
@@ -186,11 +186,15 @@
 
     def _suspect(self, work: Work) -> str | None:
         """Return the fingerprint of a request if it is a suspect; others are not hashed."""
-        if not self._fleet.size() or outline(work) not in self._fleet.outlines():
+        if not self._has_outline(work):
             return None
         digest = _known_by(work)
         return digest if self._fleet.is_suspect(digest) else None
 
+    def _has_outline(self, work: Work) -> bool:
+        outlines = self._fleet.outlines()
+        return bool(outlines) and outline(work) in outlines
+
     def _answered_lately(self, digests: set[str]) -> set[str]:
         """Return those that were answered whole a short time ago."""
         outlines = {digest[: SuspectBook.OUTLINE_LENGTH] for digest in digests}
--- a/src/cicadaledge/suspects/_blame.py
+++ b/src/cicadaledge/suspects/_blame.py
@@ -14,7 +14,7 @@
 _MOST_PART = 0.5  # of the crashes about that time, which two must exceed to blame a request
 
 
-def blamed(running: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> set[str]:
+def blamed(running: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> frozenset[str]:
     """Return the requests that explain crashes better than chance does.
 
     Whoever was running in most crashes explains them; the others are judged by what is left.
@@ -24,19 +24,16 @@
         crashed_ms: When each crash was.
     """
     found: set[str] = set()
-    explained: set[str] = set()
-    while True:
+    left = {one: crashes for one, crashes in running.items() if len(crashes) >= _FEWEST_CRASHES}
+    while causes := _likely_causes(left, crashed_ms):
+        found |= causes
+        explained = set().union(*(running[digest] for digest in causes))
         left = {
-            digest: crashes - explained
-            for digest, crashes in running.items()
-            if digest not in found and len(crashes - explained) >= _FEWEST_CRASHES
+            digest: rest
+            for digest, crashes in left.items()
+            if digest not in found and len(rest := crashes - explained) >= _FEWEST_CRASHES
         }
-        causes = _likely_causes(left, crashed_ms)
-        if not causes:
-            return found
-        found |= causes
-        for digest in causes:
-            explained |= running[digest]
+    return frozenset(found)
 
 
 def _likely_causes(left: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> set[str]:
@@ -54,7 +51,9 @@
 
 def _is_usual_cause(crashes: Set[str], crashed_ms: Mapping[str, float]) -> bool:
     """Return whether fewer servers crashed about that time without the request than with it."""
-    times_ms = [crashed_ms[crash] for crash in crashes]
+    times_ms = [crashed_ms[crash] for crash in crashes if crash in crashed_ms]
+    if not times_ms:
+        return False  # they were forgotten meanwhile
     begin_ms = min(times_ms) - _LOOK_BACK_MS
     end_ms = max(times_ms)
     about = sum(begin_ms <= at_ms <= end_ms for at_ms in crashed_ms.values())
--- a/src/cicadaledge/suspects/_book.py
+++ b/src/cicadaledge/suspects/_book.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Set
+from collections.abc import Iterable
 
 from attrs import field, frozen
 
@@ -41,15 +41,16 @@
         self._crashed_ms: dict[str, float] = {}
         self._ran: dict[str, set[str]] = {}
         self._cleared: dict[str, set[str]] = {}
-        self._changes = 0
-        self._sorted_changes = 0
         self._suspects: dict[str, set[str]] = {}
-        self._blamed: set[str] = set()
-        self._outlines: Set[str] = frozenset()
+        self._changes = 0
+        self._blamed_changes = 0
+        self._blamed: frozenset[str] = frozenset()
+        self._outlines: frozenset[str] = frozenset()
 
     def note(self, crash: str, digests: Iterable[str], at_ms: float) -> bool:
         """Note which requests were running in a crash; return whether this is news."""
         known = self._ran.get(crash)
+        is_first = known is None
         if known is None:
             known = self._ran[crash] = set()
             self._crashed_ms[crash] = at_ms
@@ -59,8 +60,10 @@
         if len(new) > room:
             new = set(sorted(new)[: max(0, room)])
         known |= new
+        for digest in new - self._cleared.get(crash, set()):
+            self._suspects.setdefault(digest, set()).add(crash)
         self._changes += 1
-        return bool(new)
+        return is_first or bool(new)
 
     def clear(self, digest: str, crashes: Iterable[str]) -> bool:
         """Note that a request did not cause some crashes; return whether this is news."""
@@ -69,34 +72,38 @@
             cleared = self._cleared.setdefault(crash, set())
             news = news or digest not in cleared
             cleared.add(digest)
+            self._drop_suspicion(digest, crash)
         self._changes += 1
         return news
 
-    def crashes_of(self, digest: str) -> Set[str]:
-        """Return the crashes that a request can have caused; not to be changed."""
-        return self._sorted_out().get(digest, frozenset())
+    def knows(self, crash: str) -> bool:
+        """Return whether a crash is remembered."""
+        return crash in self._crashed_ms
 
-    def requests_of(self, crash: str) -> Set[str]:
+    def crashes_of(self, digest: str) -> frozenset[str]:
+        """Return the crashes that a request can have caused."""
+        return frozenset(self._suspects.get(digest, ()))
+
+    def requests_of(self, crash: str) -> set[str]:
         """Return the requests that can have caused a crash."""
         return self._ran.get(crash, set()) - self._cleared.get(crash, set())
 
     def is_suspect(self, digest: str) -> bool:
         """Return whether a request can have caused a crash."""
-        return digest in self._sorted_out()
+        return digest in self._suspects
 
     def is_blamed(self, digest: str) -> bool:
         """Return whether a request is held to have caused crashes."""
-        self._sorted_out()
-        return digest in self._blamed
+        return digest in self.blamed()
 
-    def blamed(self) -> Set[str]:
-        """Return the requests that are held to have caused crashes; not to be changed."""
-        self._sorted_out()
+    def blamed(self) -> frozenset[str]:
+        """Return the requests that are held to have caused crashes."""
+        self._sort_out()
         return self._blamed
 
-    def outlines(self) -> Set[str]:
+    def outlines(self) -> frozenset[str]:
         """Return the first `OUTLINE_LENGTH` characters of the digests of all suspects."""
-        self._sorted_out()
+        self._sort_out()
         return self._outlines
 
     def crash_ms(self, crash: str) -> float:
@@ -117,8 +124,8 @@
         """Return all that is remembered."""
         return Evidence(
             dict(self._crashed_ms),
-            {crash: sorted(digests) for crash, digests in self._ran.items()},
-            {crash: sorted(digests) for crash, digests in self._cleared.items()},
+            {crash: sorted(digests) for crash, digests in list(self._ran.items())},
+            {crash: sorted(digests) for crash, digests in list(self._cleared.items())},
         )
 
     def merge(self, evidence: Evidence, now_ms: float) -> bool:
@@ -145,24 +152,27 @@
 
     def _forget(self, crash: str) -> None:
         self._crashed_ms.pop(crash, None)
-        self._ran.pop(crash, None)
+        for digest in self._ran.pop(crash, ()):
+            self._drop_suspicion(digest, crash)
         self._cleared.pop(crash, None)
         self._changes += 1
 
-    def _sorted_out(self) -> dict[str, set[str]]:
-        """Return the crashes that each suspect can have caused, after news also whom to blame.
+    def _drop_suspicion(self, digest: str, crash: str) -> None:
+        crashes = self._suspects.get(digest)
+        if crashes is not None:
+            crashes.discard(crash)
+            if not crashes:
+                self._suspects.pop(digest, None)
+
+    def _sort_out(self) -> None:
+        """Find whom to blame, after news.
 
         It reads copies, as threads that carry requests may ask while the loop takes news over.
         """
         changes = self._changes
-        if changes != self._sorted_changes:
-            crashed_ms = dict(self._crashed_ms)
-            suspects: dict[str, set[str]] = {}
-            for crash in crashed_ms:
-                for digest in self.requests_of(crash):
-                    suspects.setdefault(digest, set()).add(crash)
-            self._blamed = blamed(suspects, crashed_ms)
-            self._outlines = frozenset(digest[: self.OUTLINE_LENGTH] for digest in suspects)
-            self._suspects = suspects
-            self._sorted_changes = changes
-        return self._suspects
+        if changes == self._blamed_changes:
+            return
+        suspects = {digest: frozenset(crashes) for digest, crashes in list(self._suspects.items())}
+        self._blamed = blamed(suspects, dict(self._crashed_ms))
+        self._outlines = frozenset(digest[: self.OUTLINE_LENGTH] for digest in suspects)
+        self._blamed_changes = changes
