Never say "not run" of a request that an earlier try may have run; keep admission in a module of its own

What callers saw: a read whose first try was lost and whose second met servers that could not be reached was told 503, not run, though it had run. The same for keys that grew stale and a place that was not found in between. Cause: each refusal chose its own run state. Now one place, where refusals are sent, does; the new test fails before. The desk is split: admission by configuration and share is edge/_admission.py.

--- a/src/cicadaledge/edge/_departure.py
+++ b/src/cicadaledge/edge/_departure.py
@@ -10,6 +10,7 @@
 
 from cicadaledge.edge._settings import EdgeSettings
 
+LEAVING_RETRY_MS = 50.0  # any other router can serve a request that a leaving one refuses
 _TAKING_PART = 1 / 3  # of the grace; the rest is for what was taken last
 _MARGIN_PART = 0.15  # of a short grace: less than the last sixth, in which servers may be cut off
 _FLUSH_PART = 0.25  # of the margin, for the last answers to be sent
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -9,14 +9,15 @@
 from functools import partial
 from typing import Any
 
-from cicadaledge.codes import Code, code_info
+from cicadaledge.codes import Code, RunState, code_info
+from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
 from cicadaledge.edge._beliefs import Beliefs
 from cicadaledge.edge._caller import AnswerWriter, RequestHead
 from cicadaledge.edge._callers import CallerConnections
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._crash_watch import CrashWatch
-from cicadaledge.edge._departure import Departure
+from cicadaledge.edge._departure import LEAVING_RETRY_MS, Departure
 from cicadaledge.edge._dialect import AnswerSigns, Dialect
 from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
@@ -40,14 +41,12 @@
     ServerHealth,
     ShareUse,
 )
-from cicadaledge.routing import Account, Call, Limits, Route, RouteKind, RoutingTable
+from cicadaledge.routing import Call, Limits
 
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
 _HOLD_STEP_S = 0.05  # the shortest time between two load views
 _UNREACHED_TRIES = 3  # servers that cannot be reached before a request is refused
 _BUSY_RETRY_MS = 200.0  # a full server has a place after a fraction of a request's time
-_STALE_RETRY_MS = 1_000.0  # another router may read the store; this one needs seconds
-_LEAVING_RETRY_MS = 50.0  # any other router can serve it
 _log = PartLog("request")
 
 
@@ -80,7 +79,6 @@
         self.active = 0
         self._departure = departure
         self._time_outs: set[asyncio.Timeout] = set()
-        self._settings = settings
         self._dialect = dialect
         self._beliefs = beliefs
         self._load = load
@@ -98,6 +96,7 @@
         self._retries = RetryBudget(settings.bounds)
         self._chance = random.Random()
         self._lines = RequestLines(beliefs, load, shares)
+        self._admission = Admission(settings, beliefs, shares, departure, self._lines)
 
     @property
     def limits(self) -> Limits:
@@ -140,13 +139,14 @@
         work = None
         try:
             call = self._parse(head, body)
-            work = self._admit(call)
+            work = self._admission.admit(call)
+            self._retries.note_request(work.service.name, clock_ms())
             await self._serve(work, writer)
         except RefusalError as refusal:
             if work is not None and work.failure is not None and not writer.started:
                 await work.failure.send(writer)
                 return
-            await self._send_refusal(refusal, call, writer)
+            await self._send_refusal(_true_of(refusal, work), call, writer)
         except Exception as error:  # noqa: BLE001 - the caller gets a code, not a closed connection
             request_id = call.request_id if call else None
             _log.warning("Request met an internal error.", request_id=request_id, error=repr(error))
@@ -169,63 +169,6 @@
         except ValueError as error:
             raise RefusalError(Code.BAD_REQUEST, str(error)) from error
 
-    def _admit(self, call: Call) -> Work:
-        """Return the work, or refuse it by the configuration alone."""
-        if not self._departure.takes(clock_ms()):
-            raise RefusalError(Code.LEAVING, retry_after_ms=int(_LEAVING_RETRY_MS))
-        table = self._beliefs.table
-        if table is None or not self._beliefs.servers_known:
-            raise RefusalError(Code.NOT_READY, retry_after_ms=int(_STALE_RETRY_MS))
-        current = self._beliefs.may_use_keys(clock_ms())
-        route = table.match(call.host, call.path)
-        if route is None:
-            if not current:
-                raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
-            raise RefusalError(Code.NOT_FOUND, f"no route for {call.host}{call.path}")
-        account = self._account(call, route, table, current)
-        service = table.services[route.choose_service(self._chance)]
-        time_ms = route.timeout_ms
-        if call.deadline_ms is not None:
-            time_ms = min(time_ms, call.deadline_ms)
-        regions = _allowed_regions(route, account)
-        work = Work(call, route, service, table, account, regions, call.started_ms + time_ms)
-        if account is not None and service.engine is not None:
-            self._shares.note_asked(account.name, call.cost_tokens, call.started_ms)
-            self._check_share(work)
-        self._retries.note_request(service.name, clock_ms())
-        return work
-
-    def _check_share(self, work: Work) -> None:
-        """Refuse a request at once whose account asks more than its share.
-
-        Raises:
-            RefusalError: It is not among the part of the account's requests that is placed.
-        """
-        now_ms = clock_ms()
-        use = self._share_use(work, now_ms)
-        if self._chance.random() < use.admitted_part:
-            return
-        retry_ms = self._settings.placing.short_retry_ms
-        self._lines.not_placed(work, Refused("share is used up", retry_ms), use, now_ms)
-        raise RefusalError(Code.NO_CAPACITY, "share is used up", retry_after_ms=int(retry_ms))
-
-    def _account(
-        self, call: Call, route: Route, table: RoutingTable, current: bool
-    ) -> Account | None:
-        """Return whose key the call carries.
-
-        Raises:
-            RefusalError: The key is unknown, or may have been revoked.
-        """
-        account = table.account_of_key(call.key) if call.key else None
-        if not table.has_accounts or not route.needs_key:
-            return account if current else None
-        if not current:
-            raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
-        if account is None:
-            raise RefusalError(Code.UNAUTHENTICATED)
-        return account
-
     def leave(self) -> None:
         """Begin to leave: requests get their answers before the process is killed."""
         now_ms = clock_ms()
@@ -285,7 +228,7 @@
             if result.end is AttemptEnd.WITHDRAWN:
                 continue
             if result.end is AttemptEnd.CROWDED:
-                raise self._no_capacity(work, result.reason, _BUSY_RETRY_MS)
+                raise _no_capacity(result.reason, _BUSY_RETRY_MS)
             work.tried.add(chosen.server.server)
             if result.end is AttemptEnd.UNREACHED:
                 unreached += 1
@@ -296,14 +239,14 @@
             work.failure = result.answer or work.failure
             resume_after = attempt.resume_after
             if not self._may_repeat(work, result, writer):
-                raise self._loss(work, result)
+                raise _loss(result)
             if result.end is AttemptEnd.LOST:
                 await self._crashes.settle(chosen.server)
 
     async def _run_attempt(self, work: Work, chosen: Chosen, attempt: Attempt) -> AttemptResult:
         now_ms = clock_ms()
         self._placer.note_sent(work.call, chosen, now_ms)
-        self._lines.placed(work, chosen, self._share_use(work, now_ms), now_ms)
+        self._lines.placed(work, chosen, self._admission.share_use(work, now_ms), now_ms)
         server = chosen.server.server
         try:
             with self._suspicion.running(work, server):
@@ -368,10 +311,10 @@
         hold_until_ms = work.call.started_ms + work.route.aim_ms * _HOLD_PART
         while True:
             now_ms = clock_ms()
-            self._recheck(work)
+            self._admission.recheck(work)
             self._check_time(work, now_ms)
             self._suspicion.check(work)
-            use = self._share_use(work, now_ms)
+            use = self._admission.share_use(work, now_ms)
             choice = self._choose(work, use, now_ms)
             if isinstance(choice, Chosen):
                 if work.account is not None and work.service.engine is not None:
@@ -380,7 +323,7 @@
             again_ms = max(now_ms + _HOLD_STEP_S * 1000, choice.opens_ms)
             if again_ms > hold_until_ms:
                 self._lines.not_placed(work, choice, use, now_ms)
-                raise self._no_capacity(work, choice.reason, choice.retry_after_ms)
+                raise _no_capacity(choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
 
     def _check_time(self, work: Work, now_ms: float) -> None:
@@ -390,8 +333,7 @@
             RefusalError: The router is leaving, and too little time is left.
         """
         if not self._departure.leaves_time(work.route.aim_ms, now_ms):
-            code = Code.BACKEND_LOST if work.may_have_run else Code.LEAVING
-            raise RefusalError(code, "the router is leaving", retry_after_ms=int(_LEAVING_RETRY_MS))
+            raise RefusalError(Code.LEAVING, retry_after_ms=int(LEAVING_RETRY_MS))
 
     def _choose(self, work: Work, use: ShareUse, now_ms: float) -> Chosen | Refused:
         """Return a server; for a suspect one where no other suspect runs, if there is one."""
@@ -404,46 +346,6 @@
                 break
         return choice
 
-    @staticmethod
-    def _no_capacity(work: Work, reason: str, retry_after_ms: float) -> RefusalError:
-        """Return the refusal of a request that no server can take now."""
-        code = Code.BACKEND_LOST if work.may_have_run else Code.NO_CAPACITY
-        return RefusalError(code, reason, retry_after_ms=int(retry_after_ms))
-
-    def _share_use(self, work: Work, now_ms: float) -> ShareUse:
-        if work.account is None or work.service.engine is None:
-            return ShareUse()
-        capacity = work.table.limits.tokens_per_s
-        return self._shares.use(work.account.name, capacity, now_ms)
-
-    def _recheck(self, work: Work) -> None:
-        """Follow a newer configuration, read meanwhile.
-
-        Raises:
-            RefusalError: It does not allow the request, or keys can no longer be trusted.
-        """
-        table = self._beliefs.table
-        assert table is not None
-        route = work.route
-        if table is not work.table:
-            found = table.match(work.call.host, work.call.path)
-            if found is None:
-                raise RefusalError(Code.NOT_FOUND, "the route was removed")
-            route = found
-        current = self._beliefs.may_use_keys(clock_ms())
-        work.account = self._account(work.call, route, table, current)
-        if table is work.table:
-            return
-        work.table = table
-        work.regions = _allowed_regions(route, work.account)
-        name = work.service.name
-        if name not in {one.service for one in route.split}:
-            if work.attempts and route.kind is RouteKind.STREAM:
-                raise RefusalError(Code.BACKEND_LOST, "the route was moved")
-            name = route.choose_service(self._chance)
-        work.service = table.services[name]
-        work.route = route
-
     def _may_repeat(self, work: Work, result: AttemptResult, writer: AnswerWriter) -> bool:
         """Return whether another server may have the request."""
         if work.attempts >= work.route.max_attempts:
@@ -455,13 +357,6 @@
         routers = self._load.routers_at_most(clock_ms())
         return self._retries.take(work.service.name, routers, clock_ms())
 
-    @staticmethod
-    def _loss(work: Work, result: AttemptResult) -> RefusalError:
-        """Return the refusal of a request that no other server may have."""
-        if result.end is AttemptEnd.NOT_RUN and not work.may_have_run:
-            return RefusalError(Code.NO_CAPACITY, result.reason, retry_after_ms=int(_BUSY_RETRY_MS))
-        return RefusalError(Code.BACKEND_LOST, result.reason)
-
     async def _send_refusal(
         self, refusal: RefusalError, call: Call | None, writer: AnswerWriter
     ) -> None:
@@ -486,15 +381,23 @@
         await writer.whole(status, headers, _json(refusal_body(refusal, request_id)))
 
 
-def _allowed_regions(route: Route, account: Account | None) -> frozenset[str] | None:
-    """Return the regions that both allow, or None if neither is bound."""
-    bound = [regions for regions in (route.regions, account and account.regions) if regions]
-    if not bound:
-        return None
-    allowed = bound[0]
-    for regions in bound[1:]:
-        allowed &= regions
-    return allowed
+def _no_capacity(reason: str, retry_after_ms: float) -> RefusalError:
+    """Return the refusal of a request that no server can take now."""
+    return RefusalError(Code.NO_CAPACITY, reason, retry_after_ms=int(retry_after_ms))
+
+
+def _loss(result: AttemptResult) -> RefusalError:
+    """Return the refusal of a request that no other server may have."""
+    if result.end is AttemptEnd.NOT_RUN:
+        return _no_capacity(result.reason, _BUSY_RETRY_MS)
+    return RefusalError(Code.BACKEND_LOST, result.reason)
+
+
+def _true_of(refusal: RefusalError, work: Work | None) -> RefusalError:
+    """Return a refusal that does not say "not run" of a request that an earlier try may have run."""
+    if work is None or not work.may_have_run or refusal.run_state is not RunState.NOT_RUN:
+        return refusal
+    return RefusalError(Code.BACKEND_LOST, refusal.detail, retry_after_ms=refusal.retry_after_ms)
 
 
 def _json(plain: dict[str, Any]) -> bytes:
--- a/src/cicadaledge/edge/_suspicion.py
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -99,8 +99,7 @@
             crash_ages_ms=sorted(round(now_ms - self._fleet.crash_ms(one)) for one in crashes),
         )
         retry_after_ms = int(self._fleet.expires_in_ms(digest, now_ms))
-        code = Code.BACKEND_LOST if work.may_have_run else Code.CRASHES_SERVERS
-        raise RefusalError(code, retry_after_ms=retry_after_ms)
+        raise RefusalError(Code.CRASHES_SERVERS, retry_after_ms=retry_after_ms)
 
     def is_blamed(self, work: Work) -> bool:
         """Return whether a request is held to crash servers."""
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -266,3 +266,28 @@
             await asyncio.wait_for(world._tasks[0], 3.0)
 
     asyncio.run(play())
+
+
+def test_a_refusal_after_a_lost_try_does_not_say_that_nothing_has_run():
+    """The servers for a second try could not be reached, which alone would be "not run"."""
+
+    async def play():
+        async with small_world(desks=4) as world:
+            for runner in world.runners:
+                runner.gap_s = 0.3
+                runner.faults = RunnerFaults(reset=True)
+            request = asyncio.create_task(world.call("/look/1"))
+
+            async def running():
+                return any(runner.runs for runner in world.runners)
+
+            await world.until(running)
+            for runner in world.runners:
+                if not runner.runs:
+                    await runner.stop()
+            answer = await request
+            assert sum(len(runner.runs) for runner in world.runners) == 1
+            assert answer.status == 502
+            assert b"may_have_run" in answer.body
+
+    asyncio.run(play())
