--- a/src/cicadaledge/edge/_suspicion.py
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -25,7 +25,7 @@
 _RECENT = 32  # whole answers that are looked at after a crash: about two seconds of one router
 _RECENT_MS = 2_000.0  # a request that was answered this shortly before a crash did not cause it
 _RECENT_BODY_BYTES = 65_536  # longer bodies are not kept: 2 MB in all
-_LINE_REQUESTS = 16  # that a line on a crash names
+_LINE_FINGERPRINTS = 16  # that a line on a crash names beside the requests' ids
 _log = PartLog("crashes")
 
 
@@ -54,8 +54,9 @@
             crash=crash,
             told_by=told_by,
             running=len(works),
-            suspects=sorted(digests)[:_LINE_REQUESTS],
-            request_ids=[work.call.request_id for work in works[:_LINE_REQUESTS]],
+            suspects=len(digests),
+            fingerprints=sorted(digests)[:_LINE_FINGERPRINTS],
+            request_ids=[work.call.request_id for work in works],
         )
         if not self._own.knows(crash):
             self._metrics.crashed(told_by)
--- a/src/cicadaledge/logs/_explain.py
+++ b/src/cicadaledge/logs/_explain.py
@@ -49,12 +49,13 @@
             plain = json.loads(line[start:])
         except ValueError:
             continue
-        if plain.get("request_id") != request_id:
+        is_one_of = request_id in plain.get("request_ids", ())
+        if plain.get("request_id") != request_id and not is_one_of:
             continue
         told = {
             name: value
             for name, value in plain.items()
-            if name not in _ENVELOPE and name != "request_id"
+            if name not in _ENVELOPE and name not in ("request_id", "request_ids")
         }
         source = line[:start].strip()
         yield LogLine(float(plain.get("timestamp", 0)), source, str(plain.get("message")), told)
--- a/tests/logs/test_explain.py
+++ b/tests/logs/test_explain.py
@@ -27,6 +27,17 @@
     assert "2.000 s" in found[1].text(found[0].at_s)
 
 
+def test_lines_about_several_requests_are_found_too():
+    crash = {
+        "timestamp": 2.5,
+        "message": "crashes: Server has crashed.",
+        "request_ids": ["r0", "r1"],
+    }
+    (found,) = lines_of_request("r1", [json.dumps(crash), line(1.0, "request: Placed.", "r2")])
+    assert found.message == "crashes: Server has crashed."
+    assert "request_ids" not in found.fields
+
+
 def test_the_command_prints_them(tmp_path):
     for name, at_s in [("a", 2.0), ("b", 1.0)]:
         (tmp_path / name).write_text(line(at_s, f"request: {name}.") + "\n")
