--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -44,6 +44,7 @@
 _CHECK_S = 0.05
 _WATCH_S = 0.1  # a tenth of the time between two probes of the balancer
 _LATE_MS = 100.0  # a turn of the loop this long delays each stream noticeably
+_SUSPECT_PAUSE_MS = 100.0  # routers tell of one crash within this; each reading is a call
 _SETTLE_S = 0.2  # a twentieth of the time in which a leaving server must get nothing more
 _LAST_S = 0.1  # for tasks to end, and for the last lines: together half of the stop margin
 _PART_RESTART_S = 0.5  # a part that fails each time must not take the processor
@@ -232,7 +233,7 @@
         )
         suspects = FollowTimes(
             timing.suspect_wait_ms,
-            0.0,
+            _SUSPECT_PAUSE_MS,
             timing.suspect_silence_ms,
             (timing.first_control_pause_ms,),
         )
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import Any
 
-from cicadaledge.codes import Code, RunState, code_info
+from cicadaledge.codes import Code, code_info
 from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
 from cicadaledge.edge._beliefs import Beliefs
@@ -22,6 +22,7 @@
 from cicadaledge.edge._held import HeldBytes
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._refusals import BUSY_RETRY_MS, loss, no_capacity, true_of
 from cicadaledge.edge._request_lines import RequestLines
 from cicadaledge.edge._retries import RetryBudget
 from cicadaledge.edge._server_pool import ServerPool
@@ -46,7 +47,6 @@
 _HOLD_PART = 0.11  # a refusal within an eighth of the objective costs the caller nothing
 _HOLD_STEP_S = 0.05  # the shortest time between two load views
 _UNREACHED_TRIES = 3  # servers that cannot be reached before a request is refused
-_BUSY_RETRY_MS = 200.0  # a full server has a place after a fraction of a request's time
 _log = PartLog("request")
 
 
@@ -146,7 +146,7 @@
             if work is not None and work.failure is not None and not writer.started:
                 await work.failure.send(writer)
                 return
-            await self._send_refusal(_true_of(refusal, work), call, writer)
+            await self._send_refusal(true_of(refusal, work), call, writer)
         except Exception as error:  # noqa: BLE001 - the caller gets a code, not a closed connection
             request_id = call.request_id if call else None
             _log.warning("Request met an internal error.", request_id=request_id, error=repr(error))
@@ -228,18 +228,18 @@
             if result.end is AttemptEnd.WITHDRAWN:
                 continue
             if result.end is AttemptEnd.CROWDED:
-                raise _no_capacity(result.reason, _BUSY_RETRY_MS)
+                raise no_capacity(result.reason, BUSY_RETRY_MS)
             work.tried.add(chosen.server.server)
             if result.end is AttemptEnd.UNREACHED:
                 unreached += 1
                 if unreached < _UNREACHED_TRIES:
                     continue
-                raise RefusalError(Code.BACKEND_UNREACHABLE, retry_after_ms=int(_BUSY_RETRY_MS))
+                raise RefusalError(Code.BACKEND_UNREACHABLE, retry_after_ms=int(BUSY_RETRY_MS))
             work.attempts += 1
             work.failure = result.answer or work.failure
             resume_after = attempt.resume_after
             if not self._may_repeat(work, result, writer):
-                raise _loss(result)
+                raise loss(result)
             if result.end is AttemptEnd.LOST:
                 await self._crashes.settle(chosen.server)
 
@@ -323,7 +323,7 @@
             again_ms = max(now_ms + _HOLD_STEP_S * 1000, choice.opens_ms)
             if again_ms > hold_until_ms:
                 self._lines.not_placed(work, choice, use, now_ms)
-                raise _no_capacity(choice.reason, choice.retry_after_ms)
+                raise no_capacity(choice.reason, choice.retry_after_ms)
             await asyncio.sleep(_HOLD_STEP_S)
 
     def _check_time(self, work: Work, now_ms: float) -> None:
@@ -381,24 +381,5 @@
         await writer.whole(status, headers, _json(refusal_body(refusal, request_id)))
 
 
-def _no_capacity(reason: str, retry_after_ms: float) -> RefusalError:
-    """Return the refusal of a request that no server can take now."""
-    return RefusalError(Code.NO_CAPACITY, reason, retry_after_ms=int(retry_after_ms))
-
-
-def _loss(result: AttemptResult) -> RefusalError:
-    """Return the refusal of a request that no other server may have."""
-    if result.end is AttemptEnd.NOT_RUN:
-        return _no_capacity(result.reason, _BUSY_RETRY_MS)
-    return RefusalError(Code.BACKEND_LOST, result.reason)
-
-
-def _true_of(refusal: RefusalError, work: Work | None) -> RefusalError:
-    """Return a refusal that does not say "not run" of a request that an earlier try may have run."""
-    if work is None or not work.may_have_run or refusal.run_state is not RunState.NOT_RUN:
-        return refusal
-    return RefusalError(Code.BACKEND_LOST, refusal.detail, retry_after_ms=refusal.retry_after_ms)
-
-
 def _json(plain: dict[str, Any]) -> bytes:
     return json.dumps(plain).encode()
