--- a/src/cicadaledge/edge/_crash_watch.py
+++ b/src/cicadaledge/edge/_crash_watch.py
@@ -81,10 +81,14 @@
         self._on_life = on_life
         self._incarnations: dict[_Key, _Incarnation] = {}
 
-    def note_unanswered(self, entry: ServerEntry, work: Work, *, broke: bool) -> None:
+    def note_unanswered(
+        self, entry: ServerEntry, work: Work, began_ms: float, *, broke: bool
+    ) -> None:
         """Note that a request was sent to a server and got no whole answer.
 
         Args:
+            began_ms: When it was given to the server. What began after a crash ran in a later
+                incarnation, which is not known yet.
             broke: Whether the connection broke; else the caller left or its time ran out.
         """
         if not self._is_to_stay(entry):
@@ -92,11 +96,11 @@
         now_ms = clock_ms()
         key = (entry.server, entry.born_ms)
         known = self._incarnations.setdefault(key, _Incarnation(entry))
-        known.unanswered.append((now_ms, work))
         if known.crashed_ms is not None:
-            if now_ms - known.crashed_ms < _JUST_BEFORE_MS:
+            if began_ms < known.crashed_ms and now_ms - known.crashed_ms < _JUST_BEFORE_MS:
                 self._on_crash(_name(entry), "refused", [work])
             return
+        known.unanswered.append((now_ms, work))
         if broke and known.probe is None and now_ms - known.probed_ms >= _PROBE_EVERY_MS:
             known.probe = asyncio.get_running_loop().create_task(self._probe(known))
 
--- a/tests/edge/test_ending_servers.py
+++ b/tests/edge/test_ending_servers.py
@@ -261,3 +261,29 @@
             assert not suspicion._fleet.blamed()
 
     asyncio.run(play())
+
+
+def test_what_ran_after_a_crash_is_no_suspect_of_it():
+    """A server can be back before its entry is read, and crash again."""
+
+    async def play():
+        async with small_world(desks=1, routers=1) as world:
+            (runner,) = (one for one in world.runners if one.service == "desk")
+            runner.fatal = "fatal"
+            runner.on_restart = lambda _: None
+            await world.call("/book/fatal")
+            await asyncio.sleep(0.6)
+            runner.gap_s = 5.0
+            request = asyncio.create_task(world.call("/book/sound"))
+
+            async def running():
+                return any("sound" in run.target for run in runner.runs)
+
+            await world.until(running)
+            runner.crash()
+            await request
+            await asyncio.sleep(0.2)
+            evidence = world.routers[0]._suspicion.evidence()
+            assert [len(digests) for digests in evidence.ran.values()] == [1]
+
+    asyncio.run(play())
