Wait for what other routers saw before a request is refused as one that crashes servers

Cause: a verdict from a part of the evidence, and readers that rested for 1.5 s after their first reading. A blamed request waits now until its newest crash is 0.4 s old, and evidence is read from the start on.

--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -231,12 +231,7 @@
             timing.member_poll_ms + silence_ms,
             timing.first_member_pauses_ms,
         )
-        suspects = FollowTimes(
-            timing.suspect_wait_ms,
-            _SUSPECT_PAUSE_MS,
-            timing.suspect_silence_ms,
-            (timing.first_control_pause_ms,),
-        )
+        suspects = FollowTimes(timing.suspect_wait_ms, _SUSPECT_PAUSE_MS, timing.suspect_silence_ms)
         return [
             TopicFollower(topics.control, ControlSink(self._beliefs), control, news, reach),
             TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news, reach),
--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -310,6 +310,8 @@
         """
         hold_until_ms = work.call.started_ms + work.route.aim_ms * _HOLD_PART
         while True:
+            while self._suspicion.awaits_evidence(work):
+                await asyncio.sleep(_HOLD_STEP_S)
             now_ms = clock_ms()
             self._admission.recheck(work)
             self._check_time(work, now_ms)
--- a/src/cicadaledge/edge/_suspicion.py
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -25,6 +25,7 @@
 _RECENT = 32  # whole answers that are looked at after a crash: about two seconds of one router
 _RECENT_MS = 2_000.0  # a request that was answered this shortly before a crash did not cause it
 _RECENT_BODY_BYTES = 65_536  # longer bodies are not kept: 2 MB in all
+_NEWS_MS = 400.0  # until what other routers saw of a crash is here: a record, a read and the ways
 _LINE_FINGERPRINTS = 16  # that a line on a crash names beside the requests' ids
 _log = PartLog("crashes")
 
@@ -41,6 +42,7 @@
         self._metrics = metrics
         self._own = SuspectBook(_WINDOW_MS)
         self._fleet = SuspectBook(_WINDOW_MS)
+        self._heard_ms: dict[str, float] = {}
         self._recent: deque[tuple[float, Work]] = deque(maxlen=_RECENT)
         self._running: dict[str, Counter[str]] = {}
 
@@ -107,6 +109,14 @@
         digest = self._suspect(work)
         return digest is not None and self._fleet.is_blamed(digest)
 
+    def awaits_evidence(self, work: Work) -> bool:
+        """Return whether others may soon tell who else was running in a blamed request's crashes."""
+        digest = self._suspect(work)
+        if digest is None or not self._fleet.is_blamed(digest):
+            return False
+        from_ms = clock_ms() - _NEWS_MS
+        return any(self._heard_ms.get(one, 0.0) > from_ms for one in self._fleet.crashes_of(digest))
+
     def apart_from(self, work: Work) -> set[str]:
         """Return the servers on which a suspect would run beside another one."""
         if not self._running:
@@ -153,6 +163,9 @@
         now_ms = _wall_ms()
         self._own.expire(now_ms)
         self._fleet.expire(now_ms)
+        for crash in list(self._heard_ms):
+            if not self._fleet.knows(crash):
+                del self._heard_ms[crash]
         self._metrics.set_state("requests_kept_from_servers", len(self._fleet.blamed()))
 
     def _take(self, evidence: Evidence) -> bool:
@@ -161,6 +174,9 @@
         news = self._fleet.merge(evidence, _wall_ms())
         if not news:
             return False
+        now_ms = clock_ms()
+        for crash in evidence.crashed_ms:
+            self._heard_ms.setdefault(crash, now_ms)
         named = {digest for digests in evidence.ran.values() for digest in digests}
         for digest in self._answered_lately(named):
             self._clear(digest, self._fleet.crashes_of(digest))
