Keep a pause that a restarted server asks for before its new entry is read

A server that had crashed was back under its name and address, answered a request that came by its old entry with a pause, and the pause ended when the new entry was read: it was taken for the former incarnation's.

--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -48,6 +48,7 @@
     foreign: bool = False
     says_leaving: bool = False
     paused_until_ms: float = 0.0
+    pause_told_ms: float = 0.0
 
 
 class ServerDirectory:
@@ -92,7 +93,8 @@
         if entry.born_ms != newest.born_ms:
             known.first_seen_ms = now_ms
             known.says_leaving = False
-            known.paused_until_ms = 0.0
+            if entry.born_ms > known.pause_told_ms:
+                known.paused_until_ms = 0.0
         known.entry = entry
         known.cold_until_ms = cold_until_ms
         known.removed_ms = None
@@ -164,10 +166,16 @@
         self._note_change()
         return True
 
-    def note_pause(self, entry: ServerEntry, until_ms: float) -> None:
-        """Note that a server wants nothing until a time, if that is later than known."""
+    def note_pause(self, entry: ServerEntry, until_ms: float, told_ms: float = 0.0) -> None:
+        """Note that a server wants nothing until a time, if that is later than known.
+
+        Args:
+            told_ms: When it said so, milliseconds since the epoch. A later incarnation that was
+                there by then has said so itself, before its entry was read.
+        """
         known = self._incarnation(entry)
         if known is not None:
+            known.pause_told_ms = max(known.pause_told_ms, told_ms)
             known.paused_until_ms = max(known.paused_until_ms, until_ms)
             self._last_pause_ms = max(self._last_pause_ms, until_ms)
 
--- a/tests/edge/test_server_words.py
+++ b/tests/edge/test_server_words.py
@@ -225,6 +225,20 @@
     assert directory.leaving() == {}
 
 
+def test_a_pause_that_a_new_incarnation_told_before_its_entry_was_read_holds():
+    """It was taken for a word of the former one, and ended with it."""
+    directory = ServerDirectory()
+    directory.apply(ENTRY, 0.0)
+    later = evolve(ENTRY, born_ms=ENTRY.born_ms + 1_000, sequence=1)
+    directory.note_pause(ENTRY, 5_000.0, told_ms=later.born_ms + 10.0)
+    directory.apply(later, 0.0)
+    assert not directory.is_usable(later, 4_000.0)
+    assert directory.is_usable(later, 5_000.0)
+    directory.note_pause(later, 9_000.0, told_ms=later.born_ms + 20.0)
+    directory.apply(evolve(later, born_ms=later.born_ms + 1_000), 0.0)
+    assert directory.paused(6_000.0) == set()
+
+
 @pytest.mark.parametrize("header", [(b"Cold-Ms", b"a while"), (b"Server-Leaving", b"maybe")])
 def test_a_header_that_says_nothing_does_not_cost_the_answer(header):
     """The caller of a request that had run got status 500."""
