Blame nobody in a tie of three or four crashes

Cause: from three crashes on a tie blamed all, and what is refused is never answered and so never cleared. Now a tie is waited out until one of them leads, which a fourth crash or one whole answer brings about, up to five crashes. The new test fails before.

--- a/src/cicadaledge/suspects/_blame.py
+++ b/src/cicadaledge/suspects/_blame.py
@@ -9,7 +9,8 @@
 from collections.abc import Mapping, Set
 
 _FEWEST_CRASHES = 2  # one crash alone blames nobody
-_SURE_CRASHES = 3  # from here on ties and other crashes no longer excuse a request
+_SURE_CRASHES = 3  # from here on other crashes no longer excuse a request
+_HOPELESS_CRASHES = 5  # from here on a tie does not, either: servers matter more than who it was
 _LOOK_BACK_MS = 10_000.0  # crashes this long before a suspect's first tell how common they are
 _MOST_PART = 0.5  # of the crashes about that time, which two must exceed to blame a request
 
@@ -39,13 +40,13 @@
 def _likely_causes(left: Mapping[str, Set[str]], crashed_ms: Mapping[str, float]) -> set[str]:
     most = max((len(crashes) for crashes in left.values()), default=0)
     first = {digest: crashes for digest, crashes in left.items() if len(crashes) == most}
-    if most >= _SURE_CRASHES:
+    if most >= _HOPELESS_CRASHES:
         return set(first)
     return {
         digest
         for digest, crashes in first.items()
         if all(crashes.isdisjoint(other) for name, other in first.items() if name != digest)
-        and _is_usual_cause(crashes, crashed_ms)
+        and (most >= _SURE_CRASHES or _is_usual_cause(crashes, crashed_ms))
     }
 
 
--- a/tests/suspects/test_blame.py
+++ b/tests/suspects/test_blame.py
@@ -26,6 +26,21 @@
     assert blamed(running, times("a/1", "b/1", "c/1")) == {"fatal"}
 
 
+def test_a_sound_request_that_ran_in_each_of_three_crashes_is_not_blamed_with_the_other():
+    """It was refused for ten minutes, as what is refused cannot be answered and cleared."""
+    crashes = {"a/1", "b/1", "c/1"}
+    running = {"fatal": crashes, "hot": crashes}
+    crashed_ms = times("a/1", "b/1", "c/1", "d/1", "e/1")
+    assert blamed(running, crashed_ms) == set()
+    assert blamed({**running, "fatal": {*crashes, "d/1"}}, crashed_ms) == {"fatal"}
+
+
+def test_five_crashes_are_enough_whoever_else_ran_in_each():
+    crashes = {"a/1", "b/1", "c/1", "d/1", "e/1"}
+    running = {"fatal": crashes, "hot": crashes}
+    assert blamed(running, dict.fromkeys(crashes, 0.0)) == {"fatal", "hot"}
+
+
 def test_two_crashes_among_many_are_chance():
     crashes = [f"s{place}/1" for place in range(12)]
     assert blamed({"unlucky": {"s10/1", "s11/1"}}, times(*crashes)) == set()
