Ask for a blamed request in one place, and tell an end by the grace from a route's own by their times

Three methods of Suspicion repeated the same question. The signal handler begins the departure, so the desk need not. Whether the grace or the route's time ended a request was told by the clock after the time-out: one that fires a moment early was written to the log as broken off. It follows from which of the two is earlier.

--- a/src/cicadaledge/edge/_desk.py
+++ b/src/cicadaledge/edge/_desk.py
@@ -170,9 +170,7 @@
             raise RefusalError(Code.BAD_REQUEST, str(error)) from error
 
     def leave(self) -> None:
-        """Begin to leave: requests get their answers before the process is killed."""
-        now_ms = clock_ms()
-        self._departure.begin(now_ms)
+        """Let all requests get their answers before the process, told to stop, is killed."""
         last_s = asyncio.get_running_loop().time() + self._time_left_s(math.inf)
         for time_out in self._time_outs:
             time_out.reschedule(min(time_out.when() or last_s, last_s))
@@ -187,7 +185,7 @@
                     self._time_outs.discard(time_out)
         except TimeoutError:
             detail = ""
-            if clock_ms() < work.until_ms:
+            if self._departure.answers_until_ms < work.until_ms:
                 detail = "the router stops"
                 self._note_broken_off(work.call.request_id, work.call.started_ms)
             code = Code.TIMED_OUT if work.may_have_run else Code.QUEUE_TIMEOUT
--- a/src/cicadaledge/edge/_suspicion.py
+++ b/src/cicadaledge/edge/_suspicion.py
@@ -87,8 +87,8 @@
         Raises:
             RefusalError: It is not sent to a server, or not once more.
         """
-        digest = self._suspect(work)
-        if digest is None or not self._fleet.is_blamed(digest):
+        digest = self._culprit(work)
+        if digest is None:
             return
         now_ms = _wall_ms()
         crashes = self._fleet.crashes_of(digest)
@@ -106,13 +106,12 @@
 
     def is_blamed(self, work: Work) -> bool:
         """Return whether a request is held to crash servers."""
-        digest = self._suspect(work)
-        return digest is not None and self._fleet.is_blamed(digest)
+        return self._culprit(work) is not None
 
     def awaits_evidence(self, work: Work) -> bool:
         """Return whether others may soon tell who else was running in a blamed request's crashes."""
-        digest = self._suspect(work)
-        if digest is None or not self._fleet.is_blamed(digest):
+        digest = self._culprit(work)
+        if digest is None:
             return False
         from_ms = clock_ms() - _NEWS_MS
         return any(self._heard_ms.get(one, 0.0) > from_ms for one in self._fleet.crashes_of(digest))
@@ -207,6 +206,11 @@
         digest = _known_by(work)
         return digest if self._fleet.is_suspect(digest) else None
 
+    def _culprit(self, work: Work) -> str | None:
+        """Return the fingerprint of a request if it is blamed."""
+        digest = self._suspect(work)
+        return digest if digest is not None and self._fleet.is_blamed(digest) else None
+
     def _has_outline(self, work: Work) -> bool:
         outlines = self._fleet.outlines()
         return bool(outlines) and outline(work) in outlines
