Play 195 routers with the relays of their zones in the replay; let a view say whether it has rates

The replay passed views between all routers directly and drew a router for each request, so it could not show what a zone with an idle relay, or an account behind one router, gets. It now passes views along relays, each router at times of its own, and keeps callers at one router.

The field has_rates is sent, not used yet.

--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -123,15 +123,25 @@
     factor: Annotated[float, typer.Option(help="Requests over those of the heavy day.")] = 1.0,
     seconds: Annotated[float, typer.Option(help="Length of the day.")] = 15.0,
     seed: Annotated[int, typer.Option(help="Seed of the traffic.")] = 1,
+    large: Annotated[bool, typer.Option("--large", help="195 routers, no baselines.")] = False,
 ) -> None:
     """Replay a heavy day against the placing code in simulated time, beside baselines."""
     import attrs
 
-    from cicadaledge.loadtool import HEAVY_DAY, REPLAY_HEADER, replay_modes, scaled
-
-    day = attrs.evolve(scaled(HEAVY_DAY, factor), seconds=seconds, seed=seed)
+    from cicadaledge.loadtool import (
+        HEAVY_DAY,
+        LARGE_DAY,
+        MODES,
+        REPLAY_HEADER,
+        replay_modes,
+        scaled,
+    )
+
+    day = attrs.evolve(
+        scaled(LARGE_DAY if large else HEAVY_DAY, factor), seconds=seconds, seed=seed
+    )
     typer.echo(REPLAY_HEADER)
-    for result in replay_modes(day):
+    for result in replay_modes(day, MODES[:1] if large else MODES):
         typer.echo(result.row())
 
 
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -28,7 +28,7 @@
 
 _FLEET_KEY = "cicadaledge-edge"
 _RETRY_S = 1.0  # entries matter to routers that start; the store may be away for long
-_ACCOUNTS_EVERY = 3  # views with account rates: a flood must be seen within a second
+_RATES_EVERY = 3  # views with account rates: a flood must be seen within a second
 _CANDIDATES = 3  # routers of a zone that may become its relay; two may fail at once
 _DIAL_BACK_MS = 1_000.0  # a dial and its handshake across regions take a tenth of it
 _ABSENT_MS = 2_000.0  # a process that was restarted is linked again before
@@ -121,7 +121,7 @@
         while True:
             turn += 1
             self._choose_relays()
-            served = self._send_views(with_accounts=turn % _ACCOUNTS_EVERY == 0)
+            served = self._send_views(with_rates=turn % _RATES_EVERY == 0)
             now_ms = clock_ms()
             if now_ms - idle_ms >= timing.idle_view_ms:
                 idle_ms = now_ms
@@ -241,10 +241,10 @@
             return False
         return now_ms - heard_ms < limit_ms or self.links.is_readable(name)
 
-    def _send_views(self, *, with_accounts: bool) -> set[str]:
+    def _send_views(self, *, with_rates: bool) -> set[str]:
         """Send the load to whom it concerns, and return them."""
         now_ms = clock_ms()
-        own = self._own_view(now_ms, with_accounts=with_accounts)
+        own = self._own_view(now_ms, with_rates=with_rates)
         relay = self._relays[self._settings.zone]
         if relay != self._settings.router:
             self.links.send(relay, own)
@@ -266,17 +266,18 @@
     def _zone_of(self, name: str) -> str:
         return self._known[name].member.zone
 
-    def _own_view(self, now_ms: float, *, with_accounts: bool) -> LoadView:
+    def _own_view(self, now_ms: float, *, with_rates: bool) -> LoadView:
         return LoadView(
             sent_ms=int(now_ms),
             scope=int(ViewScope.SENDER),
             routers=1,
             leaving=self.leaving,
             servers=self._load.own_uses(now_ms),
-            accounts=self._shares.own_uses(now_ms) if with_accounts else [],
+            accounts=self._shares.own_uses(now_ms) if with_rates else [],
             late_ms=round(self._shedding.late_ms),
             shedding=int(self._shedding.is_active),
             departing=[DepartingServer(*one) for one in self._directory.leaving().items()],
+            has_rates=with_rates,
         )
 
     def _send_idle_views(self, served: set[str]) -> None:
--- a/src/cicadaledge/loadtool/__init__.py
+++ b/src/cicadaledge/loadtool/__init__.py
@@ -22,7 +22,15 @@
 from cicadaledge.loadtool._launcher import Launcher, LaunchError
 from cicadaledge.loadtool._played_days import PlayedDay, journal_table
 from cicadaledge.loadtool._replay import Replay, replay_modes
-from cicadaledge.loadtool._replay_day import FLOODED_DAY, HEAVY_DAY, MODES, Mode, ReplayDay, scaled
+from cicadaledge.loadtool._replay_day import (
+    FLOODED_DAY,
+    HEAVY_DAY,
+    LARGE_DAY,
+    MODES,
+    Mode,
+    ReplayDay,
+    scaled,
+)
 from cicadaledge.loadtool._replay_result import REPLAY_HEADER, ReplayResult
 from cicadaledge.loadtool._report import compare, load_summary, mode_table, plot, table
 from cicadaledge.loadtool._run import ExperimentResult, run_experiment
@@ -41,6 +49,7 @@
     "FLOODED_DAY",
     "FaultLine",
     "HEAVY_DAY",
+    "LARGE_DAY",
     "LaunchError",
     "Launcher",
     "MODES",
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from cicadaledge.loadtool._replay_day import MODES, Mode, ReplayDay, RequestClass
+from cicadaledge.loadtool._replay_fleet import DirectExchange, Exchange, RelayExchange
 from cicadaledge.loadtool._replay_result import ReplayRequest, ReplayResult, measure
 from cicadaledge.placing import (
     AccountShares,
@@ -35,7 +36,6 @@
     ServiceWeight,
 )
 from cicadaledge.standins import EngineEmulator, EngineFigures, EngineRun
-from cicadaledge.wire import LoadView, ViewScope
 
 _SERVICE = "pool"
 _MOST_SIZE_WORTH = 4.0
@@ -53,7 +53,7 @@
         self, name: str, region: str, day: ReplayDay, mode: Mode, directory: ServerDirectory
     ) -> None:
         self.name = name
-        self.fleet = FleetLoad()
+        self.fleet = FleetLoad(name)
         members = day.routers if mode.shared_views or mode.split else 1
         self.fleet.set_roles(name, is_relay=True, members=members)
         self.load = LoadBook(self.fleet)
@@ -67,17 +67,6 @@
             region,
         )
 
-    def view(self, now_ms: float, *, with_accounts: bool) -> LoadView:
-        """Return what this router tells the others."""
-        return LoadView(
-            int(now_ms),
-            int(ViewScope.SENDER),
-            1,
-            False,
-            self.load.own_uses(now_ms),
-            self.shares.own_uses(now_ms) if with_accounts else [],
-        )
-
 
 class Replay:
     """One day in one mode."""
@@ -92,7 +81,6 @@
         self._requests: list[ReplayRequest] = []
         figures = EngineFigures(slots=day.slots)
         self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
-        self._views = 0
         self._stepping: set[str] = set()
         directory = ServerDirectory()
         for place, name in enumerate(self._engines):
@@ -106,13 +94,19 @@
             for n in range(day.routers)
         ]
         self._service = Service(_SERVICE, engine=Engine(day.slots, figures.memory_tokens))
+        self._exchange: Exchange = (
+            RelayExchange(day, self._routers, self._at, day.seed)
+            if day.zones
+            else DirectExchange(day, self._routers, self._at)
+        )
+        self._clients = [self._chance.choice(self._routers) for _ in range(day.clients)]
 
     def run(self) -> ReplayResult:
         """Play the day and its end; return what callers got."""
         for kind in self._day.classes:
             self._at(self._chance.expovariate(kind.per_s) * 1000, self._arrival(kind))
         if self._mode.shared_views:
-            self._at(0.0, self._exchange_views)
+            self._exchange.start()
         while self._heap:
             now_ms, _, action = heapq.heappop(self._heap)
             action(now_ms)
@@ -166,7 +160,7 @@
         return max(1, int(mean * min(drawn, 8.0)))
 
     def _try(self, request: ReplayRequest, now_ms: float) -> None:
-        router = self._chance.choices(self._routers, self._day.uneven[: len(self._routers)])[0]
+        router = self._router_of(request.account)
         request.tries += 1
         request.call.started_ms = now_ms
         router.shares.note_asked(request.account, request.call.cost_tokens, now_ms)
@@ -175,6 +169,15 @@
         else:
             self._refuse(request, self._mode.settings.short_retry_ms, now_ms)
 
+    def _router_of(self, account: str) -> _SimRouter:
+        if not self._clients:
+            weights = self._day.uneven[: len(self._routers)]
+            return self._chance.choices(self._routers, weights)[0]
+        rank = int(account.rpartition("-")[2])
+        if rank < self._day.single_client_accounts:
+            return self._clients[rank]
+        return self._chance.choice(self._clients[self._day.single_client_accounts :])
+
     def _place(self, request: ReplayRequest, router: _SimRouter, now_ms: float) -> None:
         kind = request.kind
         route = Route(
@@ -250,22 +253,6 @@
         end_ms = engine.step(now_ms)
         self._at(end_ms, lambda at: self._step(name, engine, at))
 
-    def _exchange_views(self, now_ms: float) -> None:
-        if now_ms > self._day.seconds * 1000 + 5_000:
-            return
-        self._views += 1
-        told = self._views % self._day.accounts_every == 0
-        views = [(one.name, one.view(now_ms, with_accounts=told)) for one in self._routers]
-
-        def deliver(at_ms: float) -> None:
-            for router in self._routers:
-                for name, view in views:
-                    if name != router.name:
-                        router.fleet.take(name, view, at_ms)
-
-        self._at(now_ms + self._day.view_delay_ms, deliver)
-        self._at(now_ms + self._day.view_ms, self._exchange_views)
-
 
 def replay_modes(day: ReplayDay, modes: tuple[Mode, ...] = MODES) -> list[ReplayResult]:
     """Return the results of one day in several modes."""
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -42,6 +42,9 @@
         slots: Requests that an engine runs at once.
         accounts_every: Views with the rates of accounts.
         uneven: Weights of the routers, as connections come unevenly.
+        zones: Zones whose relays pass views on; 0 where all routers hear each other.
+        clients: Callers, each at one router; 0 draws a router for each request by `uneven`.
+        single_client_accounts: Accounts, the largest ones, that have one caller each.
     """
 
     classes: tuple[RequestClass, ...]
@@ -61,6 +64,9 @@
     view_ms: float = 50.0
     view_delay_ms: float = 80.0
     seed: int = 1
+    zones: int = 0
+    clients: int = 0
+    single_client_accounts: int = 0
 
 
 HEAVY_DAY = ReplayDay(
@@ -88,6 +94,27 @@
     view_ms=100.0,
 )
 
+# A fleet of 195 routers: more routers than callers reach, and the largest accounts at one each.
+LARGE_DAY = ReplayDay(
+    (
+        RequestClass("draft", 145, 1000, 15_000, 4.0, 1.2, 5382, 700, 6610, 1.0, 384),
+        RequestClass("chat", 123, 600, 12_000, 1.8, 0.55, 198, 900, 628, 0.8, 294),
+        RequestClass("sort", 224, 600, 3_000, 0.37, 0.11, 568, 1000, 1800, 1.0, 24),
+    ),
+    seconds=18.0,
+    routers=195,
+    engines=39,
+    accounts=60,
+    hot_accounts=1,
+    hot_factor=7.5,
+    first_hot=2,
+    tokens_per_s=900_000.0,
+    slots=24,
+    zones=6,
+    clients=270,
+    single_client_accounts=6,
+)
+
 
 @frozen
 class Mode:
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
 IS_NAME = "is_name"
 
@@ -391,10 +391,12 @@
         sent_ms: Sender's clock.
         scope: Whose load it sums, a `ViewScope`.
         routers: How many routers it sums.
-        accounts: Empty in most views; rates change more slowly than loads.
+        accounts: Rates of all accounts with requests, if the view has rates.
         late_ms: How late the routers' event loops are, summed.
         shedding: How many of the routers keep new callers away.
         departing: Servers that told one of the routers that they leave.
+        has_rates: Whether the view tells of accounts. Most do not: rates change more slowly than
+            loads, and those told before hold on.
     """
 
     sent_ms: int
@@ -406,6 +408,7 @@
     late_ms: int = 0
     shedding: int = 0
     departing: list[DepartingServer] = field(factory=list)
+    has_rates: bool = field(default=Factory(lambda self: bool(self.accounts), takes_self=True))
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -227,6 +227,7 @@
   shedding @7 :UInt32;       # how many of them keep new callers away
   departing @8 :List(DepartingServer);
   servers @9 :ServerUses;
+  hasRates @10 :Bool;        # whether accounts is all that is asked for, even if it is empty
 }
 
 struct ServerUses {
