Pass rates of accounts through relays that have no requests of their own

Cause: a relay added the others' rates only to a view that had rates of its own. An empty list told two things, "this view has no rates in it" and "this router has none". Class: a field whose emptiness means two things; figures that are right only where each router has work. Why it works: views say whether they have rates, so that a relay passes all of them on and an empty list means that nothing is asked for.

--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -18,7 +18,7 @@
 from cicadaledge.wire import AccountUse, DepartingServer, LoadView, ServerUse, ViewScope
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
-_ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each tenth view
+_ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each third view, twice a relay away
 _STALE_TURNS = 4.0  # a turn at the router, one at each of two relays, and one on the way
 _DRAWS = 2**32
 
@@ -293,9 +293,11 @@
 
 def _merge(former: LoadPart | None, view: LoadView, now_ms: float) -> LoadPart:
     servers = {use.server: use for use in view.servers}
-    if view.accounts or former is None:
+    accounts: dict[str, AccountUse] = {}
+    accounts_ms = -math.inf
+    if view.has_rates:
         accounts, accounts_ms = {use.account: use for use in view.accounts}, now_ms
-    else:
+    elif former is not None:
         accounts, accounts_ms = former.accounts, former.accounts_ms
     return LoadPart(
         now_ms,
@@ -324,7 +326,7 @@
         for name, total in one.servers.items():
             if _is_telling(total):
                 totals.setdefault(name, _Total()).add(_use(name, total), 1)
-        if own.accounts:
+        if own.has_rates:
             for rate in one.account_uses(now_ms):
                 accounts[rate.account] = _add_rate(accounts.get(rate.account), rate, 1)
     return evolve(
@@ -349,7 +351,7 @@
             total.add(use, -1)
             servers[name] = _use(name, total)
     accounts = {use.account: use for use in whole.accounts}
-    if accounts and now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
+    if whole.has_rates and now_ms - part.accounts_ms <= _ACCOUNTS_LIFE_MS:
         for rate in part.accounts.values():
             accounts[rate.account] = _add_rate(accounts.get(rate.account), rate, -1)
     return evolve(
--- a/tests/loadtool/test_replay.py
+++ b/tests/loadtool/test_replay.py
@@ -3,7 +3,15 @@
 import pytest
 from attrs import evolve
 
-from cicadaledge.loadtool import FLOODED_DAY, HEAVY_DAY, MODES, Replay, ReplayResult, scaled
+from cicadaledge.loadtool import (
+    FLOODED_DAY,
+    HEAVY_DAY,
+    LARGE_DAY,
+    MODES,
+    Replay,
+    ReplayResult,
+    scaled,
+)
 
 # A third of the heavy day before a third of its engines; queues need seconds to build up.
 DAY = evolve(scaled(HEAVY_DAY, 1 / 3), seconds=18.0, engines=3, routers=3, tokens_per_s=75_000.0)
@@ -36,3 +44,9 @@
 def test_a_sudden_flood_does_not_hold_an_account_below_half_of_what_others_get(seed):
     """A small account turns into the largest; one held back for its past load got 0.30."""
     assert Replay(evolve(FLOODED_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
+
+
+@pytest.mark.parametrize("seed", [3, 4, 6])
+def test_an_account_at_one_router_of_many_is_not_held_back_for_others(seed):
+    """The level of a zone whose relay had no requests of its own was that of its accounts only."""
+    assert Replay(evolve(LARGE_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
--- a/tests/placing/test_fleet_load.py
+++ b/tests/placing/test_fleet_load.py
@@ -2,6 +2,8 @@
 
 import random
 
+from attrs import evolve
+
 from cicadaledge.placing import FleetLoad, LoadBook, Placement
 from cicadaledge.wire import (
     AccountUse,
@@ -38,7 +40,7 @@
             fleet.set_roles(f"{name}-0", is_relay=place == 0, members=6)
 
     def own(self, place: int) -> LoadView:
-        return view_of(self.loads[place], rate=10.0 * self.loads[place])
+        return evolve(view_of(self.loads[place], rate=10.0 * self.loads[place]), has_rates=True)
 
 
 def exchange(zones: list[Zone], now_ms: float) -> None:
@@ -130,3 +132,13 @@
         assert use.running == sum(view.servers[0].running for view in live)
         assert use.unread_tokens == 100 * use.running
         assert fleet.routers(now_ms) == 1 + len(live)
+
+
+def test_rates_pass_through_a_relay_that_has_no_requests_of_its_own():
+    zones = [Zone("a", [0, 30]), Zone("b", [0, 0, 5])]
+    exchange(zones, 0.0)
+    exchange(zones, 100.0)
+    for zone in zones:
+        for place, fleet in enumerate(zone.fleets):
+            rates = sum(one.asked_per_s for one in fleet.account_uses(200.0))
+            assert rates == 10.0 * (35 - zone.loads[place])
