Read every entry of the store with bounds, and read on beside those that cannot be read

What callers saw (reported of systems like this one, reproduced here): after one odd entry routers never saw another change of a server, routers that started never became ready, or callers got 500. Cause: each decoder checked types of its own and none checked bounds; exceptions other than ValueError (RecursionError of a deep nesting, OverflowError of a long number) ended the follower, which was started again at the same offset for ever. A malformed configuration was taken for an outage of the store, with the same effect. Class: one record decides over the reading of all; data of other programs trusted in form. Mending: platform/_fields.py reads each kind of value once, with bounds; a record that cannot be read becomes a ForeignEntry at one place, whatever its decoder raised; a change that its sink cannot take is passed over; both are counted (cicadaledge_entries_not_used_total), with a log line a page. Failures of the router's parts are counted, too. Under a live server's name such an entry hides the server until its next heartbeat: the newest entry names nothing to use. An odd configuration leaves the last sound one in force. Ruled out: catching RecursionError in the follower only, as values like port 99999 or a start in the year 287396 (later heartbeats of that server are older for ever) are taken without any error.

--- a/src/cicadaledge/edge/_beliefs.py
+++ b/src/cicadaledge/edge/_beliefs.py
@@ -58,10 +58,7 @@
                     )
             case ServerRemoved(server):
                 self._remove(server, now_ms)
-            case ForeignEntry(server, reason):
-                if self.directory.note_foreign(server):
-                    _log.warning("Server entry is foreign.", server=server, reason=reason)
-            case MemberSeen() | EvidenceSeen():
+            case ForeignEntry() | MemberSeen() | EvidenceSeen():
                 pass
 
     def keep_only(self, servers: set[str], now_ms: float) -> None:
@@ -189,10 +186,18 @@
 class ServerSink(_BeliefSink):
     """Takes the heartbeats of backend servers."""
 
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Take over one change; an entry that cannot be read hides the server that it names."""
+        if isinstance(change, ForeignEntry):
+            if self._beliefs.directory.note_foreign(change.subject):
+                _log.warning("Server is hidden by an entry.", server=change.subject)
+            return
+        super().apply(change, now_ms)
+
     def complete(self, changes: list[Change], now_ms: float) -> None:
         """Remove the servers that have no entry."""
         seen = {one.entry.server for one in changes if isinstance(one, ServerChanged)}
-        seen |= {one.server for one in changes if isinstance(one, ForeignEntry)}
+        seen |= {one.subject for one in changes if isinstance(one, ForeignEntry)}
         self._beliefs.keep_only(seen, now_ms)
 
     def note_read(self, proof_ms: float, now_ms: float) -> None:
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -21,7 +21,7 @@
 from cicadaledge.edge._departure import Departure
 from cicadaledge.edge._desk import CallDesk
 from cicadaledge.edge._dialect import Dialect
-from cicadaledge.edge._follow import FollowTimes, TopicFollower
+from cicadaledge.edge._follow import FollowTimes, TopicFollower, TopicSink
 from cicadaledge.edge._gate import CallerGate
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
@@ -29,7 +29,7 @@
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._shedding import Shedding
-from cicadaledge.edge._source import StoreTopics
+from cicadaledge.edge._source import ChangeSource, StoreTopics
 from cicadaledge.edge._store_reach import StoreReach
 from cicadaledge.edge._suspect_news import SuspectNews
 from cicadaledge.edge._suspicion import Suspicion
@@ -232,12 +232,13 @@
             timing.first_member_pauses_ms,
         )
         suspects = FollowTimes(timing.suspect_wait_ms, _SUSPECT_PAUSE_MS, timing.suspect_silence_ms)
-        return [
-            TopicFollower(topics.control, ControlSink(self._beliefs), control, news, reach),
-            TopicFollower(topics.servers, ServerSink(self._beliefs), servers, news, reach),
-            TopicFollower(topics.members, self._peers, members, news, reach),
-            TopicFollower(topics.registry.suspects, self._suspect_news, suspects, news, reach),
+        followed: list[tuple[ChangeSource, TopicSink, FollowTimes]] = [
+            (topics.control, ControlSink(self._beliefs), control),
+            (topics.servers, ServerSink(self._beliefs), servers),
+            (topics.members, self._peers, members),
+            (topics.registry.suspects, self._suspect_news, suspects),
         ]
+        return [TopicFollower(*one, news, reach, self._metrics) for one in followed]
 
     async def _keep_running(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a part for ever; one that fails is logged and started again."""
@@ -245,7 +246,8 @@
             try:
                 await part()
             except Exception as error:  # noqa: BLE001 - requests go on without the part
-                _log.warning("A part has failed.", part=part.__name__, error=repr(error))
+                self._metrics.part_failed(part.__qualname__)
+                _log.warning("A part has failed.", part=part.__qualname__, error=repr(error))
             await asyncio.sleep(_PART_RESTART_S)
 
     def _is_ready(self) -> bool:
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -8,11 +8,13 @@
 from attrs import frozen
 
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._news import ZoneNews
 from cicadaledge.edge._source import (
     Change,
     ChangePage,
     ChangeSource,
+    ForeignEntry,
     HistoryLostError,
     StoreError,
 )
@@ -70,6 +72,7 @@
         times: When the topic is read.
         news: What the zone's relay reads.
         reach: What the followers of all topics know of the store.
+        metrics: Counts entries that cannot be used.
     """
 
     def __init__(
@@ -79,12 +82,14 @@
         times: FollowTimes,
         news: ZoneNews,
         reach: StoreReach,
+        metrics: EdgeMetrics | None = None,
     ) -> None:
         self._source = source
         self._sink = sink
         self._times = times
         self._news = news
         self._reach = reach
+        self._metrics = metrics or EdgeMetrics()
         self._offset: int | None = None
         self._failed = False
         self._reads = 0
@@ -176,10 +181,31 @@
     def _take(self, page: ChangePage) -> None:
         now_ms = clock_ms()
         for change in page.changes:
-            self._sink.apply(change, now_ms)
+            self._apply(change, now_ms)
+        self._note_foreign([one for one in page.changes if isinstance(one, ForeignEntry)])
         self._offset = page.next_offset
         self._note_proof(page.proof_ms)
 
+    def _apply(self, change: Change, now_ms: float) -> None:
+        try:
+            self._sink.apply(change, now_ms)
+        except Exception as error:  # noqa: BLE001 - one change must not end the reading of all
+            self._metrics.entry_not_used(self.topic, "failed")
+            _log.warning("A change is passed over.", topic=self.topic, error=repr(error))
+
+    def _note_foreign(self, entries: list[ForeignEntry]) -> None:
+        """Count the entries of a page that cannot be read, and log the first."""
+        if not entries:
+            return
+        self._metrics.entry_not_used(self.topic, "foreign", len(entries))
+        _log.warning(
+            "Entries cannot be read.",
+            topic=self.topic,
+            count=len(entries),
+            first=entries[0].subject,
+            reason=entries[0].reason,
+        )
+
     def _note_proof(self, proof_ms: float) -> None:
         self._proof_ms = max(self._proof_ms, proof_ms)
         self._sink.note_read(proof_ms, clock_ms())
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -46,6 +46,16 @@
             "Requests whose caller left before the answer.",
             registry=registry,
         )
+        self._not_used = aioprometheus.Counter(
+            "cicadaledge_entries_not_used_total",
+            "Entries of the store that could not be read or taken over.",
+            registry=registry,
+        )
+        self._part_failures = aioprometheus.Counter(
+            "cicadaledge_part_failures_total",
+            "Failures of a part of the router, which was started again.",
+            registry=registry,
+        )
         self._gauges = aioprometheus.Gauge(
             "cicadaledge_state", "What the router believes.", registry=registry
         )
@@ -86,6 +96,14 @@
         """Count new callers that were turned away."""
         self._turned_away.add({}, count)
 
+    def entry_not_used(self, topic: str, why: str, count: int = 1) -> None:
+        """Count entries of a topic that were passed over."""
+        self._not_used.add({"topic": topic, "why": why}, count)
+
+    def part_failed(self, part: str) -> None:
+        """Count a failure of a part of the router."""
+        self._part_failures.inc({"part": part})
+
     def first_byte(self, seconds: float) -> None:
         """Note the time to the first byte of a server's answer."""
         self._first.add({}, seconds)
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -14,7 +14,6 @@
 from cicadaledge.edge._source import (
     Change,
     FleetMember,
-    ForeignEntry,
     MemberRegistry,
     MemberSeen,
     StoreError,
@@ -137,8 +136,6 @@
 
     def apply(self, change: Change, now_ms: float) -> None:
         """Take over an entry of the list of routers."""
-        if isinstance(change, ForeignEntry):
-            _log.warning("Router entry is foreign.", router=change.server, reason=change.reason)
         if not isinstance(change, MemberSeen):
             return
         member = change.member
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -50,9 +50,13 @@
 
 @frozen
 class ForeignEntry:
-    """An entry that no backend server wrote."""
+    """An entry that cannot be read, so that another program must have written it.
 
-    server: str
+    Args:
+        subject: What it should tell of, a server or a router.
+    """
+
+    subject: str
     reason: str
 
 
--- a/src/cicadaledge/edge/_suspect_news.py
+++ b/src/cicadaledge/edge/_suspect_news.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from cicadaledge.edge._source import Change, EvidenceSeen, ForeignEntry, StoreError, SuspectRegistry
+from cicadaledge.edge._source import Change, EvidenceSeen, StoreError, SuspectRegistry
 from cicadaledge.edge._suspicion import Suspicion
 from cicadaledge.logs import PartLog
 
@@ -43,8 +43,6 @@
 
     def apply(self, change: Change, now_ms: float) -> None:
         """Take over a router's evidence."""
-        if isinstance(change, ForeignEntry):
-            _log.warning("Evidence is foreign.", router=change.server, reason=change.reason)
         if not isinstance(change, EvidenceSeen):
             return
         is_own = change.router == self._router and not self._has_read.is_set()
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -1,10 +1,11 @@
-"""Decodes the configuration and the heartbeats of backend servers."""
+"""Decodes what programs write into the platform's store."""
 
 from __future__ import annotations
 
-import json
-from typing import Any
+from typing import TypeVar
 
+from cicadaledge.edge import FleetMember
+from cicadaledge.platform._fields import Fields, check_header_name
 from cicadaledge.routing import (
     Account,
     Engine,
@@ -19,12 +20,16 @@
 )
 from cicadaledge.suspects import Evidence
 
+T = TypeVar("T")
+
 _KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
     "streaming": RouteKind.STREAM,
 }
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
+_MOST_SLOTS = 1_000_000  # thousands of times what a server runs at once
+_MOST_COLD_MS = 86_400_000.0  # a day; servers are cold for seconds
 
 
 def decode_table(data: bytes) -> RoutingTable:
@@ -33,17 +38,14 @@
     Raises:
         ValueError: The data is no configuration.
     """
-    try:
-        plain = json.loads(data)
-        return RoutingTable(
-            version=int(plain["version"]),
-            routes=tuple(_route(one) for one in plain["routes"]),
-            services={one["name"]: _service(one) for one in plain["services"]},
-            accounts=tuple(_account(one) for one in plain.get("tenants") or ()),
-            limits=_limits(plain.get("limits") or {}),
-        )
-    except (KeyError, TypeError, AttributeError, IndexError) as error:
-        raise ValueError(f"the configuration cannot be decoded: {error!r}") from error
+    plain = Fields.read(data)
+    return RoutingTable(
+        version=plain.whole("version"),
+        routes=tuple(_route(one) for one in plain.rows("routes")),
+        services={one.text("name"): _service(one) for one in plain.rows("services")},
+        accounts=tuple(_account(one) for one in plain.rows("tenants")),
+        limits=_limits(plain.inner("limits")) if plain.has("limits") else Limits(),
+    )
 
 
 def decode_server(server: str, data: bytes) -> ServerEntry:
@@ -52,23 +54,40 @@
     Raises:
         ValueError: No backend server wrote the data.
     """
-    try:
-        plain = json.loads(data)
-        host, _, port = _text(plain, "address").rpartition(":")
-        return ServerEntry(
-            server=server,
-            service=_text(plain, "service"),
-            host=host,
-            port=int(port),
-            zone=_text(plain, "zone"),
-            state=_STATES[_text(plain, "state")],
-            slots=_whole(plain, "slots"),
-            cold_left_ms=_number(plain, "coldRemainingMs"),
-            born_ms=_whole(plain, "born"),
-            sequence=_whole(plain, "seqNo"),
-        )
-    except (KeyError, TypeError, AttributeError, UnicodeDecodeError) as error:
-        raise ValueError(f"the entry of server {server!r} cannot be decoded: {error!r}") from error
+    plain = Fields.read(data)
+    host, port = plain.address("address")
+    cold_left_ms = plain.number("coldRemainingMs")
+    if cold_left_ms > _MOST_COLD_MS:
+        raise ValueError(f"coldRemainingMs: expected at most a day, found {cold_left_ms}")
+    return ServerEntry(
+        server=check_header_name(server),
+        service=plain.text("service"),
+        host=host,
+        port=port,
+        zone=plain.text("zone"),
+        state=_one_of(_STATES, plain.text("state")),
+        slots=plain.whole("slots", _MOST_SLOTS),
+        cold_left_ms=cold_left_ms,
+        born_ms=plain.time_ms("born"),
+        sequence=plain.whole("seqNo"),
+    )
+
+
+def decode_member(router: str, data: bytes) -> FleetMember:
+    """Return a router process's entry.
+
+    Raises:
+        ValueError: No router wrote the data.
+    """
+    plain = Fields.read(data)
+    return FleetMember(
+        router=check_header_name(router),
+        host=plain.host("host"),
+        peer_port=plain.port("port"),
+        zone=plain.text("zone"),
+        started_ms=plain.time_ms("started"),
+        announced=plain.whole("announced"),
+    )
 
 
 def decode_evidence(data: bytes) -> Evidence:
@@ -77,82 +96,66 @@
     Raises:
         ValueError: No router wrote the data.
     """
-    try:
-        plain = json.loads(data)
-        return Evidence(
-            crashed_ms={str(name): float(at_ms) for name, at_ms in plain["crashed"].items()},
-            ran=_lists(plain["ran"]),
-            cleared=_lists(plain["cleared"]),
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"the evidence cannot be decoded: {error!r}") from error
+    plain = Fields.read(data)
+    crashed = plain.inner("crashed")
+    return Evidence(
+        crashed_ms={name: crashed.number(name) for name in crashed.names()},
+        ran=_lists(plain.inner("ran")),
+        cleared=_lists(plain.inner("cleared")),
+    )
+
+
+def _lists(plain: Fields) -> dict[str, list[str]]:
+    return {name: list(plain.texts(name)) for name in plain.names()}
 
 
-def _lists(plain: dict[str, Any]) -> dict[str, list[str]]:
-    return {str(name): [str(one) for one in values] for name, values in plain.items()}
+def _one_of(known: dict[str, T], word: str) -> T:
+    if word not in known:
+        raise ValueError(f"expected one of {', '.join(known)}, found {word[:40]!r}")
+    return known[word]
 
 
-def _route(plain: dict[str, Any]) -> Route:
-    split = plain.get("trafficSplit") or [{"service": plain["service"], "weight": 1}]
+def _route(plain: Fields) -> Route:
+    split = plain.rows("trafficSplit")
     return Route(
-        name=plain["name"],
-        host=plain["host"],
-        prefix=plain["pathPrefix"],
-        kind=_KINDS[plain["routeType"]],
-        timeout_ms=float(plain["timeoutMs"]),
-        aim_ms=float(plain.get("targetLatencyMs") or plain["timeoutMs"]),
-        max_attempts=int(plain.get("maxAttempts") or 1),
-        split=tuple(ServiceWeight(one["service"], float(one["weight"])) for one in split),
-        needs_key=not plain.get("authExempt", False),
-        resumable=bool(plain.get("streamResume", False)),
-        regions=frozenset(plain.get("allowedRegions") or ()),
+        name=plain.text("name"),
+        host=plain.text("host"),
+        prefix=plain.text("pathPrefix"),
+        kind=_one_of(_KINDS, plain.text("routeType")),
+        timeout_ms=plain.number("timeoutMs"),
+        aim_ms=plain.number("targetLatencyMs", 0.0) or plain.number("timeoutMs"),
+        max_attempts=int(plain.number("maxAttempts", 0.0)) or 1,
+        split=tuple(ServiceWeight(one.text("service"), one.number("weight")) for one in split)
+        or (ServiceWeight(plain.text("service"), 1.0),),
+        needs_key=not plain.flag("authExempt"),
+        resumable=plain.flag("streamResume"),
+        regions=frozenset(plain.texts("allowedRegions")),
     )
 
 
-def _service(plain: dict[str, Any]) -> Service:
-    engine = plain.get("engine")
+def _service(plain: Fields) -> Service:
+    engine = plain.inner("engine") if plain.has("engine") else None
     return Service(
-        name=plain["name"],
-        cold_per_s=float(plain.get("coldPerS") or 0),
-        engine=Engine(int(engine["slots"]), int(engine["kvCapacity"])) if engine else None,
+        name=plain.text("name"),
+        cold_per_s=plain.number("coldPerS", 0.0),
+        engine=Engine(engine.whole("slots"), engine.whole("kvCapacity")) if engine else None,
     )
 
 
-def _account(plain: dict[str, Any]) -> Account:
+def _account(plain: Fields) -> Account:
     return Account(
-        name=plain["name"],
-        keys=tuple(plain.get("apiKeys") or ()),
-        regions=frozenset(plain.get("allowedRegions") or ()),
+        name=plain.text("name"),
+        keys=plain.texts("apiKeys"),
+        regions=frozenset(plain.texts("allowedRegions")),
     )
 
 
-def _limits(plain: dict[str, Any]) -> Limits:
+def _limits(plain: Fields) -> Limits:
     usual = Limits()
     return Limits(
-        header_bytes=int(plain.get("maxHeaderBytes", usual.header_bytes)),
-        body_bytes=int(plain.get("maxBodyBytes", usual.body_bytes)),
-        header_timeout_ms=float(plain.get("headerTimeoutMs", usual.header_timeout_ms)),
-        idle_timeout_ms=float(plain.get("idleTimeoutMs", usual.idle_timeout_ms)),
-        tokens_per_s=float(plain.get("tokensPerS", 0)),
+        header_bytes=int(plain.number("maxHeaderBytes", usual.header_bytes)),
+        body_bytes=int(plain.number("maxBodyBytes", usual.body_bytes)),
+        header_timeout_ms=plain.number("headerTimeoutMs", usual.header_timeout_ms),
+        idle_timeout_ms=plain.number("idleTimeoutMs", usual.idle_timeout_ms),
+        tokens_per_s=plain.number("tokensPerS", 0.0),
     )
-
-
-def _text(plain: dict[str, Any], name: str) -> str:
-    value = plain[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name}: expected text, found {value!r}")
-    return value
-
-
-def _whole(plain: dict[str, Any], name: str) -> int:
-    value = plain[name]
-    if type(value) is not int:
-        raise ValueError(f"{name}: expected a whole number, found {value!r}")
-    return value
-
-
-def _number(plain: dict[str, Any], name: str) -> float:
-    value = plain[name]
-    if type(value) not in (int, float):
-        raise ValueError(f"{name}: expected a number, found {value!r}")
-    return float(value)
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -29,7 +29,12 @@
     timeout_after_reads,
 )
 from cicadaledge.errors import BackendError
-from cicadaledge.platform._decode import decode_evidence, decode_server, decode_table
+from cicadaledge.platform._decode import (
+    decode_evidence,
+    decode_member,
+    decode_server,
+    decode_table,
+)
 from cicadaledge.suspects import Evidence
 
 _OK = 200
@@ -39,6 +44,7 @@
 _IDLE_MS = 10_000.0  # the store closes idle connections after a longer time
 _ANSWER_LIMIT_BYTES = 4 * 1_048_576  # the store's pages are 1 MB, half as much again in base64
 _NEWEST_LIMIT_BYTES = 16 * 1_048_576  # entries of 600 servers and 380 routers are far below
+_REASON_LIMIT = 300  # characters of a log line on a record that cannot be read
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _TABLE_KEY = "config"
@@ -113,13 +119,16 @@
             size += len(data)
             if size > _NEWEST_LIMIT_BYTES:
                 raise StoreError(f"the pages of {topic} are over {_NEWEST_LIMIT_BYTES} bytes")
-            page = json.loads(data)
-            end = page["endOffset"] if end is None else end
-            for item in page["items"]:
-                records.append(_KeyedRecord(item["key"], base64.b64decode(item["value"])))
-            if not page.get("hasMore") or not page["items"]:
-                return _Page(records, 0, int(end), sent_ms)
-            query["after"] = page["items"][-1]["key"]
+            try:
+                page = json.loads(data)
+                end = int(page["endOffset"]) if end is None else end
+                for item in page["items"]:
+                    records.append(_KeyedRecord(item["key"], base64.b64decode(item["value"])))
+                if not page.get("hasMore") or not page["items"]:
+                    return _Page(records, 0, end, sent_ms)
+                query["after"] = page["items"][-1]["key"]
+            except (ValueError, LookupError, TypeError, AttributeError) as error:
+                raise StoreError(f"a page of {topic} cannot be read: {error!r}") from error
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Append one record to a keyed topic.
@@ -205,11 +214,25 @@
         return self._page(_read_page(records, first_offset, proof_ms))
 
     def _page(self, page: _Page) -> ChangePage:
-        found = [self._change(record) for record in page.records]
+        found = [self._decoded(record) for record in page.records]
         changes = [change for change in found if change is not None]
         return ChangePage(changes, page.first_offset, page.next_offset, page.proof_ms, page.data)
 
+    def _decoded(self, record: _KeyedRecord) -> Change | None:
+        """Return the change, or that another program wrote the record: the rest is read on."""
+        try:
+            return self._change(record)
+        except ValueError as error:
+            return ForeignEntry(record.key, str(error)[:_REASON_LIMIT])
+        except Exception as error:  # noqa: BLE001 - one record must not end the reading of all
+            return ForeignEntry(record.key, f"the decoder failed: {error!r}"[:_REASON_LIMIT])
+
     def _change(self, record: _KeyedRecord) -> Change | None:
+        """Return what a record tells, or None.
+
+        Raises:
+            ValueError: It is malformed.
+        """
         raise NotImplementedError
 
 
@@ -237,10 +260,7 @@
     def _change(self, record: _KeyedRecord) -> Change | None:
         if not record.value:
             return ServerRemoved(record.key)
-        try:
-            return ServerChanged(decode_server(record.key, record.value))
-        except ValueError as error:
-            return ForeignEntry(record.key, str(error))
+        return ServerChanged(decode_server(record.key, record.value))
 
 
 class SuspectTopic(_KeyedTopic):
@@ -260,10 +280,9 @@
         await self._client.append(self.topic, router, value)
 
     def _change(self, record: _KeyedRecord) -> Change | None:
-        try:
-            return EvidenceSeen(record.key, decode_evidence(record.value))
-        except ValueError as error:
-            return ForeignEntry(record.key, str(error))
+        if not record.value:
+            return None
+        return EvidenceSeen(record.key, decode_evidence(record.value))
 
 
 class MemberTopic(_KeyedTopic):
@@ -292,19 +311,7 @@
         await self._client.append(self.topic, member.router, json.dumps(plain).encode())
 
     def _change(self, record: _KeyedRecord) -> Change | None:
-        try:
-            plain = json.loads(record.value)
-            member = FleetMember(
-                router=record.key,
-                host=plain["host"],
-                peer_port=plain["port"],
-                zone=plain["zone"],
-                started_ms=plain["started"],
-                announced=plain["announced"],
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            return ForeignEntry(record.key, repr(error))
-        return MemberSeen(member)
+        return MemberSeen(decode_member(record.key, record.value)) if record.value else None
 
 
 def _read_page(data: bytes, first_offset: int, proof_ms: float) -> _Page:
