Let the level of shares fall slowly when less is admitted

What callers saw: large accounts cut to a few per cent of what they asked, then all of them little, while the engines had room again. Cause: the level is 1.25 times what was admitted, and what is admitted is bounded by the level: engines that fill up for a moment lower both, and small accounts keep theirs. Class: a set point taken from what it controls. Mending: the level goes by the most that was served lately, less a tenth a second. Failed before: test_shares_do_not_sink_while_engines_are_full_for_a_moment.

--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -14,6 +14,7 @@
 _LEVEL_PERIOD_MS = 100.0  # a tenth of the time in which a share can change visibly
 _RATE_WINDOW_PART = 0.5  # of the time for shares: a flood and its end are both seen within it
 _GROWTH = 1.25  # more is let through than was served, so that unused capacity is found
+_FALL_PER_S = 0.1  # of the level's tokens: engines that fill up for a moment must not halve it
 _MOST_CORRECTION = 2.0  # for accounts whose engines refuse more than those of others
 _SHORT_PART = 0.3  # an account that gets less of its due may use more engines for a prefix
 _HELD_BACK_PART = 0.8  # an account that gets less of what it asks counts as held back
@@ -75,6 +76,7 @@
         self._asked_per_s: dict[str, float] = {}
         self._admitted_per_s: dict[str, float] = {}
         self._level_ms = -math.inf
+        self._served_per_s = 0.0
 
     @property
     def share_per_s(self) -> int | None:
@@ -142,8 +144,11 @@
             admitted[use.account] = admitted.get(use.account, 0.0) + use.admitted_per_s
         self._asked_per_s = asked
         self._admitted_per_s = admitted
-        served_per_s = max(capacity_per_s, _GROWTH * sum(admitted.values()))
-        self._level_per_s = fair_level(asked.values(), served_per_s)
+        fallen = min(1.0, _FALL_PER_S * (now_ms - self._level_ms) / 1000)
+        lately_per_s = self._served_per_s * (1.0 - fallen)
+        self._served_per_s = max(sum(admitted.values()), lately_per_s)
+        let_through_per_s = max(capacity_per_s, _GROWTH * self._served_per_s)
+        self._level_per_s = fair_level(asked.values(), let_through_per_s)
         self._least_per_s = self._least_served(asked)
         self._level_ms = now_ms
 
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -450,3 +450,20 @@
     assert pauses == sorted(pauses)
     pool.health.note_reached("dark")
     assert not pool.health.is_ejected("dark", SETTLED_MS + 10_000.0)
+
+
+def test_shares_do_not_sink_while_engines_are_full_for_a_moment():
+    """The share of large accounts was halved, and the engines idled once they had room again."""
+    shares = AccountShares(4_000, FleetLoad())
+
+    def share_after(admitted, begin, steps):
+        for step in range(begin, begin + steps):
+            for account in ("a", "b"):
+                shares.note_asked(account, 5_000, step * 50.0)
+                shares.note_admitted(account, admitted, step * 50.0)
+            shares.use("a", 10_000.0, step * 50.0)
+        return shares.share_per_s
+
+    before = share_after(1_000, 0, 80)
+    assert share_after(200, 80, 40) >= 0.75 * before
+    assert share_after(200, 120, 400) <= 0.3 * before
