Let the soak write entries that cannot be read, beside its other faults

Drawn apart from the other faults, so that the seeds of former rounds draw what they drew. The store's stand-in changes the ports of routers only in what routers append; it would decode the odd entries otherwise.

--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -1,7 +1,14 @@
 """Fault soak: real router processes under faults from outside, judged by what is seen there."""
 
 from cicadaledge.soak._callers import Callers
-from cicadaledge.soak._faults import BUSY_KINDS, KINDS, WORD_KINDS, PlannedFault, draw_faults
+from cicadaledge.soak._faults import (
+    BUSY_KINDS,
+    ENTRY_KINDS,
+    KINDS,
+    WORD_KINDS,
+    PlannedFault,
+    draw_faults,
+)
 from cicadaledge.soak._ledger import Act, Ledger, Sent, SoakBounds
 from cicadaledge.soak._proxy import FaultProxy
 from cicadaledge.soak._round import SoakPlan, SoakResult, run_round
@@ -13,6 +20,7 @@
     "WORD_KINDS",
     "WordJudge",
     "BUSY_KINDS",
+    "ENTRY_KINDS",
     "KINDS",
     "Act",
     "Callers",
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -20,6 +20,7 @@
 _COUNTS = (2, 9)
 _BUSY_COUNTS = (0, 2)
 _WORD_COUNTS = (0, 3)
+_ENTRY_COUNTS = (0, 3)
 _PAUSES_S = (0.3, 1.5, 4.0, 10.0)
 _REFUSING_S = 0.4  # how long a server refuses with a pause
 _DELAY_MS = 120.0  # twice a round trip between regions
@@ -47,7 +48,13 @@
 
 
 def draw_faults(
-    seed: int, count: int | None, within_s: float, *, busy: bool = False, words: bool = False
+    seed: int,
+    count: int | None,
+    within_s: float,
+    *,
+    busy: bool = False,
+    words: bool = False,
+    entries: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a seed, by time.
 
@@ -55,19 +62,21 @@
         count: How many; None draws this, too: few leave routers in touch, many overlap.
         busy: Add some of `BUSY_KINDS`, drawn apart: the others are those of the seed without.
         words: Add some of `WORD_KINDS` in the same way.
+        entries: Add some of `ENTRY_KINDS` in the same way.
     """
     chance = random.Random(seed)
     if count is None:
         count = chance.randint(*_COUNTS)
     faults = [_draw_fault(chance, KINDS, within_s) for _ in range(count)]
-    if busy:
-        apart = random.Random(f"{seed}/busy")
-        more = range(apart.randint(*_BUSY_COUNTS))
-        faults += [_draw_fault(apart, BUSY_KINDS, within_s) for _ in more]
-    if words:
-        apart = random.Random(f"{seed}/words")
-        more = range(apart.randint(*_WORD_COUNTS))
-        faults += [_draw_fault(apart, WORD_KINDS, within_s) for _ in more]
+    more = (
+        (busy, "busy", _BUSY_COUNTS, BUSY_KINDS),
+        (words, "words", _WORD_COUNTS, WORD_KINDS),
+        (entries, "entries", _ENTRY_COUNTS, ENTRY_KINDS),
+    )
+    for is_drawn, name, counts, kinds in more:
+        if is_drawn:
+            apart = random.Random(f"{seed}/{name}")
+            faults += [_draw_fault(apart, kinds, within_s) for _ in range(apart.randint(*counts))]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -99,7 +108,7 @@
 
     async def _run_one(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
-        await (KINDS | BUSY_KINDS | WORD_KINDS)[fault.kind](self, fault)
+        await (KINDS | BUSY_KINDS | WORD_KINDS | ENTRY_KINDS)[fault.kind](self, fault)
 
     def _lock(self, name: str) -> asyncio.Lock:
         return self._locks.setdefault(name, asyncio.Lock())
@@ -314,6 +323,13 @@
             server.runner.faults = RunnerFaults()
             await asyncio.sleep(min(pause_s, fault.for_s))
 
+    async def odd_entries(self, fault: PlannedFault) -> None:
+        """Let another program write entries that cannot be read, and the owners write on."""
+        async with self._lock("config"):
+            self.world.store.put_odd(fault.pick, self._server(fault).name)
+            await asyncio.sleep(fault.for_s / 2)
+            self.world.configure()
+
     async def revoke(self, fault: PlannedFault) -> None:
         """Take a key away and give it back."""
         async with self._lock("config"):
@@ -425,3 +441,6 @@
     "leave-by-word": FaultLine.leave_by_word,
     "ask-for-pause": FaultLine.ask_for_pause,
 }
+ENTRY_KINDS: dict[str, Callable[[FaultLine, PlannedFault], Awaitable[None]]] = {
+    "odd-entries": FaultLine.odd_entries,
+}
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -36,6 +36,7 @@
         words: Whether servers say that they leave or want a pause.
         fatal: Whether a request crashes the servers that run it, beside a hot sound one, and the
             grace of routers that are stopped is short in some rounds.
+        entries: Whether another program writes entries that cannot be read.
         size: Size of the deployment.
     """
 
@@ -45,6 +46,7 @@
     busy: bool = True
     words: bool = True
     fatal: bool = True
+    entries: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -71,7 +73,14 @@
 
 
 async def _run(plan: SoakPlan, directory: Path) -> SoakResult:
-    faults = draw_faults(plan.seed, plan.faults, plan.within_s, busy=plan.busy, words=plan.words)
+    faults = draw_faults(
+        plan.seed,
+        plan.faults,
+        plan.within_s,
+        busy=plan.busy,
+        words=plan.words,
+        entries=plan.entries,
+    )
     world = SoakWorld(plan.size, directory)
     world.ledger.bounds = _bounds(plan, faults)
     async with world.running():
--- a/src/cicadaledge/standins/_platform_store.py
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -12,6 +12,7 @@
 
 from cicadaledge.edge import AnswerWriter, RequestHead
 from cicadaledge.standins._http_service import HttpService
+from cicadaledge.standins._odd_entries import ODD_ENTRIES
 
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
@@ -20,6 +21,7 @@
 _OPERATOR_TOPIC = "keyed.op"
 _SERVER_TOPIC = "keyed.servers"
 _ROUTER_TOPIC = "keyed.routers"
+_CRASH_TOPIC = "keyed.crashes"
 
 
 @define
@@ -68,6 +70,14 @@
         name = key.encode()
         return self._append(topic, bytes([len(name)]) + name + data)
 
+    def put_odd(self, pick: int, server: str) -> None:
+        """Write an entry that cannot be read into each topic, among the servers under a live name."""
+        odd = ODD_ENTRIES[pick % len(ODD_ENTRIES)]
+        self.put(_SERVER_TOPIC, server, odd)
+        for topic in (_SERVER_TOPIC, _ROUTER_TOPIC, _CRASH_TOPIC):
+            self.put(topic, "odd", odd)
+        self.put(_OPERATOR_TOPIC, "config", odd)
+
     def forget_all_history(self) -> None:
         """Delete the records of all topics; the newest of each key are kept."""
         for topic in (_OPERATOR_TOPIC, _SERVER_TOPIC, _ROUTER_TOPIC):
@@ -134,18 +144,22 @@
         offset = -1
         while body:
             length = int.from_bytes(body[:_LENGTH_BYTES], "big")
-            offset = self._append(topic, body[_LENGTH_BYTES : _LENGTH_BYTES + length])
+            record = body[_LENGTH_BYTES : _LENGTH_BYTES + length]
+            offset = self._append(topic, self._with_peer_port(topic, record))
             body = body[_LENGTH_BYTES + length :]
         return offset
 
+    def _with_peer_port(self, topic: str, record: bytes) -> bytes:
+        key, value = record[: 1 + record[0]], record[1 + record[0] :]
+        if topic != _ROUTER_TOPIC or not value or not self.peer_ports:
+            return record
+        plain = json.loads(value)
+        plain["port"] = self.peer_ports.get(plain["port"], plain["port"])
+        return key + _json(plain)
+
     def _append(self, topic: str, record: bytes) -> int:
         key = record[1 : 1 + record[0]].decode()
         value = record[1 + record[0] :]
-        if topic == _ROUTER_TOPIC and value and self.peer_ports:
-            plain = json.loads(value)
-            plain["port"] = self.peer_ports.get(plain["port"], plain["port"])
-            value = _json(plain)
-            record = record[: 1 + record[0]] + value
         kept = self._topic(topic)
         kept.records.append(record)
         newest = self._newest.setdefault(topic, {})
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -4,6 +4,7 @@
 
 from cicadaledge.soak import (
     BUSY_KINDS,
+    ENTRY_KINDS,
     KINDS,
     WORD_KINDS,
     SoakPlan,
@@ -35,7 +36,7 @@
 
 def plan(seed, **changes):
     size = SoakSize(routers_per_zone=1, callers=8, first_port=FIRST_PORT)
-    usual = {"faults": 4, "within_s": 4.0, "words": False, "fatal": False}
+    usual = {"faults": 4, "within_s": 4.0, "words": False, "fatal": False, "entries": False}
     return SoakPlan(seed, size=size, **{**usual, **changes})
 
 
@@ -66,6 +67,22 @@
     assert drawn == set(WORD_KINDS)
 
 
+def test_odd_entries_leave_the_faults_of_a_seed_as_they_were():
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, words=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, words=True, entries=True)
+        assert [fault for fault in more if fault.kind not in ENTRY_KINDS] == plain
+
+
+@pytest.mark.timeout(90)
+def test_routers_read_on_beside_odd_entries_while_one_is_killed(tmp_path):
+    result = run_round(plan(0, faults=4, busy=False, entries=True), tmp_path)
+    kinds = [fault.kind for fault in result.faults]
+    assert kinds.count("odd-entries") >= 2 and {"kill", "revoke", "move"} <= set(kinds)
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 @pytest.mark.timeout(90)
 def test_routers_heed_what_servers_say(tmp_path):
     result = run_round(plan(8, faults=0, busy=False, words=True), tmp_path)
@@ -103,7 +120,10 @@
     size = SoakSize(first_port=FIRST_PORT)
     faults = None if seed in DRAWN else 7
     result = run_round(
-        SoakPlan(seed, faults=faults, size=size, busy=False, words=False, fatal=False), tmp_path
+        SoakPlan(
+            seed, faults=faults, size=size, busy=False, words=False, fatal=False, entries=False
+        ),
+        tmp_path,
     )
     assert result.broken == []
 
@@ -111,5 +131,6 @@
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", FATAL_FAILED)
 def test_seeds_that_once_failed_beside_a_fatal_request_hold(seed, tmp_path):
-    result = run_round(SoakPlan(seed, size=SoakSize(first_port=FIRST_PORT)), tmp_path)
+    size = SoakSize(first_port=FIRST_PORT)
+    result = run_round(SoakPlan(seed, size=size, entries=False), tmp_path)
     assert result.broken == []
