--- a/src/cicadaledge/logs/__init__.py
+++ b/src/cicadaledge/logs/__init__.py
@@ -1,7 +1,16 @@
 """Structured logs: JSON lines by eliot."""
 
+from cicadaledge.logs._evenness import UnevenSpan, uneven_spans
 from cicadaledge.logs._explain import LogLine, lines_of_request
 from cicadaledge.logs._part_log import PartLog, start_logs
 from cicadaledge.logs._writer import LineWriter
 
-__all__ = ["LineWriter", "LogLine", "PartLog", "lines_of_request", "start_logs"]
+__all__ = [
+    "LineWriter",
+    "LogLine",
+    "PartLog",
+    "UnevenSpan",
+    "lines_of_request",
+    "start_logs",
+    "uneven_spans",
+]
