--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -18,7 +18,7 @@
 from cicadaledge.wire import AccountUse, DepartingServer, LoadView, ServerUse, ViewScope
 
 _VIEW_LIFE_MS = 1_000.0  # ten views or more; an older part says nothing of today's load
-_ACCOUNTS_LIFE_MS = 2_500.0  # account rates come with each third view, twice a relay away
+_ACCOUNTS_LIFE_MS = 2_500.0  # over three times between two views with rates in the largest fleet
 _STALE_TURNS = 4.0  # a turn at the router, one at each of two relays, and one on the way
 _DRAWS = 2**32
 
