--- a/src/cicadaledge/platform/_fields.py
+++ b/src/cicadaledge/platform/_fields.py
@@ -51,7 +51,9 @@
 
     def texts(self, name: str) -> tuple[str, ...]:
         """Return a list of texts; empty if the field is missing."""
-        values = self._plain.get(name) or []
+        values = self._plain.get(name)
+        if values is None:
+            return ()
         if not isinstance(values, list) or not all(isinstance(one, str) for one in values):
             raise _unexpected(name, "a list of texts", values)
         return tuple(values)
