--- a/src/cicadaledge/platform/_fields.py
+++ b/src/cicadaledge/platform/_fields.py
@@ -13,6 +13,7 @@
 _MOST_COUNT = 2**53 - 1  # whole numbers that every JSON reader keeps exactly
 _MOST_TEXT = 1_024  # longer than any name, host or path of a deployment
 _MOST_PORT = 65_535
+_PORT_DIGITS = 5
 _MOST_REASON = 160  # enough to recognise a value in a log line
 
 
@@ -97,7 +98,9 @@
         """Return the IPv4 address and the port of a text like `10.1.0.33:8783`."""
         text = self.text(name)
         host, _, port = text.rpartition(":")
-        if not (port.isascii() and port.isdigit() and 1 <= int(port[:6]) <= _MOST_PORT):
+        if not (port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS):
+            raise _unexpected(name, "an address with a port", text)
+        if not 1 <= int(port) <= _MOST_PORT:
             raise _unexpected(name, f"an address with a port from 1 to {_MOST_PORT}", text)
         return _host(name, host), int(port)
 
