--- a/src/cicadaledge/standins/__init__.py
+++ b/src/cicadaledge/standins/__init__.py
@@ -4,7 +4,13 @@
 from cicadaledge.standins._engine_emulator import EngineEmulator, EngineParameters, EngineRun
 from cicadaledge.standins._old_system import OldBackend, OldSystemSettings, OldSystemStandIn
 from cicadaledge.standins._platform import PlatformSettings, PlatformStandIn
-from cicadaledge.standins._platform_backend import BackendFaults, PlatformBackend, Refusal, Run
+from cicadaledge.standins._platform_backend import (
+    BackendFaults,
+    PlatformBackend,
+    Refusal,
+    Run,
+    prompt_parts,
+)
 from cicadaledge.standins._platform_files import (
     EXTRA_ANSWER,
     NODE_FILE_VARIABLE,
@@ -49,4 +55,5 @@
     "platform_account",
     "platform_pool",
     "platform_route",
+    "prompt_parts",
 ]
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -106,6 +106,7 @@
 
     Attributes:
         crash_marker: A target that contains this crashes the server; None for no target.
+        crash_parts: The server crashes when it begins to answer a prompt with one of these parts.
         ended_ms: Times of its crashes.
         on_crash: Called on each crash.
         on_restart: Called when it listens again as a new incarnation.
@@ -126,6 +127,7 @@
         self.refusals: list[Refusal] = []
         self.born_ms = 1_000
         self.crash_marker: str | None = None
+        self.crash_parts: frozenset[str] = frozenset()
         self.ended_ms: list[float] = []
         self.on_crash: Callable[[PlatformBackend], None] = _do_nothing
         self.on_restart: Callable[[PlatformBackend], None] = _do_nothing
@@ -262,6 +264,9 @@
         writer.start(200, self._headers(run))
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.gap_s)
+            if number == first and self.crash_parts & prompt_parts(run):
+                self.crash()
+                await asyncio.sleep(_HANG_S)
             if self.faults.break_after is not None and number > self.faults.break_after:
                 await writer.send_chunk(self.event(run, number)[: len(b"id: %d\nda" % number)])
                 writer.abort()
@@ -288,5 +293,11 @@
         return [*leaving, *self.faults.headers]
 
 
+def prompt_parts(run: Run) -> set[str]:
+    """Return the ids of the parts of a run's prompt."""
+    listed = run.headers.get("prompt-prefix", "")
+    return {item.partition(":")[0] for item in listed.split(",") if item}
+
+
 def _do_nothing(backend: PlatformBackend) -> None:
     """Do nothing."""
