Treat a stream without length that ends within an event as broken off

What callers saw: a server answered 200 with an event stream that had neither length nor chunks, and closed the connection within an event; the caller got it as a complete chunked answer. Cause: the HTTP parser takes the end of such a connection as the end of the body, and nothing looked whether the last event was complete. Such an answer also cleared the request of suspicion and was not continued at another server. Events with CRLF line ends were held back to the end of the stream, as only LF LF ended an event.

Now a stream that is not framed counts as lost unless an event has just ended: resumable ones go on at another server, others are broken off visibly. Events end with an empty line of either kind. An empty unframed stream counts as broken off, as a server that crashed after the head looks the same.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._event_splitter import EventSplitter, ResumeMismatchError
+from cicadaledge.edge._event_splitter import EventBoundary, EventSplitter, ResumeMismatchError
 from cicadaledge.edge._header_codec import HeaderCodec, ResponseSignals
 from cicadaledge.edge._held import BufferBudget, BufferedBody
 from cicadaledge.edge._http_client import Headers, HttpConnection, ResponseHead
@@ -269,9 +269,11 @@
     async def _relay_events(
         self, connection: HttpConnection, head: ResponseHead, cutter: EventSplitter | None
     ) -> None:
+        boundary = EventBoundary()
         while (chunk := await connection.read_chunk()) is not None:
             self._record_streamed_bytes()
             self._start_response(head)
+            boundary.feed(chunk)
             data = cutter.feed(chunk) if cutter else chunk
             if cutter and cutter.last_id is not None:
                 self.resume_after = cutter.last_id
@@ -279,6 +281,8 @@
                 self._request.cannot_resume = True
             if data:
                 await self._writer.send_chunk(data)
+        if not head.is_framed and not boundary.is_reached:
+            raise BackendError(f"{connection.peer} ended a stream within an event", sent=True)
         self._start_response(head)
         rest = cutter.end() if cutter else b""
         if rest:
--- a/src/cicadaledge/edge/_event_splitter.py
+++ b/src/cicadaledge/edge/_event_splitter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-_EVENT_END = b"\n\n"
+# An event ends with an empty line; lines end with LF or CRLF.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_MAX_EVENT_END_BYTES = max(map(len, _EVENT_ENDS))
 _ID_FIELD = b"id:"
 # A longer event is not buffered until it is complete, and its stream cannot be resumed. Usual
 # events are far shorter, as they hold a few tokens.
@@ -13,6 +15,22 @@
     """The events that a server sent do not continue the resumed stream."""
 
 
+class EventBoundary:
+    """Tells whether what was received of a stream ends with a complete event."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes of the stream."""
+        self._tail = (self._tail + data[-_MAX_EVENT_END_BYTES:])[-_MAX_EVENT_END_BYTES:]
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether the last event is complete; false if there was none."""
+        return self._tail.endswith(_EVENT_ENDS)
+
+
 class EventSplitter:
     """Returns complete events and buffers an incomplete one.
 
@@ -44,11 +62,9 @@
         """
         if self.is_split:
             return data
-        unseen = max(0, len(self._buffer) + 1 - len(_EVENT_END))
+        unseen = max(0, len(self._buffer) + 1 - _MAX_EVENT_END_BYTES)
         self._buffer += data
-        end = self._buffer.rfind(_EVENT_END, unseen)
-        if end >= 0:
-            end += len(_EVENT_END)
+        if end := _end_of_events(self._buffer, unseen):
             events = bytes(self._buffer[:end])
             if self._after is not None:
                 self._check_resumed(events)
@@ -81,7 +97,7 @@
 
     def _check_resumed(self, events: bytes) -> None:
         """Check that each event has an id that follows the one before it."""
-        for event in events.removesuffix(_EVENT_END).split(_EVENT_END):
+        for event in events.replace(b"\r\n", b"\n").removesuffix(b"\n\n").split(b"\n\n"):
             found = _id_of(event)
             if found is None:
                 raise ResumeMismatchError("an event of a resumed stream has no id")
@@ -97,6 +113,12 @@
             self.last_id = _id_of(events)
 
 
+def _end_of_events(data: bytearray, start: int) -> int:
+    """Return the index after the last complete event, searched for from *start*; 0 if none."""
+    found = ((data.rfind(end, start), len(end)) for end in _EVENT_ENDS)
+    return max(index + length if index >= 0 else 0 for index, length in found)
+
+
 def _id_of(event: bytes) -> str | None:
     """Return the first id field of an event, or None."""
     for line in event.split(b"\n"):
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -43,6 +43,11 @@
         for name, value in headers:
             self._by_name.setdefault(name.lower(), []).append(value)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body is announced; otherwise it is the end of the connection."""
+        return b"content-length" in self._by_name or b"transfer-encoding" in self._by_name
+
     def get(self, name: bytes) -> str | None:
         """Return the first header of a name (any case), or None."""
         values = self._by_name.get(name.lower())
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -72,6 +72,8 @@
         stray: Send the answer of another request first.
         silent: Never answer.
         break_after: Reset the stream after this number of events, in the middle of the next one.
+        unframed_bytes: Send this many bytes of the events with neither length nor chunks, then
+            close; all of them if negative.
         raw: Send these bytes instead of an answer.
         endless: Send these bytes after `raw` repeatedly, as long as the router reads them.
         trailing: Send these bytes after the answer.
@@ -86,6 +88,7 @@
     stray: bool = False
     silent: bool = False
     break_after: int | None = None
+    unframed_bytes: int | None = None
     raw: bytes | None = None
     endless: bytes = b""
     trailing: bytes = b""
@@ -103,6 +106,7 @@
         zone: Availability zone.
         events: Number of events per stream.
         gap_s: Time before each event of a stream, and duration of a plain request.
+        line_end: Line end in events.
 
     Attributes:
         crash_marker: A target that contains this crashes the server; None for no target.
@@ -113,7 +117,14 @@
     """
 
     def __init__(
-        self, instance: str, service: str, zone: str, *, events: int = 4, gap_s: float = 0.0
+        self,
+        instance: str,
+        service: str,
+        zone: str,
+        *,
+        events: int = 4,
+        gap_s: float = 0.0,
+        line_end: bytes = b"\n",
     ) -> None:
         super().__init__()
         self.instance = instance
@@ -121,6 +132,7 @@
         self.zone = zone
         self.events = events
         self.gap_s = gap_s
+        self.line_end = line_end
         self.faults = BackendFaults()
         self.runs: list[Run] = []
         self.refused = 0
@@ -261,6 +273,9 @@
     async def _send_stream(self, run: Run, writer: ResponseWriter) -> None:
         first = int(run.headers.get("last-event-id", "0")) + 1
         run.answer = b"".join(self.event(run, number) for number in range(1, self.events + 1))
+        if self.faults.unframed_bytes is not None:
+            self._send_unframed_stream(run, writer, first)
+            return
         writer.start(200, self._headers(run))
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.gap_s)
@@ -275,9 +290,20 @@
         run.finished = True
         writer.end()
 
+    def _send_unframed_stream(self, run: Run, writer: ResponseWriter, first: int) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        head += b"".join(b"%s: %s\r\n" % header for header in self._headers(run))
+        events = b"".join(self.event(run, number) for number in range(first, self.events + 1))
+        count = self.faults.unframed_bytes
+        whole = count is None or count < 0
+        writer.send_raw(head + b"\r\n" + (events if whole else events[:count]))
+        run.finished = whole
+        writer.close()
+
     def event(self, run: Run, number: int) -> bytes:
         """Return one event of a stream."""
-        return b"id: %d\ndata: piece %d\n\n" % (number, number)
+        lines = (b"id: %d" % number, b"data: piece %d" % number, b"", b"")
+        return self.line_end.join(lines)
 
     def _headers(self, run: Run) -> Headers:
         return [
