Publish what a router can refute once a prompt part is suspected of two crashes

Cause: a router published a refutation only if it could refute two crashes itself. One that had answered a rare part between two crashes kept this to itself, so the others had two parts in the same number of crashes, and waited.

Now it publishes what it can refute as soon as the published evidence suspects the part of two crashes. The new test failed before.

--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -28,8 +28,9 @@
 # The parts of so many recently answered prompts are remembered. A router answers about a hundred
 # requests a second, most of which share their parts.
 _MAX_ANSWERED_PARTS = 4_096
-# A refutation is published once this many crashes are refuted, fewer than any part is blamed for.
-_MIN_PUBLISHED_REFUTATIONS = 2
+# What this router can refute is published once the part is suspected of this many crashes, fewer
+# than any part is blamed for.
+_MIN_SUSPECTED_CRASHES = 2
 # It is published within this time, at random, and only if no other router has done so before. All
 # routers can refute a frequent part, and one of them suffices.
 _MAX_PUBLISH_DELAY_MS = 400.0
@@ -63,10 +64,10 @@
 
 @define
 class _Refutation:
-    """Crashes that this router, and as far as it knows no other, has cleared a part of."""
+    """Crashes that this router has cleared a part of, and when it publishes this."""
 
     crashes: set[str] = field(factory=set)
-    publish_at_ms: float = float("inf")
+    publish_at_ms: float | None = None
 
 
 class PromptPartGuard:
@@ -88,6 +89,7 @@
         self._is_selected = is_selected
         self._on_new_evidence = on_new_evidence
         self._own = PartTracker(window_ms)
+        self._published = PartTracker(window_ms)
         self._fleet = PartTracker(window_ms)
         self._first_heard_ms: dict[str, float] = {}
         self._answered_ms: OrderedDict[str, float] = OrderedDict()
@@ -185,37 +187,38 @@
         """
         if is_own:
             self._own.merge(evidence, wall_ms())
-        for crash, parts in evidence.cleared.items():
-            for part in parts:
-                if part in self._refutations:
-                    self._refutations[part].crashes.discard(crash)
         self._merge_into_fleet(evidence)
 
     def publish_refutations(self) -> None:
         """Publish refutations that are due and that no other router has published."""
         now_ms = clock_ms()
         for part, refutation in list(self._refutations.items()):
-            if refutation.publish_at_ms <= now_ms:
+            suspected = self._published.crashes_of(part)
+            if not refutation.crashes & suspected:
                 del self._refutations[part]
-                if len(refutation.crashes) >= _MIN_PUBLISHED_REFUTATIONS:
-                    self._publish_cleared([part], refutation.crashes)
+            elif len(suspected) < _MIN_SUSPECTED_CRASHES:
+                continue
+            elif refutation.publish_at_ms is None:
+                refutation.publish_at_ms = now_ms + random.uniform(0.0, _MAX_PUBLISH_DELAY_MS)
+            elif refutation.publish_at_ms <= now_ms:
+                del self._refutations[part]
+                self._publish_cleared([part], refutation.crashes & suspected)
 
     def expire(self) -> int:
         """Drop crashes that are older than the time window; return how many groups are blamed."""
         now_ms = wall_ms()
         self._own.expire(now_ms)
+        self._published.expire(now_ms)
         self._fleet.expire(now_ms)
         for crash in list(self._first_heard_ms):
             if not self._fleet.has_crash(crash):
                 del self._first_heard_ms[crash]
-        for part, refutation in list(self._refutations.items()):
-            if not any(map(self._fleet.has_crash, refutation.crashes)):
-                del self._refutations[part]
         self._update_blamed()
         return len(self._blamed)
 
     def _merge_into_fleet(self, evidence: PartEvidence) -> bool:
         """Merge evidence into that of the fleet; return whether any of it was new."""
+        self._published.merge(evidence, wall_ms())
         if not self._fleet.merge(evidence, wall_ms()):
             return False
         now_ms = clock_ms()
@@ -233,13 +236,7 @@
         if not suspected:
             return
         self._fleet.clear(part, suspected)
-        refutation = self._refutations.get(part)
-        if refutation is None:
-            refutation = self._refutations[part] = _Refutation()
-        refutation.crashes |= suspected
-        if len(refutation.crashes) >= _MIN_PUBLISHED_REFUTATIONS:
-            delay_ms = random.uniform(0.0, _MAX_PUBLISH_DELAY_MS)
-            refutation.publish_at_ms = min(refutation.publish_at_ms, clock_ms() + delay_ms)
+        self._refutations.setdefault(part, _Refutation()).crashes |= suspected
         self._update_blamed()
 
     def _publish_cleared(self, parts: Iterable[str], crashes: Iterable[str]) -> None:
@@ -253,6 +250,7 @@
                     {crash: cleared},
                 )
                 self._own.merge(evidence, now_ms)
+                self._published.merge(evidence, now_ms)
                 self._on_new_evidence()
 
     def _update_blamed(self) -> None:
--- a/tests/edge/test_prompt_part_guard.py
+++ b/tests/edge/test_prompt_part_guard.py
@@ -129,10 +129,32 @@
     guard.record_begun_answer(make_request("rare"))
     guard.merge(other.evidence(), is_own=False)
     assert guard.blamed_group(make_request("rare")) is None
+    publish(guard, clock)
+    other.merge(guard.evidence(), is_own=False)
+    assert other.blamed_group(make_request("rare")) is None
+
+
+def publish(guard, clock):
+    """Let the time pass within which a guard publishes what it can refute."""
+    guard.publish_refutations()
     clock[0] += 500
     guard.publish_refutations()
+
+
+def test_a_router_that_refutes_one_of_three_crashes_tells_the_others(guard, make_guard, clock):
+    """Otherwise routers that cannot refute it do not know which of two parts to blame."""
+    other = make_guard()
+    crash(other, "a/1", ["fatal", "rare"])
+    guard.merge(other.evidence(), is_own=False)
+    guard.record_begun_answer(make_request("rare"))
+    for name in ("b/1", "c/1"):
+        clock[0] += 5_000
+        crash(other, name, ["fatal", "rare"])
+    guard.merge(other.evidence(), is_own=False)
+    assert other.blamed_group(make_request("fatal")) is None
+    publish(guard, clock)
     other.merge(guard.evidence(), is_own=False)
-    assert other.blamed_group(make_request("rare")) is None
+    assert other.blamed_group(make_request("fatal")) == {"fatal"}
 
 
 def test_a_refutation_that_another_router_has_published_is_not_published_again(
@@ -143,8 +165,7 @@
     for one in (guard, third):
         one.record_begun_answer(make_request("frequent"))
         one.merge(other.evidence(), is_own=False)
-    clock[0] += 500
-    guard.publish_refutations()
+    publish(guard, clock)
     third.merge(guard.evidence(), is_own=False)
     third.publish_refutations()
     assert third.evidence().cleared == {}
@@ -153,8 +174,7 @@
 def test_a_router_that_starts_blames_what_the_others_published(guard, make_guard, clock):
     crash_three(guard, clock, ["fatal", "frequent"], ["frequent"])
     guard.record_begun_answer(make_request("frequent"))
-    clock[0] += 500
-    guard.publish_refutations()
+    publish(guard, clock)
     started = make_guard()
     started.merge(guard.evidence(), is_own=False)
     assert started.blamed_group(make_request("fatal")) == {"fatal"}
