--- a/tests/edge/test_fatal_prompt_parts.py
+++ b/tests/edge/test_fatal_prompt_parts.py
@@ -91,3 +91,139 @@
             assert 3009 not in {code for _, code in sound}
 
     asyncio.run(scenario())
+
+
+def test_two_prompt_parts_that_crash_servers_are_both_refused():
+    async def scenario():
+        async with small_world(pools=8, routers=3) as world:
+            make_fatal(world, FATAL, "dead0002")
+            one, two, sound = [], [], []
+            await asyncio.gather(
+                send_repeatedly(world, "/chat/", ("aa", FATAL, "bb"), one, every_s=0.5),
+                send_repeatedly(world, "/draft/", ("aa", "dead0002", "bb"), two, every_s=0.4),
+                send_repeatedly(world, "/chat/", ("aa", "bb"), sound, every_s=0.1),
+            )
+            assert one[-1] == two[-1] == (503, 3009)
+            assert served(sound) > 0.9
+            assert 3009 not in {code for _, code in sound}
+
+    asyncio.run(scenario())
+
+
+def test_many_requests_with_such_a_part_at_once_end_as_soon():
+    """Several of them run on a server when it crashes, and all servers crash within a second."""
+
+    async def scenario():
+        async with small_world(pools=8, routers=3) as world:
+            make_fatal(world, FATAL)
+            fatal, sound = [], []
+            await asyncio.gather(
+                send_repeatedly(world, "/chat/", ("aa", FATAL, "bb"), fatal, every_s=0.05),
+                send_repeatedly(world, "/chat/", ("aa", "bb"), sound, every_s=0.1),
+            )
+            assert len(late_runs(world, FATAL)) <= MAX_LATE_RUNS
+            assert fatal[-1] == (503, 3009)
+            assert served(sound[-50:]) > 0.95
+
+    asyncio.run(scenario())
+
+
+def test_such_a_part_is_found_among_servers_that_crash_by_themselves():
+    async def scenario():
+        async with small_world(pools=8, routers=3) as world:
+            make_fatal(world, FATAL)
+            fatal, sound, rare = [], [], []
+
+            async def crash():
+                for turn in range(int(SCENARIO_S / 0.8)):
+                    world.runners[-1 - turn % 8].crash()
+                    await asyncio.sleep(0.8)
+
+            await asyncio.gather(
+                crash(),
+                send_repeatedly(world, "/chat/", ("aa", FATAL), fatal, every_s=0.35),
+                send_repeatedly(world, "/chat/", ("aa", "bb"), sound, every_s=0.1),
+                send_repeatedly(world, "/draft/", ("aa", "cc"), rare, every_s=0.7),
+            )
+            assert len(late_runs(world, FATAL)) <= MAX_LATE_RUNS
+            assert fatal[-1] == (503, 3009)
+            assert 3009 not in {code for _, code in sound + rare}
+
+    asyncio.run(scenario())
+
+
+def test_servers_that_crash_by_themselves_make_no_prompt_part_suspect():
+    async def scenario():
+        async with small_world(pools=6, routers=2) as world:
+            make_fatal(world)
+            sound, rare = [], []
+
+            async def crash():
+                for turn in range(int(SCENARIO_S / 0.3)):
+                    world.runners[-1 - turn % 6].crash()
+                    await asyncio.sleep(0.3)
+
+            await asyncio.gather(
+                crash(),
+                send_repeatedly(world, "/chat/", ("aa", "bb"), sound, every_s=0.05),
+                send_repeatedly(world, "/chat/", ("aa", "cc"), rare, every_s=0.6),
+            )
+            assert 3009 not in {code for _, code in sound + rare}
+
+    asyncio.run(scenario())
+
+
+def test_a_whole_request_that_crashes_servers_leaves_its_parts_to_others():
+    async def scenario():
+        async with small_world(pools=8, routers=3) as world:
+            for runner in world.runners:
+                runner.crash_marker = "fatal"
+                runner.gap_s = 0.06
+            fatal, sound = [], []
+            same = {"Prompt-Prefix": "aa:100,dd:100,ee:50", "Token-Usage": "250,40"}
+
+            async def repeat():
+                for turn in range(int(SCENARIO_S / 0.35)):
+                    try:
+                        answer = await world.call(
+                            "/chat/fatal", router=turn % 3, model=True, headers=same
+                        )
+                        fatal.append(answer.status)
+                    except BackendError:
+                        fatal.append(0)
+                    await asyncio.sleep(0.35)
+
+            await asyncio.gather(
+                repeat(),
+                send_repeatedly(world, "/chat/", ("aa", "dd"), sound, every_s=0.4),
+            )
+            assert fatal[-1] == 503
+            assert 3009 not in {code for _, code in sound}
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("name", ["router-new", "router-0"], ids=["added", "restarted"])
+def test_a_router_that_starts_later_refuses_such_a_part(name):
+    async def scenario():
+        async with small_world(pools=8, routers=2) as world:
+            make_fatal(world, FATAL)
+            fatal, sound = [], []
+            await asyncio.gather(
+                send_repeatedly(world, "/chat/", ("aa", FATAL), fatal, every_s=0.3, for_s=4.0),
+                send_repeatedly(world, "/chat/", ("aa",), sound, every_s=0.1, for_s=4.0),
+            )
+            if name == "router-0":
+                world._tasks[0].cancel()
+                await asyncio.sleep(0.3)
+            await world.add_router(name)
+            await asyncio.sleep(0.5)
+            before = sum(len(runner.ended_ms) for runner in world.runners)
+            answer = await world.call("/chat/", router=2, model=True, headers=prompt("aa", FATAL))
+            assert json.loads(answer.body)["error"]["code"] == 3009
+            assert 5 <= float(answer.head.get(b"Retry-After")) <= 60
+            answer = await world.call("/chat/", router=2, model=True, headers=prompt("aa"))
+            assert answer.status == 200
+            assert sum(len(runner.ended_ms) for runner in world.runners) == before
+
+    asyncio.run(scenario())
