Publish crash evidence in records that the store accepts

A record of the store holds 256 KB; a router published all its evidence in one, up to 256 crashes with 64 requests and their prompt parts each. The store would reject such a record, and with it all further evidence of that router, whatever is retried. The same limit was broken before prompt parts were added (256 crashes of 64 fingerprints are 570 KB by arithmetic).

Now a router publishes its newest 20 crashes, those that requests or parts are blamed for first, and names requests by eight characters in the evidence on parts.

--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -41,6 +41,9 @@
 # It covers a publication, a read of the store and the one-way delays, after which the evidence of
 # other routers, which may clear the request, has arrived.
 _EVIDENCE_DELAY_MS = 400.0
+# A router publishes its evidence on no more crashes than this in one record. A crash takes up to
+# 10 KB, if a full engine's requests wait for their answers, and a record has room for 256 KB.
+_MAX_PUBLISHED_CRASHES = 20
 # The log line of a crash lists no more fingerprints than this, and the ids of all requests.
 _MAX_LOGGED_FINGERPRINTS = 16
 # It details no more requests than this whose answer had not begun; an engine reads about as many
@@ -193,8 +196,18 @@
                 self._running.pop(server, None)
 
     def evidence(self) -> CrashEvidence:
-        """Return the evidence that this router itself has collected."""
-        return CrashEvidence(self._own.evidence(), self._parts.evidence())
+        """Return the evidence that this router has collected, without that of older crashes.
+
+        The evidence that requests or prompt parts are blamed for goes first.
+        """
+        requests, parts = self._own.evidence(), self._parts.evidence()
+        crashed_ms = {**parts.crashed_ms, **requests.crashed_ms}
+        blamed = self._parts.blamed_crashes().union(
+            *map(self._fleet.crashes_of, self._fleet.blamed())
+        )
+        newest = sorted(crashed_ms, key=lambda crash: (crash in blamed, crashed_ms[crash]))
+        published = frozenset(newest[-_MAX_PUBLISHED_CRASHES:])
+        return CrashEvidence(requests.of_crashes(published), parts.of_crashes(published))
 
     def publish_refutations(self) -> None:
         """Publish which prompt parts were answered, if other routers need to know."""
--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -25,6 +25,9 @@
 
 # A part of a prompt whose answer began within this time before a crash is not suspected of it.
 _RECENT_MS = 2_000.0
+# Requests are told apart by this many characters of their fingerprints, which suffice among those of
+# one crash.
+_REQUEST_NAME_LENGTH = 8
 # The parts of so many recently answered prompts are remembered. A router answers about a hundred
 # requests a second, most of which share their parts.
 _MAX_ANSWERED_PARTS = 4_096
@@ -106,9 +109,10 @@
         requests_by_part: dict[str, set[str]] = {}
         for run, fingerprint in runs:
             if not run.had_begun:
+                name = fingerprint[-_REQUEST_NAME_LENGTH:]
                 for part in _parts(run.request):
                     if self._answered_ms.get(part, float("-inf")) < from_ms:
-                        requests_by_part.setdefault(part, set()).add(fingerprint)
+                        requests_by_part.setdefault(part, set()).add(name)
         evidence = PartEvidence(
             {crash: wall_ms()},
             {crash: {part: sorted(found) for part, found in requests_by_part.items()}},
@@ -175,6 +179,10 @@
             Code.PART_CRASHES_SERVERS, retry_after_ms=int(max(trial_in_ms, _TRIAL_PERIOD_MS))
         )
 
+    def blamed_crashes(self) -> set[str]:
+        """Return the crashes that blamed groups explain."""
+        return set().union(*map(self._fleet.crashes_of_group, self._blamed))
+
     def evidence(self) -> PartEvidence:
         """Return the evidence that this router itself has collected."""
         return self._own.evidence()
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -288,6 +288,19 @@
         return ServerChanged(decode_server(record.key, record.value))
 
 
+def encode_evidence(evidence: CrashEvidence) -> bytes:
+    """Return the record of a router's crash evidence."""
+    payload = {
+        "crashed": evidence.requests.crashed_ms,
+        "ran": evidence.requests.ran,
+        "cleared": evidence.requests.cleared,
+        "parts_crashed": evidence.parts.crashed_ms,
+        "parts_ran": evidence.parts.ran,
+        "parts_cleared": evidence.parts.cleared,
+    }
+    return json.dumps(payload, separators=(",", ":")).encode()
+
+
 class SuspectTopic(_KeyedTopic):
     """Evidence about server crashes, keyed by the router that observed them."""
 
@@ -296,16 +309,7 @@
 
     async def publish(self, router: str, evidence: CrashEvidence) -> None:
         """Replace the evidence published by a router."""
-        payload = {
-            "crashed": evidence.requests.crashed_ms,
-            "ran": evidence.requests.ran,
-            "cleared": evidence.requests.cleared,
-            "parts_crashed": evidence.parts.crashed_ms,
-            "parts_ran": evidence.parts.ran,
-            "parts_cleared": evidence.parts.cleared,
-        }
-        value = json.dumps(payload, separators=(",", ":")).encode()
-        await self._client.append(self.topic, router, value)
+        await self._client.append(self.topic, router, encode_evidence(evidence))
 
     def _to_change(self, record: _KeyedRecord) -> Change | None:
         if not record.value:
--- a/src/cicadaledge/suspects/_part_tracker.py
+++ b/src/cicadaledge/suspects/_part_tracker.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
-from attrs import field, frozen
+from attrs import astuple, field, frozen
 
 from cicadaledge.suspects._part_blame import PartGroup, blamed_groups, incidents_ms
-from cicadaledge.suspects._tracker import Evidence, SuspectTracker
+from cicadaledge.suspects._tracker import Evidence, SuspectTracker, restricted_to
 
 # Further parts of a crash are not recorded. An engine reads some dozens of prompts at a time, of a
 # few parts each.
@@ -31,6 +31,10 @@
     ran: dict[str, dict[str, list[str]]] = field(factory=dict)
     cleared: dict[str, list[str]] = field(factory=dict)
 
+    def of_crashes(self, crashes: Set[str]) -> PartEvidence:
+        """Return the evidence on some of the crashes."""
+        return PartEvidence(*(restricted_to(crashes, one) for one in astuple(self, recurse=False)))
+
 
 class PartTracker:
     """Collects evidence on prompt parts and determines which of them crash servers.
--- a/src/cicadaledge/suspects/_tracker.py
+++ b/src/cicadaledge/suspects/_tracker.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
+from typing import TypeVar
 
-from attrs import field, frozen
+from attrs import astuple, field, frozen
 
 from cicadaledge.suspects._blame import blamed
 
+T = TypeVar("T")
+
 # Beyond this number, the oldest crash is removed: each takes memory for the requests of one server.
 _MAX_CRASHES = 256
 # Further requests of a crash are not recorded; an engine runs about this many at once.
@@ -28,6 +31,15 @@
     ran: dict[str, list[str]] = field(factory=dict)
     cleared: dict[str, list[str]] = field(factory=dict)
 
+    def of_crashes(self, crashes: Set[str]) -> Evidence:
+        """Return the evidence on some of the crashes."""
+        return Evidence(*(restricted_to(crashes, part) for part in astuple(self, recurse=False)))
+
+
+def restricted_to(crashes: Set[str], by_crash: dict[str, T]) -> dict[str, T]:
+    """Return the items of a dict by crash that belong to some of the crashes."""
+    return {crash: value for crash, value in by_crash.items() if crash in crashes}
+
 
 class SuspectTracker:
     """Collects evidence on crashes and determines which requests caused them.
--- a/tests/edge/test_poison_guard.py
+++ b/tests/edge/test_poison_guard.py
@@ -13,11 +13,13 @@
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
 from cicadaledge.errors import RefusalError
 from cicadaledge.platform import decode_table
+from cicadaledge.platform._store import encode_evidence
 from cicadaledge.routing import Call, PromptPart
 
 TABLE = decode_table(json.dumps(configuration()).encode())
 EVIDENCE_DELAY_MS = 400.0
 WINDOW_MS = 600_000
+RECORD_BYTES = 262_144
 
 
 def make_work(target="/look/fatal", account=0, **changes):
@@ -142,3 +144,21 @@
         assert guard.servers_to_avoid(one) == set()
         assert guard.servers_to_avoid(make_work("/look/3")) == set()
     assert guard.servers_to_avoid(two) == set()
+
+
+def test_published_evidence_fits_into_a_record_of_the_store(guard, clock):
+    """Otherwise the store would reject all further evidence of the router."""
+    for number in range(100):
+        shared = [
+            [f"{number:04x}{index:04x}{part:04x}" for part in range(4)] for index in range(64)
+        ]
+        requests = [
+            make_work(
+                f"/look/{index}", parts=tuple(PromptPart(name, 10) for name in (*names, "own"))
+            )
+            for index, names in enumerate(shared)
+        ]
+        crash(guard, f"i-{number:010x}/1780820841163", *requests)
+    evidence = guard.evidence()
+    assert f"i-{99:010x}/1780820841163" in evidence.requests.crashed_ms
+    assert len(encode_evidence(evidence)) <= RECORD_BYTES
