--- a/src/cicadaledge/cli/_load.py
+++ b/src/cicadaledge/cli/_load.py
@@ -152,6 +152,9 @@
     faults: Annotated[int, typer.Option(help="Faults of a round; 0 draws 2 to 9.")] = 0,
     routers: Annotated[int, typer.Option(help="Routers of each of three zones.")] = 2,
     callers: Annotated[int, typer.Option(help="Callers at the same time.")] = 16,
+    fatal_part: Annotated[
+        bool, typer.Option(help="Crash servers by a prompt part, not by a whole request.")
+    ] = False,
     first_port: Annotated[int, typer.Option(help="First port of the routers.")] = 25_000,
     out: OutOption = Path("out/soak"),
 ) -> None:
@@ -161,7 +164,7 @@
     size = SoakSize(routers_per_zone=routers, callers=callers, first_port=first_port)
     broken = False
     for number in range(seed, seed + seeds):
-        plan = SoakPlan(number, faults=faults or None, size=size)
+        plan = SoakPlan(number, faults=faults or None, fatal_part=fatal_part, size=size)
         result = run_round(plan, out / str(number))
         broken = broken or bool(result.broken)
         typer.echo("\n".join(result.lines()))
--- a/src/cicadaledge/soak/_callers.py
+++ b/src/cicadaledge/soak/_callers.py
@@ -13,7 +13,7 @@
 from cicadaledge.errors import BackendError
 from cicadaledge.routing import RouteKind
 from cicadaledge.soak._deployment import IDLE_TIMEOUT_MS, KEYS, SoakWorld
-from cicadaledge.soak._fatal_requests import CRASH_MARKER
+from cicadaledge.soak._fatal_requests import CRASH_MARKER, CRASH_PART, CRASH_PART_MARKER
 from cicadaledge.soak._observations import ROUTE_TIMEOUT_MS, SentRequest
 from cicadaledge.standins import CallerRequest, response_seal
 
@@ -59,11 +59,17 @@
 
 @frozen
 class _RepeatedRequest:
-    """A request that is sent repeatedly without changes."""
+    """A request that is sent repeatedly.
+
+    Args:
+        crash_part: Whether its prompt holds the part that crashes servers. No two of these are
+            alike otherwise; without it, the request is sent without changes.
+    """
 
     kind: _RequestKind
     target: str
     think_s: tuple[float, float]
+    crash_part: bool = False
 
 
 @define
@@ -103,6 +109,14 @@
             repeat_rng = random.Random(rng.random())
             self._tasks.append(asyncio.create_task(self._send_repeatedly(repeated, repeat_rng)))
 
+    def start_fatal_parts(self) -> None:
+        """Start a caller whose prompts share a part that crashes servers."""
+        rng = random.Random(f"{self.seed}/part")
+        kind = rng.choice([kind for kind in _KINDS if kind.is_model])
+        target = f"{kind.prefix}{CRASH_PART_MARKER}"
+        tainted = _RepeatedRequest(kind, target, _FATAL_THINK_S, crash_part=True)
+        self._tasks.append(asyncio.create_task(self._send_repeatedly(tainted, rng)))
+
     def burst(self, router: str, count: int) -> None:
         """Open further connections to a router now and send one request on each."""
         for _ in range(count):
@@ -172,8 +186,12 @@
             kind=kind.kind,
             resumable=kind.resumable,
             router=router,
-            target=repeated.target if repeated else f"{kind.prefix}{number}?n={number}",
-            body=b"{}" if repeated else b"{%d}" % number,
+            target=(
+                repeated.target
+                if repeated and not repeated.crash_part
+                else f"{repeated.target if repeated else kind.prefix}{number}?n={number}"
+            ),
+            body=b"{}" if repeated and not repeated.crash_part else b"{%d}" % number,
             key=(
                 _REPEATED_REQUEST_KEY
                 if repeated
@@ -220,5 +238,9 @@
     plain = CallerRequest(sent.request_id, sent.key, ROUTE_TIMEOUT_MS)
     if not kind.is_model:
         return plain
+    if repeated and repeated.crash_part:
+        parts = [f"{rng.randrange(_SHARED_PREFIXES):x}:150", f"{CRASH_PART}:100"]
+        rng.shuffle(parts)
+        return evolve(plain, prompt="300,40", parts=",".join([*parts, "bb:50"]))
     prefix = 0 if repeated else rng.randrange(_SHARED_PREFIXES)
     return evolve(plain, prompt="300,40", parts=f"{prefix:x}:200,bb:100")
--- a/src/cicadaledge/soak/_deployment.py
+++ b/src/cicadaledge/soak/_deployment.py
@@ -19,7 +19,7 @@
 from cicadaledge.edge import HttpConnection
 from cicadaledge.errors import BackendError
 from cicadaledge.settings import Address
-from cicadaledge.soak._fatal_requests import CRASH_MARKER
+from cicadaledge.soak._fatal_requests import CRASH_MARKER, CRASH_PART
 from cicadaledge.soak._observations import ROUTE_TIMEOUT_MS, Observations, SoakBounds
 from cicadaledge.soak._ports import first_of_adjacent, free_ports, reserve_ports
 from cicadaledge.soak._proxy import FaultProxy
@@ -191,6 +191,7 @@
     def _mirror_crashes(self, server: SoakServer) -> None:
         """Make a server's proxy refuse connections while a crashing request has the server down."""
         server.backend.crash_marker = CRASH_MARKER
+        server.backend.crash_parts = frozenset([CRASH_PART])
         server.backend.on_crash = lambda _: self._handle_crash(server)
         server.backend.on_restart = lambda _: self._handle_restart(server)
 
--- a/src/cicadaledge/soak/_observations.py
+++ b/src/cicadaledge/soak/_observations.py
@@ -9,7 +9,7 @@
 
 from cicadaledge.edge import BoundSettings
 from cicadaledge.routing import RouteKind
-from cicadaledge.soak._fatal_requests import FatalRequestChecker
+from cicadaledge.soak._fatal_requests import CRASH_MARKER, FatalRequestChecker
 from cicadaledge.soak._server_signals import ServerRecord, ServerSignalChecker
 from cicadaledge.standins import Run, account_from_headers
 
@@ -143,6 +143,7 @@
     restrictions: list[Restriction] = field(factory=list)
     failures: list[str] = field(factory=list)
     crashes_ms: list[float] = field(factory=list)
+    crash_marker: str = CRASH_MARKER
     _router_disturbances: dict[str, list[_Span]] = field(factory=dict)
     _link_disturbances: dict[str, list[_Span]] = field(factory=dict)
 
@@ -216,7 +217,10 @@
             self.bounds.drain_ms, self._request_times, self._is_excused, self.records
         )
         fatal_checker = FatalRequestChecker(
-            self.bounds.reconnect_ms, self._undisturbed_router, self.crashes_ms
+            self.crash_marker,
+            self.bounds.reconnect_ms,
+            self._undisturbed_router,
+            self.crashes_ms,
         )
         answers = [(sent.target, sent.received) for sent in self.sent.values()]
         return found + signal_checker.violations() + fatal_checker.violations(self.runs, answers)
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -11,7 +11,7 @@
 from cicadaledge.edge import clock_ms
 from cicadaledge.soak._callers import Callers
 from cicadaledge.soak._deployment import SoakSize, SoakWorld
-from cicadaledge.soak._fatal_requests import CRASH_MARKER
+from cicadaledge.soak._fatal_requests import CRASH_PART_MARKER
 from cicadaledge.soak._faults import FaultInjector, PlannedFault, draw_faults
 from cicadaledge.soak._observations import LEAVE_NOTICE_MS, Observations, SentRequest, SoakBounds
 
@@ -39,6 +39,7 @@
         server_signals: Whether servers announce a shutdown or ask for a pause in their answers.
         fatal_request: Whether callers repeat a request that crashes servers beside a frequent
             harmless one, and some rounds have a short grace period for shutdown.
+        fatal_part: Whether callers send prompts with a part that crashes servers instead.
         invalid_entries: Whether unreadable entries are written to the store.
         size: Size of the deployment.
     """
@@ -49,6 +50,7 @@
     busy: bool = True
     server_signals: bool = True
     fatal_request: bool = True
+    fatal_part: bool = False
     invalid_entries: bool = True
     size: SoakSize = SoakSize()
 
@@ -89,7 +91,10 @@
     async with world.running():
         callers = Callers(world, plan.seed)
         callers.start()
-        if plan.fatal_request:
+        if plan.fatal_part:
+            world.observations.crash_marker = CRASH_PART_MARKER
+            callers.start_fatal_parts()
+        elif plan.fatal_request:
             callers.start_fatal_requests()
         await asyncio.sleep(_WARM_UP_S)
         await FaultInjector(world, callers).run(faults)
@@ -124,7 +129,7 @@
     ended: list[SentRequest] = [
         sent
         for sent in observations.sent.values()
-        if CRASH_MARKER not in sent.target
+        if observations.crash_marker not in sent.target
         and sent.sent_ms >= begin_ms
         and sent.ended_ms is not None
         and sent.abandoned_ms is None
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -227,8 +227,9 @@
     assert violation_kinds(sent, [*runs, *runs[:27]]) == ["budget"]
 
 
-def fatal_violation_kinds(runs, crashes_ms, body=b"", disturbed=()):
+def fatal_violation_kinds(runs, crashes_ms, body=b"", disturbed=(), marker="fatal"):
     observations = Observations(SoakBounds(), {KEY: "banksia"})
+    observations.crash_marker = marker
     sent = [
         a_request(
             number,
@@ -248,8 +249,8 @@
     return [line.split(":")[0] for line in observations.violations()]
 
 
-def fatal_runs(*times_ms):
-    return [a_run(n, target="/look/fatal", at_ms=at_ms) for n, at_ms in enumerate(times_ms)]
+def fatal_runs(*times_ms, target="/look/fatal"):
+    return [a_run(n, target=target, at_ms=at_ms) for n, at_ms in enumerate(times_ms)]
 
 
 def test_a_request_is_sent_three_times_at_most_after_servers_crashed_under_it():
@@ -262,7 +263,17 @@
     assert fatal_violation_kinds(fatal_runs(*late), crashes_ms, disturbed=[(3_000, 4_000)]) == []
 
 
-def test_a_harmless_request_refused_as_crashing_servers_is_found():
-    refused = b'{"error": {"code": 3008, "name": "crashes_servers"}}'
+def test_a_prompt_part_is_sent_three_times_at_most_after_five_servers_crashed_under_it():
+    crashes_ms = [1_000, 1_500, 2_000, 2_500, 3_000]
+    late = [7_100, 7_200, 7_300, 7_400]
+    runs, fewer = (fatal_runs(*times, target="/chat/tainted") for times in (late, late[1:]))
+    assert fatal_violation_kinds(runs, crashes_ms, marker="tainted") == ["tainted"]
+    assert fatal_violation_kinds(fewer, crashes_ms, marker="tainted") == []
+    assert fatal_violation_kinds(runs, crashes_ms[1:], marker="tainted") == []
+
+
+@pytest.mark.parametrize("code", [3008, 3009])
+def test_a_harmless_request_refused_as_crashing_servers_is_found(code):
+    refused = b'{"error": {"code": %d, "name": "crashes_servers"}}' % code
     assert fatal_violation_kinds([a_run(0, target="/look/hot")], [], refused) == ["withheld"]
     assert fatal_violation_kinds(fatal_runs(1_000), [], refused) == []
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -126,6 +126,13 @@
     assert result.statuses["200"] > 50
 
 
+@pytest.mark.timeout(90)
+def test_a_prompt_part_that_crashes_servers_is_refused_under_other_faults(tmp_path):
+    result = run_round(plan(6, fatal_part=True), tmp_path)
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 @pytest.mark.timeout(90)
 def test_a_short_round_has_no_violations(tmp_path):
     result = run_round(plan(1), tmp_path)
