Blame a prompt part after five crashes, however close together they are

Crashes within 0.15 s are one incident now. Five crashes of three incidents or more blame a part in any case, five of fewer incidents if it is in most of the crashes around. As an outage of many servers looks similar then, such a part is tried again after 5 s and not after 60. Three of the new tests failed before; a harmless part in five of nine servers that end within 0.1 s, with a tenth beside, is not blamed.

--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -21,7 +21,7 @@
 from cicadaledge.edge._wall_clock import wall_ms
 from cicadaledge.errors import RefusalError
 from cicadaledge.logs import PartLog
-from cicadaledge.suspects import PartEvidence, PartGroup, PartTracker
+from cicadaledge.suspects import MIN_INCIDENTS, PartEvidence, PartGroup, PartTracker
 
 # A part of a prompt whose answer began within this time before a crash is not suspected of it.
 _RECENT_MS = 2_000.0
@@ -43,6 +43,8 @@
 # This long after the last crash, one request is let through to find out whether the parts
 # still crash servers. The time doubles with each attempt that did.
 _FIRST_TRIAL_MS = 60_000.0
+# The same if all crashes were at about one moment, for which an outage is another explanation.
+_EARLY_TRIAL_MS = 5_000.0
 # A crash this long after the previous one was caused by such an attempt.
 _MIN_TRIAL_GAP_MS = _FIRST_TRIAL_MS / 2
 # In each period of this length, about one router of the fleet may let a request through. The others
@@ -297,6 +299,8 @@
     def _trial_in_ms(self, group: PartGroup) -> float:
         """Return the time until a request with a blamed group may be let through."""
         times_ms = self._fleet.incidents_ms(group)
+        if len(times_ms) < MIN_INCIDENTS:
+            return times_ms[-1] + _EARLY_TRIAL_MS - wall_ms()
         trials = sum(
             later - earlier >= _MIN_TRIAL_GAP_MS
             for earlier, later in zip(times_ms, times_ms[1:], strict=False)
--- a/src/cicadaledge/suspects/__init__.py
+++ b/src/cicadaledge/suspects/__init__.py
@@ -1,11 +1,12 @@
 """Determines which requests and prompt parts crash backend servers; uses no network."""
 
 from cicadaledge.suspects._blame import blamed
-from cicadaledge.suspects._part_blame import PartGroup, blamed_groups
+from cicadaledge.suspects._part_blame import MIN_INCIDENTS, PartGroup, blamed_groups
 from cicadaledge.suspects._part_tracker import PartEvidence, PartTracker
 from cicadaledge.suspects._tracker import Evidence, SuspectTracker
 
 __all__ = [
+    "MIN_INCIDENTS",
     "Evidence",
     "PartEvidence",
     "PartGroup",
--- a/src/cicadaledge/suspects/_part_tracker.py
+++ b/src/cicadaledge/suspects/_part_tracker.py
@@ -7,7 +7,7 @@
 from attrs import astuple, field, frozen
 
 from cicadaledge.suspects._part_blame import (
-    MIN_CRASHES,
+    MIN_INCIDENTS,
     PartGroup,
     blamed_groups,
     incidents_ms,
@@ -99,7 +99,7 @@
         return frozenset.intersection(*(self._crashes.crashes_of(part) for part in group))
 
     def incidents_ms(self, group: PartGroup) -> list[float]:
-        """Return when the crashes of a group occurred, in order, simultaneous ones once."""
+        """Return when the incidents of a group began, in order."""
         return incidents_ms(self.crashes_of_group(group), self._crashes.crashed_ms())
 
     def blamed(self) -> frozenset[PartGroup]:
@@ -109,7 +109,7 @@
             ran = {
                 part: {crash: self._requests[crash][part] for crash in crashes}
                 for part, crashes in self._crashes.suspects().items()
-                if len(crashes) >= MIN_CRASHES
+                if len(crashes) >= MIN_INCIDENTS
             }
             self._blamed = blamed_groups(ran, self._crashes.crashed_ms())
         return self._blamed
--- a/tests/edge/test_prompt_part_guard.py
+++ b/tests/edge/test_prompt_part_guard.py
@@ -18,6 +18,7 @@
 WINDOW_MS = 600_000.0
 EVIDENCE_DELAY_MS = 800.0
 FIRST_TRIAL_MS = 60_000.0
+EARLY_TRIAL_MS = 5_000.0
 _numbers = itertools.count(1)
 
 
@@ -196,6 +197,20 @@
     guard.check(make_request("fatal"))
 
 
+def test_a_part_blamed_for_crashes_at_one_moment_is_tried_sooner(guard, clock):
+    """An outage of all servers may explain these crashes as well."""
+    for number in range(5):
+        crash(guard, f"s{number}/1", ["fatal"])
+    with pytest.raises(RefusalError):
+        guard.check(make_request("fatal"))
+    clock[0] += EARLY_TRIAL_MS
+    guard.check(make_request("fatal"))
+    crash(guard, "s5/1", ["fatal"])
+    clock[0] += EARLY_TRIAL_MS / 2
+    with pytest.raises(RefusalError):
+        guard.check(make_request("fatal"))
+
+
 def test_trials_become_rarer_while_the_part_crashes_servers(guard, clock):
     crash_three(guard, clock, ["fatal"])
     clock[0] += FIRST_TRIAL_MS
--- a/tests/suspects/test_part_blame.py
+++ b/tests/suspects/test_part_blame.py
@@ -37,8 +37,21 @@
 
 def test_servers_that_crash_at_the_same_moment_blame_no_part():
     """An outage of many servers interrupts requests that share rare parts on several of them."""
-    ran = {"rare": runs("a b c d e")}
-    assert blamed_groups(ran, crash_times("a b c d e f g", every_ms=50.0)) == set()
+    crashed_ms = crash_times("a b c d e f g h i", every_ms=12.0)
+    assert blamed_groups({"rare": runs("a b c d")}, crashed_ms) == set()
+    assert blamed_groups({"rare": runs("a b c d e")}, {**crashed_ms, "j": 100.0}) == set()
+
+
+def test_five_crashes_within_a_moment_blame_the_part_that_is_in_most_of_them():
+    """Five requests with it came at once; the next ones crashed servers seven seconds later."""
+    crashed_ms = {"a": 4_580.0, "b": 4_580.0, "c": 4_590.0, "d": 4_600.0, "e": 4_600.0}
+    assert blamed_groups({"fatal": runs("a b c d e")}, crashed_ms) == groups("fatal")
+
+
+def test_crashes_a_fifth_of_a_second_apart_are_several():
+    """wattle-edge, seed 2: five crashes within 0.8 s blamed the part at three of nine routers."""
+    crashed_ms = {"a": 4_580.0, "b": 4_870.0, "c": 4_960.0, "d": 5_190.0}
+    assert blamed_groups({"fatal": runs("a b c d")}, crashed_ms) == groups("fatal")
 
 
 def test_a_rare_part_in_a_minority_of_many_crashes_is_not_blamed():
@@ -57,6 +70,13 @@
     assert blamed_groups({"fatal": runs("a c e g i")}, crash_times(crashes)) == groups("fatal")
 
 
+def test_a_part_in_five_of_many_crashes_is_blamed():
+    """Later than the contact time after the fifth crash, three more requests may reach servers."""
+    crashes = "a b c d e f g h i j k l m n"
+    crashed_ms = crash_times(crashes, every_ms=400.0) | {"b": 50.0, "f": 1_700.0}
+    assert blamed_groups({"fatal": runs("a b e f m")}, crashed_ms) == groups("fatal")
+
+
 def test_two_parts_in_different_requests_are_both_blamed():
     crashes = "a b c d e f g h"
     ran = {"one": runs("a c e g"), "two": runs("b d f h"), "beside": runs("a b")}
