Count a crash that a whole request explains only against the parts of that request

In the first two seconds three servers crashed one after another under a request that is sent again and again; nothing had been answered yet, and a harmless part waited in three of these crashes. The request was blamed as a whole, but its crashes went on counting against all parts that waited in them; and as requests with the part were refused, no answer cleared it.

Now a crash that a blamed request explains is evidence only against the parts of that request. The new test failed before.

--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -232,9 +232,18 @@
         for crash in list(self._first_heard_ms):
             if not self._fleet.has_crash(crash):
                 del self._first_heard_ms[crash]
+        self._explain_crashes()
         self._metrics.set_gauge("requests_kept_from_servers", len(self._fleet.blamed()))
         self._metrics.set_gauge("prompt_parts_kept_from_servers", self._parts.expire())
 
+    def _explain_crashes(self) -> None:
+        """Tell the guard of prompt parts which crashes blamed requests explain."""
+        explained: dict[str, list[str]] = {}
+        for digest in self._fleet.blamed():
+            for crash in self._fleet.crashes_of(digest):
+                explained.setdefault(crash, []).append(digest)
+        self._parts.explain_crashes(explained)
+
     def _merge_into_fleet(self, evidence: Evidence) -> bool:
         """Merge evidence into that of the fleet; return whether any of it was new."""
         before = self._fleet.blamed()
@@ -253,6 +262,8 @@
                 fingerprint=digest,
                 crashes=sorted(self._fleet.crashes_of(digest)),
             )
+        if before or self._fleet.blamed():
+            self._explain_crashes()
         return True
 
     def _clear(self, digest: str, crashes: frozenset[str]) -> None:
@@ -270,6 +281,7 @@
                 fingerprint=digest,
                 crashes=sorted(crashes),
             )
+            self._explain_crashes()
 
     def _suspect_fingerprint(self, work: ActiveRequest) -> str | None:
         """Return the fingerprint of a request if it is a suspect.
--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -10,7 +10,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field
 
@@ -140,6 +140,16 @@
         while len(self._answered_ms) > _MAX_ANSWERED_PARTS:
             self._answered_ms.popitem(last=False)
 
+    def explain_crashes(self, fingerprints_by_crash: Mapping[str, Iterable[str]]) -> None:
+        """Take over which crashes are explained by requests that are blamed as a whole."""
+        self._fleet.explain(
+            {
+                crash: {fingerprint[-_REQUEST_NAME_LENGTH:] for fingerprint in fingerprints}
+                for crash, fingerprints in fingerprints_by_crash.items()
+            }
+        )
+        self._update_blamed()
+
     def blamed_group(self, request: ActiveRequest) -> PartGroup | None:
         """Return a blamed group of parts that a request's prompt holds."""
         if not self._blamed or (request.is_part_trial and not request.attempts):
--- a/src/cicadaledge/suspects/_part_tracker.py
+++ b/src/cicadaledge/suspects/_part_tracker.py
@@ -54,6 +54,7 @@
     def __init__(self, window_ms: float) -> None:
         self._crashes = SuspectTracker(window_ms, _MAX_PARTS_PER_CRASH)
         self._requests: dict[str, dict[str, set[str]]] = {}
+        self._explained: dict[str, set[str]] = {}
         self._blamed: frozenset[PartGroup] = frozenset()
         self._blamed_revision = 0
 
@@ -96,24 +97,44 @@
 
     def crashes_of_group(self, group: PartGroup) -> frozenset[str]:
         """Return the crashes that each part of a group may have caused."""
-        return frozenset.intersection(*(self._crashes.crashes_of(part) for part in group))
+        crashes = frozenset.intersection(*(self._crashes.crashes_of(part) for part in group))
+        return frozenset(
+            crash for crash in crashes if all(self._is_evidence(crash, part) for part in group)
+        )
 
     def incidents_ms(self, group: PartGroup) -> list[float]:
         """Return when the incidents of a group began, in order."""
         return incidents_ms(self.crashes_of_group(group), self._crashes.crashed_ms())
 
+    def explain(self, requests_by_crash: dict[str, set[str]]) -> None:
+        """Set which crashes are explained by a request that is blamed as a whole.
+
+        Such a crash is evidence only against the parts of that request.
+        """
+        if requests_by_crash != self._explained:
+            self._explained = requests_by_crash
+            self._crashes.revision += 1
+
     def blamed(self) -> frozenset[PartGroup]:
         """Return the groups of parts that together are assumed to crash servers."""
         if self._blamed_revision != self._crashes.revision:
             self._blamed_revision = self._crashes.revision
             ran = {
-                part: {crash: self._requests[crash][part] for crash in crashes}
+                part: {
+                    crash: self._requests[crash][part]
+                    for crash in crashes
+                    if self._is_evidence(crash, part)
+                }
                 for part, crashes in self._crashes.suspects().items()
                 if len(crashes) >= MIN_INCIDENTS
             }
             self._blamed = blamed_groups(ran, self._crashes.crashed_ms())
         return self._blamed
 
+    def _is_evidence(self, crash: str, part: str) -> bool:
+        causes = self._explained.get(crash)
+        return not causes or not causes.isdisjoint(self._requests[crash][part])
+
     def evidence(self) -> PartEvidence:
         """Return all evidence."""
         known = self._crashes.evidence()
--- a/tests/suspects/test_part_tracker.py
+++ b/tests/suspects/test_part_tracker.py
@@ -46,6 +46,18 @@
     assert not tracker.blamed()
 
 
+def test_crashes_of_a_blamed_request_are_evidence_against_its_own_parts_only(tracker):
+    """Soak seed 22000: a harmless part waited in three crashes that a whole request had caused."""
+    for index, crash in enumerate("abc"):
+        requests = {"beside": [f"r{index}"], "own": ["fatal", f"s{index}"]}
+        tracker.record_crash(crash, requests, index * 1_000)
+    assert tracker.blamed() == {frozenset(["beside"])}
+    tracker.explain({crash: {"fatal"} for crash in "abc"})
+    assert tracker.blamed() == set()
+    tracker.record_crash("d", {"own": ["another"]}, 4_000)
+    assert tracker.blamed() == {frozenset(["own"])}
+
+
 def test_the_evidence_stays_bounded_whatever_prompts_an_account_sends(tracker):
     for number in range(1_000):
         parts = {f"{number}-{index}": [f"r{one}" for one in range(50)] for index in range(400)}
