Let a blamed request explain crashes only from its third on

Cause: a harmless request that is sent again ran in the first two, was blamed as a whole, and so explained them; crashes of the part no longer counted.

The new test failed before.

--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -44,6 +44,9 @@
 # A router publishes its evidence on no more crashes than this in one record. A crash takes up to
 # 10 KB, if a full engine's requests wait for their answers, and a record has room for 256 KB.
 _MAX_PUBLISHED_CRASHES = 20
+# A blamed request explains its crashes, so that they do not count against prompt parts, only if it
+# ran in this many. A harmless request that is sent again easily runs in two crashes of one part.
+_MIN_EXPLAINED_CRASHES = 3
 # The log line of a crash lists no more fingerprints than this, and the ids of all requests.
 _MAX_LOGGED_FINGERPRINTS = 16
 # It details no more requests than this whose answer had not begun; an engine reads about as many
@@ -240,8 +243,10 @@
         """Tell the guard of prompt parts which crashes blamed requests explain."""
         explained: dict[str, list[str]] = {}
         for digest in self._fleet.blamed():
-            for crash in self._fleet.crashes_of(digest):
-                explained.setdefault(crash, []).append(digest)
+            crashes = self._fleet.crashes_of(digest)
+            if len(crashes) >= _MIN_EXPLAINED_CRASHES:
+                for crash in crashes:
+                    explained.setdefault(crash, []).append(digest)
         self._parts.explain_crashes(explained)
 
     def _merge_into_fleet(self, evidence: Evidence) -> bool:
--- a/tests/edge/test_poison_guard.py
+++ b/tests/edge/test_poison_guard.py
@@ -34,7 +34,10 @@
 def clock(monkeypatch):
     """Return a list whose only item, in milliseconds, is added to the clock."""
     ahead_ms = [0.0]
-    monkeypatch.setattr("cicadaledge.edge._poison_guard.clock_ms", lambda: clock_ms() + ahead_ms[0])
+    for module in ("_poison_guard", "_prompt_part_guard"):
+        where = f"cicadaledge.edge.{module}."
+        monkeypatch.setattr(where + "clock_ms", lambda: clock_ms() + ahead_ms[0])
+        monkeypatch.setattr(where + "wall_ms", lambda: 1e12 + ahead_ms[0])
     return ahead_ms
 
 
@@ -162,3 +165,15 @@
     evidence = guard.evidence()
     assert f"i-{99:010x}/1780820841163" in evidence.requests.crashed_ms
     assert len(encode_evidence(evidence)) <= RECORD_BYTES
+
+
+def test_a_harmless_request_in_two_crashes_does_not_explain_those_of_a_prompt_part(guard, clock):
+    """ciucur-host, seed 3: a part was blamed only after its seventh crash."""
+    again = make_work("/look/again")
+    for number, name in enumerate(("a/1", "b/1", "c/1")):
+        tainted = make_work(f"/look/{number}", parts=(PromptPart("dead", 5), PromptPart("own", 5)))
+        crash(guard, name, tainted, *([again] if number < 2 else []))
+        clock[0] += 1_000
+    other = make_work("/look/4", parts=(PromptPart("dead", 5), PromptPart("own", 5)))
+    assert guard.is_blamed(again)
+    assert guard.is_blamed(other)
