--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,154 +1,93 @@
-"""Routers that restart while their own topic is down each use the whole rate of a cold runner."""
+"""Runners fail part of their requests with 503 after they ran them; callers are told "not run"."""
 
 from __future__ import annotations
 
 import asyncio
 import os
+import random
+from collections import Counter
 
 from standins.http import Connection, Exchange, Request
-from standins.platform import (
-    BOUNDS,
-    KEY,
-    Deployment,
-    Record,
-    Router,
-    Runner,
-    headers,
-    most_in_a_second,
-    now_ms,
-    route,
-    run_case,
-)
+from standins.platform import KEY, Deployment, Record, Runner, headers, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-COLD_PER_S = 11.0
-COLD_MS = 3_000.0
-LIMIT = COLD_PER_S * BOUNDS["coldOverage"] + BOUNDS["coldSlack"]
-CRASH_PER_S = COLD_PER_S * 2.5  # well above what it tolerates, and above the rule's limit
-STORE_DOWN_S = 4.5  # the sites' platform_down with a share lasts as long
-CLIENTS_PER_ROUTER = 6
-PAUSE_S = 0.1
-RESTART_S = 0.2
+SHARE = 0.4  # of the requests of a failing runner; the site files play srv_grey with x = 0.45
+GREY_S = 6.5
+BOOKINGS = 120
+PROMISES = (408, 421, 429, 503)
 CONFIGURATION = {
     "version": 1,
-    "routes": [route("chat", "model-pool", "streaming", sessionAffinity=True)],
-    "services": [
-        {
-            "name": "model-pool",
-            "coldStartS": 3,
-            "coldPerS": COLD_PER_S,
-            "engine": {"slots": 64, "kvCapacity": 577_409},
-        }
-    ],
+    "routes": [route("book", "desk", "unsafe", authExempt=True, timeoutMs=1200)],
+    "services": [{"name": "desk", "coldStartS": 0, "coldPerS": 0}],
     "limits": {"maxBodyBytes": 4_194_304, "tokensPerS": 0},
     "tenants": [{"name": "banksia", "apiKeys": [KEY], "allowedRegions": []}],
 }
 
 
-class ColdRunner(Runner):
-    """A runner that crashes at a rate well above what it tolerates while it is cold."""
+class GreyRunner(Runner):
+    """A runner that fails part of its requests with 503 after it has run them.
 
-    async def run(self, request: Request, request_id: str, exchange: Exchange) -> None:
-        """Run a request, or crash."""
-        last_second = [at for at, _ in self.arrivals if now_ms() - at < 1000.0]
-        if now_ms() < self.cold_until_ms and len(last_second) > CRASH_PER_S:
-            self._record.write(f"runner {self.name}: {len(last_second)} requests in a second, cold")
-            await self.crash()
-        await super().run(request, request_id, exchange)
-
-
-class Client:
-    """Sends one request after another to one router, 100 ms apart; a retry is a new request."""
+    Such an answer has no `Not-Executed`, as the request did run.
+    """
 
-    def __init__(self, record: Record, router: Router, number: int) -> None:
-        self._record = record
-        self._router = router
-        self._name = f"{router.name}-c{number}"
+    is_grey = False
+    booked: Counter[str] = Counter()
 
-    async def run(self) -> None:
-        connection = Connection(self._router.front)
-        try:
-            await self._send_requests(connection)
-        finally:
-            connection.close()
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)  # type: ignore[arg-type]
+        self._random = random.Random(self.name)
 
-    async def _send_requests(self, connection: Connection) -> None:
-        count = 0
-        while True:
-            count += 1
-            request_id = f"{self._name}-{count}"
-            more = {"Model": "m", "Token_Usage": "500,40", "Prompt_Prefix": f"aa:120,{count:x}:380"}
-            sent = headers(request_id, 3_000, **more)
-            answer = await connection.call("POST", "/chat/x", sent, b"{}", 3.0)
-            self._record.write(
-                f"client {self._name}: {request_id} got {answer.status or answer.error}"
-                + ("" if answer.is_complete else ", incomplete")
-            )
-            await asyncio.sleep(PAUSE_S)
+    async def run(self, request: Request, request_id: str, exchange: Exchange) -> None:
+        """Apply a booking, then answer; a failing runner reports a failure for some."""
+        await asyncio.sleep(self.work_s)
+        self.booked[request.body.decode()] += 1
+        sent = {"Attempt-Id": request_id, "Response-Seal": f"{self.name}.{request_id}"}
+        if self.is_grey and self._random.random() < SHARE:
+            self._record.write(f"runner {self.name}: has run {request_id}, answers 503")
+            await exchange.send(503, sent, b"the receipt could not be written")
+            return
+        await exchange.send(200, sent, b"booked")
 
 
 async def play(record: Record) -> int:
     async with Deployment(record) as deployment:
         store = deployment.store
         store.put("keyed.op", "config", CONFIGURATION)
-        for number, zone in enumerate(("zone-b", "zone-c")):
-            runner = ColdRunner(store, record, f"i-{number}", "model-pool", zone, 64)
-            deployment.runners.append(runner)
-            await runner.begin()
-        for number in range(6):
-            deployment.add_router(f"front-{number}", f"zone-{'abc'[number % 3]}").start()
-        for router in deployment.routers:
-            await router.wait_ready()
-        await asyncio.sleep(6.0)
-        clients = [
-            asyncio.create_task(Client(record, router, number).run())
-            for router in deployment.routers
-            for number in range(CLIENTS_PER_ROUTER)
+        runners = [
+            GreyRunner(store, record, f"i-{number}", "desk", "zone-a", 6) for number in range(3)
         ]
-        await asyncio.sleep(4.0)
-        if TROUBLE:
-            # ONLY=kill leaves the store up: the rule then holds.
-            if os.environ.get("ONLY") != "kill":
-                store.down_topics.add("keyed.routers")
-                record.write("store: the partition of keyed.routers is down")
-                asyncio.get_running_loop().call_later(STORE_DOWN_S, _restore, record, store)
-            for router in deployment.routers:
-                router.kill()
-        # Two runners are added; they are cold after their start, as their entries say.
-        cold_runners = [
-            ColdRunner(store, record, f"new-{number}", "model-pool", "zone-a", 64)
-            for number in range(2)
-        ]
-        deployment.runners += cold_runners
-        cold_from_ms = now_ms()
-        for runner in cold_runners:
-            await runner.begin(COLD_MS)
-        if TROUBLE:
-            await asyncio.sleep(RESTART_S)
-            for router in deployment.routers:
-                router.start()
-        await asyncio.sleep(5.0)
-        for client in clients:
-            client.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
-        broken = False
-        for runner in cold_runners:
-            times = [
-                at for at, _ in runner.arrivals if cold_from_ms <= at <= cold_from_ms + COLD_MS
-            ]
-            most = most_in_a_second(times)
-            record.write(
-                f"{runner.name}: {len(times)} requests while cold, at most {most} in a second; "
-                f"the rule allows {LIMIT}"
-            )
-            broken = broken or most > LIMIT
-        record.write("FAILBACK was broken" if broken else "FAILBACK held")
-        return int(broken)
-
-
-def _restore(record: Record, store: object) -> None:
-    store.down_topics.clear()  # type: ignore[attr-defined]
-    record.write("store: all partitions are up")
+        deployment.runners += runners
+        for runner in runners:
+            await runner.begin()
+        router = deployment.add_router("front-0", "zone-a")
+        router.start()
+        await router.wait_ready()
+        await asyncio.sleep(5.0)  # the router is in touch
+        runners[0].is_grey = TROUBLE
+        asyncio.get_running_loop().call_later(GREY_S, setattr, runners[0], "is_grey", False)
+        ran = {run_id for run_id in ()}
+        refused: list[str] = []
+        connection = Connection(router.front)
+        for number in range(BOOKINGS):
+            for attempt in (1, 2):  # a client's single retry is a new request
+                request_id = f"book-{number}-{attempt}"
+                body = f"booking {number}".encode()
+                sent = headers(request_id, 1_500, key=None)
+                answer = await connection.call("POST", "/book/x", sent, body, 1.5)
+                record.write(f"client: {request_id} got {answer.status or answer.error}")
+                if answer.status in PROMISES:
+                    refused.append(request_id)
+                    continue
+                break
+            await asyncio.sleep(0.03)
+        connection.close()
+        ran = {run_id for runner in runners for _, run_id in runner.arrivals}
+        broken = [request_id for request_id in refused if request_id in ran]
+        twice = [body for body, times in GreyRunner.booked.items() if times > 1]
+        record.write(f"{len(broken)} requests were answered with a promise and had run: {broken}")
+        record.write(f"{len(twice)} bookings were applied twice, as their clients asked again")
+        record.write("REFUSED was broken" if broken else "REFUSED held")
+        return int(bool(broken))
 
 
 if __name__ == "__main__":
