--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,8 +11,8 @@
 from standins.platform import KEY, Deployment, Record, Runner, headers, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SHARE = 0.4  # of the requests of a failing runner; the site files play srv_grey with x = 0.45
-GREY_S = 6.5
+SHARE = 0.4  # of the requests of one runner of three; the site plays x = 0.45 on all of them
+GREY_S = 4.0
 BOOKINGS = 120
 PROMISES = (408, 421, 429, 503)
 CONFIGURATION = {
@@ -65,7 +65,6 @@
         await asyncio.sleep(5.0)  # the router is in touch
         runners[0].is_grey = TROUBLE
         asyncio.get_running_loop().call_later(GREY_S, setattr, runners[0], "is_grey", False)
-        ran = {run_id for run_id in ()}
         refused: list[str] = []
         connection = Connection(router.front)
         for number in range(BOOKINGS):
@@ -73,6 +72,7 @@
                 request_id = f"book-{number}-{attempt}"
                 body = f"booking {number}".encode()
                 sent = headers(request_id, 1_500, key=None)
+                record.write(f"client: sends {request_id} POST /book/x")
                 answer = await connection.call("POST", "/book/x", sent, body, 1.5)
                 record.write(f"client: {request_id} got {answer.status or answer.error}")
                 if answer.status in PROMISES:
