--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from standins.platform import KEY, Deployment, Record, Runner, headers, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SHARE = 0.03  # of the streams of one runner of four; garble has x = 0.03 on a share of 0.6
+SHARE = 0.0136  # of the streams of one runner of four; the site plays that on a share of 0.39
 REQUESTS = 1200
 AT_ONCE = 12
 EVENTS = 4
@@ -94,6 +94,7 @@
                 more = {"Model": "m", "Token_Usage": "500,40"}
                 more["Prompt_Prefix"] = f"aa:120,{number + 16:x}:380"
                 sent = headers(request_id, 3_000, **more)
+                record.write(f"client: sends {request_id} POST /{name}/x")
                 answer = await connection.call("POST", f"/{name}/x", sent, b"{}", 3.0)
                 if is_wrong(answer):
                     wrong.append(request_id)
