--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -281,14 +281,6 @@
             self._process.wait()
             self._record.write(f"router {self.name}: was killed")
 
-    def resident_mb(self) -> int:
-        """Return the resident memory of the process; 0 if it does not run."""
-        try:
-            pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
-        except (AttributeError, OSError, IndexError):
-            return 0
-        return pages * os.sysconf("SC_PAGE_SIZE") // 1_000_000
-
     async def is_ready(self) -> bool:
         """Return whether the readiness probe is answered with 200."""
         probe = Connection(self.ready)
