Derive a caller's time from the request and its route

What callers saw: a route without a latency objective was given its timeout as one, so that its requests waited and were placed as if answers after 15 s were as good as prompt ones.

Cause: the objective was the only time that waiting, placing and stopping knew, and a missing one was filled in by platform/_decode.py.

Why this works: Route.expires_ms and Route.answer_due_ms say until when a caller waits: the deadline or the timeout, and for the first event of a stream at most the longest of two seconds, four objectives and eight pauses between events, after which callers abandon it. A missing objective stays missing. The pause (targetGapMs) was not read before.

--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -62,12 +62,9 @@
             raise RefusalError(Code.NOT_FOUND, f"no route for {call.host}{call.path}")
         account = self._authenticate(call, route, table, keys_are_fresh)
         service = table.services[route.choose_service(self._random)]
-        time_ms = route.timeout_ms
-        if call.deadline_ms is not None:
-            time_ms = min(time_ms, call.deadline_ms)
         regions = _allowed_regions(route, account)
         request = ActiveRequest(
-            call, route, service, table, account, regions, call.started_ms + time_ms
+            call, route, service, table, account, regions, route.expires_ms(call)
         )
         if account is not None and service.engine is not None:
             self._shares.record_asked(account.name, call.cost_tokens, call.started_ms)
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -155,7 +155,7 @@
         prefix=fields.text("pathPrefix"),
         kind=_choice(_ROUTE_KINDS, fields.text("routeType")),
         timeout_ms=fields.number("timeoutMs"),
-        latency_target_ms=fields.number("targetLatencyMs", 0.0) or fields.number("timeoutMs"),
+        latency_target_ms=fields.number("targetLatencyMs", 0.0),
         max_attempts=int(fields.number("maxAttempts", 0.0)) or 1,
         split=tuple(
             ServiceWeight(target.text("service"), target.number("weight")) for target in split
@@ -164,6 +164,7 @@
         needs_key=not fields.flag("authExempt"),
         resumable=fields.flag("streamResume"),
         regions=frozenset(fields.texts("allowedRegions")),
+        max_gap_ms=fields.number("targetGapMs", 0.0),
     )
 
 
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -7,6 +7,16 @@
 
 from attrs import field, frozen
 
+from cicadaledge.routing._call import Call
+
+# A caller abandons a stream after the longest of these silences, also before the first event: this
+# one, ...
+_MIN_STREAM_PATIENCE_MS = 2_000.0
+# ... this multiple of the route's latency objective, ...
+_PATIENCE_PER_OBJECTIVE = 4.0
+# ... and this multiple of the longest pause between events that the route allows.
+_PATIENCE_PER_GAP = 8.0
+
 
 class RouteKind(enum.StrEnum):
     """Kind of a route's requests: safe to repeat, unsafe to repeat, or answered by a stream."""
@@ -30,12 +40,14 @@
 
     Args:
         timeout_ms: Time within which a request must get its final answer.
-        latency_target_ms: Latency objective; for streams, up to the first event.
+        latency_target_ms: Latency objective; for streams, up to the first event. 0 if the route
+            has none.
         max_attempts: Largest number of servers to which one request may be sent.
         split: Services among which the requests are divided.
         needs_key: Whether callers must present an account's key.
         resumable: Whether another server may continue an interrupted stream.
         regions: Regions whose servers may run the request; empty allows all.
+        max_gap_ms: Longest pause between the events of a stream; 0 if the route declares none.
     """
 
     name: str
@@ -49,12 +61,35 @@
     needs_key: bool = True
     resumable: bool = False
     regions: frozenset[str] = frozenset()
+    max_gap_ms: float = 0.0
 
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
         return self.kind is RouteKind.SAFE or self.resumable
 
+    def expires_ms(self, call: Call) -> float:
+        """Return when a request must have got its final answer."""
+        time_ms = self.timeout_ms
+        if call.deadline_ms is not None:
+            time_ms = min(time_ms, call.deadline_ms)
+        return call.started_ms + time_ms
+
+    def answer_due_ms(self, call: Call) -> float:
+        """Return until when the caller waits for the answer to begin.
+
+        A plain answer is of use only when it is complete; the caller of a stream leaves if the
+        first event takes too long.
+        """
+        if self.kind is not RouteKind.STREAM:
+            return self.expires_ms(call)
+        patience_ms = max(
+            _MIN_STREAM_PATIENCE_MS,
+            _PATIENCE_PER_OBJECTIVE * self.latency_target_ms,
+            _PATIENCE_PER_GAP * self.max_gap_ms,
+        )
+        return min(self.expires_ms(call), call.started_ms + patience_ms)
+
     def choose_service(self, random_source: random.Random) -> str:
         """Return a service, chosen at random by weight."""
         weights = [one.weight for one in self.split]
