Place by what engines can work off, not by a share of the objective

What callers saw: of 200 requests of 500 tokens at once, three engines took 12, 41 or 63 when the objective was 100, 250 or 500 ms, though each caller had two seconds. A draft whose caller waits for seconds was refused because its first token would come after 0.7 s.

Cause: latency_target_fraction (0.7 of the objective) limited the predicted time to the first token, and the limits of throttled accounts were shares of that share.

Evidence: test_the_latency_objective_does_not_decide_how_many_of_a_burst_are_placed and test_a_request_is_not_placed_where_its_caller_would_leave_before_the_first_token failed before.

Why this works: an engine takes prompts while those that wait keep it busy for less than the age of the load views, 200 ms at least: with less it runs idle until routers learn that it is free, with more, requests wait where nobody can choose between them. Prompts that only one engine may take have twice that, since those that may go anywhere would fill every engine first. A prompt that waits is not placed where its first token comes after its caller has left; on an idle engine it is tried. Throttled accounts have their fractions of the backlog.

Ruled out: no limit but the caller's time.

Two tests changed: place() lets requests arrive when they are placed (they were 100 s old), and the one on cold first engines lets each first token arrive before the next prompt, as three prompts of 11,000 tokens at once are more than the backlog. Both check what they did.

--- a/src/cicadaledge/placing/_choice.py
+++ b/src/cicadaledge/placing/_choice.py
@@ -14,13 +14,15 @@
 class Limit(enum.StrEnum):
     """The limit that kept a request from being sent to an engine.
 
-    `PLACES` limits running requests, `MEMORY` their tokens in memory, `READING` the time to the
-    first token, and `RATE` the requests sent in a second.
+    `PLACES` limits running requests, `MEMORY` their tokens in memory, `READING` the prompt tokens
+    that wait to be processed, `TIME` the time to the first token, and `RATE` the requests sent in a
+    second.
     """
 
     PLACES = "places"
     MEMORY = "memory"
     READING = "reading"
+    TIME = "time"
     RATE = "rate"
 
 
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -209,7 +209,12 @@
 
     def growth_allowance(self, rate_per_s: float) -> float:
         """Return how much a rate may have grown since the views that report it were made."""
-        return rate_per_s * _MAX_STALE_INTERVALS * self._interval_ms / 1000
+        return rate_per_s * self.max_view_age_ms / 1000
+
+    @property
+    def max_view_age_ms(self) -> float:
+        """Largest age of the load that other routers report, when it is used."""
+        return _MAX_STALE_INTERVALS * self._interval_ms
 
     def is_selected_for(self, server: str, count: float) -> bool:
         """Return whether this router is among about *count* routers selected for a server.
--- a/src/cicadaledge/placing/_load_tracker.py
+++ b/src/cicadaledge/placing/_load_tracker.py
@@ -207,6 +207,11 @@
                 del self._own[server]
         return uses
 
+    @property
+    def max_view_age_ms(self) -> float:
+        """Largest age of the load that other routers report, when it is used."""
+        return self._others.max_view_age_ms
+
     def router_count(self, now_ms: float) -> int:
         """Return the number of routers that report load, this one included."""
         return self._others.router_count(now_ms)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -33,8 +33,11 @@
         speeds: Thresholds for correcting it.
         running_limit: Requests that one engine runs at once, from all routers. More slow every
             stream down: under the heaviest load 27 served most, 20 and 64 less.
-        latency_target_fraction: Limit on the predicted time to the first token, as a fraction of
-            the route's latency target.
+        min_backlog_ms: Time for which the prompts that wait at one engine may keep it busy, unless
+            load views are older. An engine with less work runs idle until routers learn that it is
+            free; with more, requests wait where neither rank nor share decides who is next.
+        bound_backlog_multiple: Multiple of that for requests that only one engine may take. Others
+            would fill each engine up to the limit, wherever there is room, and leave them none.
         affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
             cache them.
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
@@ -43,12 +46,11 @@
             with the shortest predicted time; as many others are tried if these are full.
         region_crossing_ms: Added to the predicted time for a server in another region.
         throttle_start_multiple: Multiple of its share up to which an account is not throttled.
-        throttle_full_multiple: Multiple of its share from which an account's first-token limit
+        throttle_full_multiple: Multiple of its share from which an account's part of the backlog
             shrinks in inverse proportion.
-        throttled_prefill_fraction: Fraction of the first-token limit for an account that asks for
-            more than its share, so that other requests find room and its own are answered in time.
-        over_share_prefill_fraction: Fraction of the first-token limit for an account at
-            `throttle_full_multiple`.
+        throttled_prefill_fraction: Fraction of the backlog up to which an account that asks for
+            more than its share may add to it, so that others find room.
+        over_share_prefill_fraction: The same for an account at `throttle_full_multiple`.
         over_share_running_fraction: Smallest fraction of `running_limit` that is allowed to an
             account within `evenness_threshold`. A running request slows others by only a hundredth;
             its prefill delays them.
@@ -67,7 +69,8 @@
     engine: EngineSettings = field(factory=EngineSettings)
     speeds: SpeedSettings = field(factory=SpeedSettings)
     running_limit: int = 27
-    latency_target_fraction: float = 0.7
+    min_backlog_ms: float = 200.0
+    bound_backlog_multiple: float = 2.0
     affinity_min_tokens: int = 1_000
     spill_engines: int = 4
     spread_engines: int = 9
@@ -92,11 +95,11 @@
     """Fractions of the limits that an account may use.
 
     Args:
-        first_token_time: Fraction of the limit on the time to the first token.
+        backlog: Fraction of the limit on prompt tokens that wait to be processed.
         running_requests: Fraction of the limit on running requests.
     """
 
-    first_token_time: float
+    backlog: float
     running_requests: float
 
 
@@ -165,6 +168,10 @@
         if call.prompt_tokens:
             self._engine(chosen.server.server).record_parts(call.shared_parts)
 
+    def _has_affinity(self, call: Call) -> bool:
+        shared_tokens = sum(part.tokens for part in call.shared_parts)
+        return shared_tokens >= self._settings.affinity_min_tokens
+
     def _allowed(
         self, service: Service, regions: frozenset[str] | None, tried: set[str]
     ) -> dict[str, ServerEntry]:
@@ -240,8 +247,7 @@
         first = ranked[0]
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
-        shared_tokens = sum(part.tokens for part in call.shared_parts)
-        if shared_tokens >= self._settings.affinity_min_tokens:
+        if self._has_affinity(call):
             ranked = self._prefix_engines(ranked, speeds, now_ms)
             ranked = ranked[: self._settings.spill_engines if use.is_underserved else 1]
             min_evaluated = 1
@@ -316,18 +322,19 @@
         )
         expected_ms = engine.first_token_ms(totals, unread)
         unloaded_ms = engine.first_token_ms(_NO_LOAD, unread)
+        factor = speeds.factor * speeds.slowness.get(entry.server, 1.0)
+        backlog_ms = (expected_ms - unloaded_ms) * factor
         if not self._is_in_own_region(entry):
             expected_ms += self._settings.region_crossing_ms
-        factor = speeds.factor * speeds.slowness.get(entry.server, 1.0)
         predicted_ms = expected_ms * factor
-        waiting_ms = predicted_ms - unloaded_ms * factor
-        limit_ms = (
-            route.latency_target_ms
-            * self._settings.latency_target_fraction
-            * allowed_fractions.first_token_time
-        )
-        if predicted_ms > limit_ms and waiting_ms > limit_ms * 0.35:
+        max_backlog_ms = self._max_backlog_ms() * allowed_fractions.backlog
+        if self._has_affinity(call):
+            max_backlog_ms *= self._settings.bound_backlog_multiple
+        if backlog_ms > max_backlog_ms:
             return Limit.READING
+        # Nobody can tell for a prompt on an idle engine that it takes too long before it is tried.
+        if backlog_ms > 0 and now_ms + predicted_ms > route.answer_due_ms(call):
+            return Limit.TIME
         if not self._rate_allows_request(entry, service, now_ms):
             return Limit.RATE
         context = call.prompt_tokens + call.output_tokens
@@ -336,6 +343,9 @@
         placement = Placement(entry.server, unread, context, expected_ms if measures_speed else 0.0)
         return Chosen(entry, placement, predicted_ms, factor)
 
+    def _max_backlog_ms(self) -> float:
+        return max(self._settings.min_backlog_ms, self._load.max_view_age_ms)
+
     def _exceeded_limit(
         self,
         call: Call,
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -8,6 +8,7 @@
     AccountShares,
     Chosen,
     FleetLoad,
+    Limit,
     LoadTracker,
     Placement,
     Placer,
@@ -98,6 +99,7 @@
         regions: frozenset[str] | None = None,
         now_ms: float = SETTLED_MS,
     ) -> Chosen | Refused:
+        request.started_ms = now_ms
         choice = self.placer.choose(
             request, route(latency_target_ms), service, regions, set(), use, now_ms
         )
@@ -124,6 +126,40 @@
     assert max_min_share([], 100.0) == float("inf")
 
 
+@pytest.mark.parametrize("own_tokens", [500, 2_000, 6_000])
+def test_the_latency_objective_does_not_decide_how_many_of_a_burst_are_placed(own_tokens):
+    """Callers with the same time got three to five times as many places for a longer objective."""
+    placed = set()
+    for objective_ms in (100.0, 250.0, 500.0):
+        pool = Pool(*(entry(name) for name in "abc"))
+        burst = [call(n, prefix=f"s{n}", shared=0, own=own_tokens) for n in range(200)]
+        choices = [pool.place(one, latency_target_ms=objective_ms) for one in burst]
+        placed.add(sum(isinstance(one, Chosen) for one in choices))
+    assert len(placed) == 1
+
+
+def test_a_request_is_not_placed_where_its_caller_would_leave_before_the_first_token():
+    """It would take up an engine in vain; the caller of this one has 200 ms left."""
+    pool = Pool(entry("a"))
+    assert isinstance(pool.place(call(1, shared=200, own=5_000)), Chosen)
+    late = call(2, shared=200, own=10_000)
+    late.deadline_ms = 200.0
+    refused = pool.place(late)
+    assert isinstance(refused, Refused)
+    assert refused.limit is Limit.TIME
+    assert isinstance(pool.place(call(3, shared=200, own=10_000)), Chosen)
+
+
+def test_requests_that_may_go_anywhere_leave_room_for_those_bound_to_an_engine():
+    """Otherwise short prompts fill each engine and long shared ones are refused at theirs."""
+    pool = Pool(entry("a"))
+    number = 0
+    while isinstance(pool.place(call(number, prefix=f"s{number}", shared=100, own=2_000)), Chosen):
+        number += 1
+    assert number > 1
+    assert isinstance(pool.place(call(900)), Chosen)
+
+
 def test_an_engine_takes_requests_up_to_its_limit():
     assert Pool(entry("a")).fill(ENOUGH) == PlacingSettings().running_limit
 
--- a/tests/placing/test_speeds.py
+++ b/tests/placing/test_speeds.py
@@ -120,8 +120,12 @@
     assert isinstance(first_choice, Chosen)
     cold = first_choice.server.server
     pool = Pool(*(entry(name, cold_ms=2 * SETTLED_MS if name == cold else 0.0) for name in NAMES))
-    chosen = [pool.place(call(number)) for number in range(3)]
-    assert all(isinstance(one, Chosen) for one in chosen)
+    chosen = []
+    for number in range(3):
+        choice = pool.place(call(number))
+        assert isinstance(choice, Chosen)
+        pool.load.record_first_token(choice.placement)
+        chosen.append(choice)
     assert cold not in {one.server.server for one in chosen}
     assert len({one.server.server for one in chosen}) == 1
 
