Let an engine run as many requests as it has slots

What callers saw: requests were refused while engines with 64 slots ran 27.

Evidence: the tests that count an engine's requests ask for its slots now, and failed before.

Why this works: what binds is the engine's own: its slots and its memory, of which running requests get 0.8. A running request slows a step by 0.03 ms of 4, a chunk of a prompt by 62 ms.

With more places, the rate that a server could bear after a sudden cold start binds first, and knew no accounts: test_accounts_in_a_flood_converge_to_equal_rates failed (150 of 600 and 1,110 requests). Accounts beyond their share get the same fraction of that rate as of the slots.

--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -31,8 +31,6 @@
     Args:
         engine: Speed of the engines, before learned corrections.
         speeds: Thresholds for correcting it.
-        running_limit: Requests that one engine runs at once, from all routers. More slow every
-            stream down: under the heaviest load 27 served most, 20 and 64 less.
         min_backlog_ms: Time for which the prompts that wait at one engine may keep it busy, unless
             load views are older. An engine with less work runs idle until routers learn that it is
             free; with more, requests wait where neither rank nor share decides who is next.
@@ -51,7 +49,7 @@
         throttled_prefill_fraction: Fraction of the backlog up to which an account that asks for
             more than its share may add to it, so that others find room.
         over_share_prefill_fraction: The same for an account at `throttle_full_multiple`.
-        over_share_running_fraction: Smallest fraction of `running_limit` that is allowed to an
+        over_share_running_fraction: Smallest fraction of an engine's slots that is allowed to an
             account within `evenness_threshold`. A running request slows others by only a hundredth;
             its prefill delays them.
         evenness_threshold: Multiple of the rate of the least served throttled account from which an
@@ -68,7 +66,6 @@
 
     engine: EngineSettings = field(factory=EngineSettings)
     speeds: SpeedSettings = field(factory=SpeedSettings)
-    running_limit: int = 27
     min_backlog_ms: float = 200.0
     bound_backlog_multiple: float = 2.0
     affinity_min_tokens: int = 1_000
@@ -96,11 +93,11 @@
 
     Args:
         backlog: Fraction of the limit on prompt tokens that wait to be processed.
-        running_requests: Fraction of the limit on running requests.
+        requests: Fraction of the limits on running requests and on their rate.
     """
 
     backlog: float
-    running_requests: float
+    requests: float
 
 
 class Placer:
@@ -335,7 +332,7 @@
         # Nobody can tell for a prompt on an idle engine that it takes too long before it is tried.
         if backlog_ms > 0 and now_ms + predicted_ms > route.answer_due_ms(call):
             return Limit.TIME
-        if not self._rate_allows_request(entry, service, now_ms):
+        if not self._rate_allows_request(entry, service, now_ms, allowed_fractions.requests):
             return Limit.RATE
         context = call.prompt_tokens + call.output_tokens
         # If much is assumed to be cached, a late first token may only show that it was not.
@@ -355,18 +352,27 @@
     ) -> Limit | None:
         """Return the limit that one more running request would exceed, or None."""
         assert service.engine is not None
-        limit = min(self._settings.running_limit, service.engine.slots)
-        if totals.running >= max(1.0, limit * allowed_fractions.running_requests):
+        allowed_slots = service.engine.slots * allowed_fractions.requests
+        if totals.running >= max(1.0, allowed_slots):
             return Limit.PLACES
         memory = service.engine.memory_tokens * self._settings.engine.running_memory_fraction
         context = totals.context_tokens + call.prompt_tokens + call.output_tokens
         return Limit.MEMORY if context > memory else None
 
-    def _rate_allows_request(self, entry: ServerEntry, service: Service, now_ms: float) -> bool:
+    def _rate_allows_request(
+        self,
+        entry: ServerEntry,
+        service: Service,
+        now_ms: float,
+        allowed_fraction: float = 1.0,
+    ) -> bool:
         """Return whether the server's rate limit allows one more request.
 
         A cold server gets less than it can serve. Any other gets little more than it could serve
         if it became cold.
+
+        Args:
+            allowed_fraction: Fraction of the limit that the request's account may use up.
         """
         if service.cold_per_s <= 0:
             return True
@@ -375,7 +381,7 @@
             cold_limit_per_s = service.cold_per_s * settings.cold_capacity_fraction
             return self._load.allows_request_by_quota(entry.server, cold_limit_per_s, now_ms)
         limit_per_s = service.cold_per_s * settings.cold_overage + settings.cold_slack
-        return self._load.allows_request(entry.server, limit_per_s, now_ms)
+        return self._load.allows_request(entry.server, limit_per_s * allowed_fraction, now_ms)
 
     def _allowed_fractions(self, use: ShareUse) -> _AllowedFractions:
         """Return the fractions of the limits that an account may use."""
