Keep half of an engine's memory for shared prompt parts

What callers saw: with all slots in use, shared parts were evicted and processed again, streams paused, and more of them ended after their deadline.

Cause: running requests could fill 0.8 of the memory.

--- a/src/cicadaledge/placing/_engine_model.py
+++ b/src/cicadaledge/placing/_engine_model.py
@@ -23,13 +23,13 @@
         prefill_tokens_per_ms: Prompt tokens processed per millisecond while other requests run: a
             chunk of 4,096 tokens takes 62 ms, and the step that contains it 5 to 10 ms more.
         first_step_ms: Time from the end of prefill to the first token.
-        running_memory_fraction: Fraction of the memory that running requests may fill; the rest
-            caches shared prompt parts.
+        running_memory_fraction: Fraction of the memory that running requests may fill. The rest
+            caches shared prompt parts; what is evicted has to be processed again.
     """
 
     prefill_tokens_per_ms: float = 55.0
     first_step_ms: float = 25.0
-    running_memory_fraction: float = 0.8
+    running_memory_fraction: float = 0.5
 
 
 class EngineModel:
