Serve waiting requests by the rank of their account or route

What callers saw: whoever came first was served first, whatever rank the operators had given it.

Cause: priority was not read, neither of routes nor of accounts.

Evidence: test_the_higher_rank_is_served_first failed before, for ranks of routes and of accounts.

Why this works: 0 is the highest rank, that of an account goes before that of its route, and the queue serves by rank before it looks at shares and time. Where all have the same rank, nothing changes. What does not wait is not affected: rank gives nobody a place that others already have, and routers do not tell each other the ranks of those that wait.

--- a/src/cicadaledge/edge/_active_request.py
+++ b/src/cicadaledge/edge/_active_request.py
@@ -49,6 +49,13 @@
     is_part_trial: bool = False
     fingerprint: str | None = None
 
+    @property
+    def rank(self) -> int:
+        """Rank by the configuration; 0 is the highest. The account's goes before the route's."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
     @property
     def account_name(self) -> str | None:
         """Name of the account, or None."""
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -218,7 +218,7 @@
         work_ms = typical_ms if request.service.engine is None else refused.work_ms
         return WaitingRequest(
             group=self._group(request, use, now_ms),
-            rank=0,
+            rank=request.rank,
             is_over_share=use.share_multiple > 1.0,
             work_ms=work_ms,
             joined_ms=now_ms,
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -165,6 +165,7 @@
         resumable=fields.flag("streamResume"),
         regions=frozenset(fields.texts("allowedRegions")),
         max_gap_ms=fields.number("targetGapMs", 0.0),
+        priority=_rank(fields) or 0,
     )
 
 
@@ -182,9 +183,15 @@
         name=fields.text("name"),
         keys=fields.texts("apiKeys"),
         regions=frozenset(fields.texts("allowedRegions")),
+        priority=_rank(fields),
     )
 
 
+def _rank(fields: Fields) -> int | None:
+    """Return the declared rank, of which 0 is the highest, or None."""
+    return int(fields.number("priority")) if fields.has("priority") else None
+
+
 def _limits(fields: Fields) -> Limits:
     defaults = Limits()
     return Limits(
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -48,6 +48,7 @@
         resumable: Whether another server may continue an interrupted stream.
         regions: Regions whose servers may run the request; empty allows all.
         max_gap_ms: Longest pause between the events of a stream; 0 if the route declares none.
+        priority: Rank of the route's requests; 0 is the highest.
     """
 
     name: str
@@ -62,6 +63,7 @@
     resumable: bool = False
     regions: frozenset[str] = frozenset()
     max_gap_ms: float = 0.0
+    priority: int = 0
 
     @property
     def idempotent(self) -> bool:
@@ -127,11 +129,19 @@
 
 @frozen
 class Account:
-    """A client account: its name, its keys and the regions to which it is restricted."""
+    """A client account.
+
+    Args:
+        keys: API keys that belong to it.
+        regions: Regions to which it is restricted; empty allows all.
+        priority: Rank of its requests, which takes precedence over that of their routes; None if
+            it has no rank of its own.
+    """
 
     name: str
     keys: tuple[str, ...] = field(repr=False)
     regions: frozenset[str] = frozenset()
+    priority: int | None = None
 
 
 @frozen
--- a/tests/edge/test_waiting_callers.py
+++ b/tests/edge/test_waiting_callers.py
@@ -215,6 +215,38 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("by_account", [False, True], ids=["route", "account"])
+def test_the_higher_rank_is_served_first(by_account):
+    """The rank of routes and accounts was not read."""
+
+    async def play():
+        async with small_world(desks=0, pools=0) as world:
+            server = await add_limited(world, "desk-0", gap_s=0.2)
+            routes = configuration()["routes"]
+            accounts = configuration()["tenants"]
+            accounts.append({"name": "urgent", "apiKeys": ["urgent-key"], "priority": 1})
+            if by_account:
+                accounts[0]["priority"] = 2
+                routes[1]["priority"] = 9
+            else:
+                routes[0]["priority"] = 2
+                del accounts[1]["priority"]
+            world.configure(version=2, routes=routes, tenants=accounts)
+            await asyncio.sleep(0.3)
+            busy = [asyncio.create_task(world.call("/book/0")) for _ in range(8)]
+            await asyncio.sleep(0.05)
+            low = [asyncio.create_task(world.call("/book/low")) for _ in range(8)]
+            await asyncio.sleep(0.05)
+            high = [
+                asyncio.create_task(world.call("/look/high", key="urgent-key")) for _ in range(8)
+            ]
+            answers = await asyncio.gather(*busy, *low, *high)
+            assert {one.status for one in answers} == {200}
+            assert [run.target for run in server.runs[8:]] == ["/look/high"] * 8 + ["/book/low"] * 8
+
+    asyncio.run(play())
+
+
 @OBJECTIVES_MS
 def test_a_stopping_router_serves_what_it_can_answer_in_its_grace_period(objective_ms):
     """The objective was taken for the work: with 2.9 s of 3 s every request was refused."""
