Tell refused callers when a server is expected to be free

What callers saw: Retry-After was at most 1 s and half of the time that an engine needs for what waits there, whatever time the caller had left. Callers of servers that pause for longer came back in the middle of the pause.

Cause: fixed bounds, chosen without the caller's time.

Why this works: the pause is the time until a server is expected to take more: the end of a server's pause, or what an engine has to work off. Callers come back after at most a third of the time that they have left, so that a longer pause is cut to that: they can then wait in the queue. Where their time ends first, they are told the truth.

--- a/src/cicadaledge/edge/_refusals.py
+++ b/src/cicadaledge/edge/_refusals.py
@@ -10,6 +10,8 @@
 # A caller whose request was not run because servers were full or unreachable is asked to retry
 # after this time. A full server has a free slot after a fraction of a request's duration.
 BUSY_RETRY_MS = 200.0
+# Callers come back after a pause of at most this fraction of the time that they have left.
+_MAX_PAUSE_RATIO = 1 / 3
 
 
 def no_capacity(reason: str, retry_after_ms: float) -> RefusalError:
@@ -17,6 +19,17 @@
     return RefusalError(Code.NO_CAPACITY, reason, retry_after_ms=int(retry_after_ms))
 
 
+def useful_retry_after_ms(available_in_ms: float, left_ms: float) -> float:
+    """Return after which pause a refused caller should come back.
+
+    A caller that would come back late in its time should come sooner, and can then wait here. One
+    whose time ends before a server is expected to be free is told when that is.
+    """
+    if available_in_ms >= left_ms:
+        return available_in_ms
+    return min(available_in_ms, left_ms * _MAX_PAUSE_RATIO)
+
+
 def unanswered(result: AttemptResult) -> RefusalError:
     """Return the refusal of a request that must not be retried on another server."""
     if result.end is AttemptEnd.NOT_RUN:
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -14,7 +14,7 @@
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._departure import LEAVING_RETRY_MS, ShutdownSchedule
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
-from cicadaledge.edge._refusals import no_capacity
+from cicadaledge.edge._refusals import no_capacity, useful_retry_after_ms
 from cicadaledge.edge._request_log import RequestLog
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.errors import RefusalError
@@ -311,4 +311,5 @@
         refused = waiting.refused
         use = self._admission.share_use(request, now_ms)
         self._request_log.log_not_placed(request, refused, use, now_ms)
-        return no_capacity(refused.reason, refused.retry_after_ms)
+        left_ms = request.expires_ms - now_ms
+        return no_capacity(refused.reason, useful_retry_after_ms(refused.retry_after_ms, left_ms))
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -64,7 +64,8 @@
         cold_slack: Requests per second allowed in addition to that multiple.
         settle_ms: Age from which a server is assumed to cache the parts for which it ranks first.
         min_retry_ms: Shortest pause before a refused request may be retried.
-        max_retry_ms: Longest such pause.
+        absent_retry_ms: Such a pause while there is no server at all: new ones are announced within
+            about a heartbeat.
     """
 
     engine: EngineSettings = field(factory=EngineSettings)
@@ -87,7 +88,7 @@
     cold_slack: float = 5.0
     settle_ms: float = 6_000.0
     min_retry_ms: float = 150.0
-    max_retry_ms: float = 1_000.0
+    absent_retry_ms: float = 1_000.0
 
 
 @frozen
@@ -238,11 +239,9 @@
             for name in allowed
         ]
         if not ends_ms:
-            return Refused("no server", settings.max_retry_ms)
+            return Refused("no server", settings.absent_retry_ms)
         available_from_ms = min(ends_ms)
-        retry_ms = min(
-            max(available_from_ms - now_ms, settings.min_retry_ms), settings.max_retry_ms
-        )
+        retry_ms = max(available_from_ms - now_ms, settings.min_retry_ms)
         return Refused(
             "servers are full or ask for a pause", retry_ms, available_from_ms=available_from_ms
         )
@@ -452,9 +451,9 @@
         )
 
     def _retry_after_ms(self, totals: ServerTotals) -> float:
-        """Return the time in which an engine processes half of its waiting prompt tokens."""
-        wait_ms = totals.unread_tokens / self._settings.engine.prefill_tokens_per_ms / 2
-        return min(max(wait_ms, self._settings.min_retry_ms), self._settings.max_retry_ms)
+        """Return the time in which an engine works off what keeps it from taking more prompts."""
+        waiting_ms = totals.unread_tokens / self._settings.engine.prefill_tokens_per_ms
+        return max(waiting_ms - self._max_backlog_ms(), self._settings.min_retry_ms)
 
     def _is_in_own_region(self, entry: ServerEntry) -> bool:
         return self._region_of(entry.zone) == self._own_region
