Keep the queue going when a request ends in two ways at once

What callers saw: nothing yet; by reading. A caller that left while its route was removed made the look for servers raise an error, after which no waiting request was looked at by the clock.

Cause: the wait of a request whose future was already cancelled was ended again, before the next look was scheduled.

Evidence: test_a_caller_that_leaves_as_its_route_is_removed_does_not_stop_the_queue failed before.

Why this works: a request whose caller has left is passed over, and the next look is scheduled first.

Also: two reasons of load shedding are the callers' now, not a share of time of the accounting.

--- a/src/cicadaledge/edge/_load_shedder.py
+++ b/src/cicadaledge/edge/_load_shedder.py
@@ -25,7 +25,8 @@
 
     Args:
         late_ms: Lateness of the event loop at which shedding starts. It delays each event of a
-            stream and the start of each request, which have objectives of several hundred ms.
+            stream and the start of each request; at several times this value, a pause between
+            events becomes visible to callers.
         calm_ms: Lateness at which shedding ends.
         times_others: Shedding starts only if the lateness is at least this multiple of the mean of
             the other routers. Where all routers are late, moving callers gains nothing.
@@ -35,9 +36,8 @@
             after its end. Afterwards, shedding does not start again for as long as it lasted.
         close_part: Ratio of responses after which the connection is closed. The remaining callers
             are a load that the router can carry, and the next router gets only part of the account.
-        fleet_part: Ratio of the fleet's routers that may shed at once. As each router pauses as
-            long as it sheds, half of the ratio sheds on average. That must stay below the eighth
-            of the routers that may be not ready.
+        fleet_part: Ratio of the fleet's routers that may shed at once. The others get their new
+            callers: with a fifth away, a quarter more each.
     """
 
     late_ms: float = field(default=25.0, validator=gt(0))
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -243,53 +243,53 @@
 
     def _look(self) -> None:
         self._timer = None
-        for service in self._queues:
-            self._serve(service)
         self._set_timer()
+        now_ms = clock_ms()
+        for service, queue in self._queues.items():
+            for waiting in list(queue):
+                self._ends_wait(service, queue, waiting, now_ms)
+            self._serve(service)
 
     def _serve(self, service: str) -> None:
         """Place the waiting requests of a service that a server can take now."""
         self._woken.discard(service)
         queue = self._queues[service]
-        if not queue:
-            return
         now_ms = clock_ms()
-        for waiting, waiter in list(self._waiters.items()):
-            if waiting in queue:
-                self._recheck(service, queue, waiting, waiter, now_ms)
 
         def place(waiting: WaitingRequest) -> Chosen | Refused | None:
+            if self._ends_wait(service, queue, waiting, now_ms):
+                return None
             return self._place_waiting(queue, waiting, now_ms)
 
         for waiting, chosen in queue.serve(place, now_ms):
             self._waiters[waiting].future.set_result(chosen)
         self._refuse_hopeless(queue, now_ms)
 
-    def _recheck(
-        self,
-        service: str,
-        queue: WaitingQueue,
-        waiting: WaitingRequest,
-        waiter: _Waiter,
-        now_ms: float,
-    ) -> None:
+    def _ends_wait(
+        self, service: str, queue: WaitingQueue, waiting: WaitingRequest, now_ms: float
+    ) -> bool:
         """End the wait of a request that is no longer allowed or belongs to another service."""
+        waiter = self._waiters[waiting]
+        if waiter.future.done():  # its caller has left
+            return True
         try:
             self._check_whether_allowed(waiter.request, now_ms)
         except RefusalError as refusal:
             queue.remove(waiting)
             waiter.future.set_exception(refusal)
-            return
+            return True
         if waiter.request.service.name != service:
             queue.remove(waiting)
             waiter.future.set_result(None)
+            return True
+        return False
 
     def _place_waiting(
         self, queue: WaitingQueue, waiting: WaitingRequest, now_ms: float
     ) -> Chosen | Refused | None:
         waiter = self._waiters[waiting]
         request = waiter.request
-        if waiter.future.done() or self._poison_guard.awaits_evidence(request):
+        if self._poison_guard.awaits_evidence(request):
             return None
         try:
             self._poison_guard.check(request)
--- a/src/cicadaledge/placing/_waiting.py
+++ b/src/cicadaledge/placing/_waiting.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from attrs import define, field, frozen
 from attrs.validators import gt, le
@@ -107,8 +107,8 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    def __contains__(self, request: WaitingRequest) -> bool:
-        return request in self._requests
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(self._requests)
 
     def has_group(self, group: str) -> bool:
         """Return whether a request of the group is waiting."""
--- a/tests/edge/test_waiting_callers.py
+++ b/tests/edge/test_waiting_callers.py
@@ -343,3 +343,29 @@
             assert 0.6 < took_s < 1.2
 
     asyncio.run(play())
+
+
+def test_a_caller_that_leaves_as_its_route_is_removed_does_not_stop_the_queue():
+    """Ending the wait of a request that is already cancelled raised an error."""
+
+    async def play():
+        async with small_world(desks=0, pools=0) as world:
+            await add_limited(world, "desk-0", gap_s=0.5)
+            await configure(world, 1_000)
+            busy = [asyncio.create_task(world.call("/book/0")) for _ in range(8)]
+            await asyncio.sleep(0.1)
+            leave = await send_all(world, "/look/1", 1)
+            staying = asyncio.create_task(timed_call(world, "/book/2"))
+            await asyncio.sleep(0.1)
+            placer = world.routers[0]._request_handler._request_placer
+            (gone,) = [one for one in placer._waiters.values() if "look" in one.request.call.target]
+            routes = [one for one in configuration()["routes"] if one["name"] != "look"]
+            world.configure(version=3, routes=routes)
+            gone.future.cancel()
+            placer._look()
+            await asyncio.sleep(0.3)
+            leave()
+            assert (await staying)[0] == 200
+            await asyncio.gather(*busy)
+
+    asyncio.run(play())
