--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -162,8 +162,11 @@
         return choice
 
     def _excluded_servers(self, request: ActiveRequest) -> set[str]:
-        """Return the servers to which a request is not sent: those that failed it, and all
-        others once it has been sent to as many as its route allows."""
+        """Return the servers to which a request is not sent.
+
+        These are the ones that failed it, and all others once it has been sent to as many as its
+        route allows.
+        """
         if len(request.reached_servers) < request.route.max_attempts:
             return request.tried_servers
         usable = self._control_state.directory.usable_by_name(request.service.name)
@@ -189,7 +192,7 @@
         """Return the server chosen for a waiting request, or None if its service has changed.
 
         Raises:
-            RefusalError: It is known that no server can take the request in time.
+            RefusalError: No server can take the request in time, or it must not be sent.
         """
         now_ms = clock_ms()
         waiting = self._waiting_request(request, refused, use, now_ms)
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -9,13 +9,10 @@
 
 from cicadaledge.routing._call import Call
 
-# A caller abandons a stream after the longest of these silences, also before the first event: this
-# one, ...
+# Callers abandon a stream, also before its first event, after the longest of three silences.
 _MIN_STREAM_PATIENCE_MS = 2_000.0
-# ... this multiple of the route's latency objective, ...
-_PATIENCE_PER_OBJECTIVE = 4.0
-# ... and this multiple of the longest pause between events that the route allows.
-_PATIENCE_PER_GAP = 8.0
+_PATIENCE_PER_OBJECTIVE = 4.0  # multiple of the route's latency objective
+_PATIENCE_PER_GAP = 8.0  # multiple of the longest pause between events that the route declares
 
 
 class RouteKind(enum.StrEnum):
