Replay engine crashes and bound prefixes; list the failures of shares that it shows

The replay of placing knows crashes of engines, cold engines and accounts whose largest caller group is spread over all routers. Evenness counts an answer when an engine begins it, not when it is sent.

--- a/src/cicadaledge/loadtool/__init__.py
+++ b/src/cicadaledge/loadtool/__init__.py
@@ -23,10 +23,12 @@
 from cicadaledge.loadtool._launcher import Launcher, LaunchError
 from cicadaledge.loadtool._replay import Replay, replay_modes
 from cicadaledge.loadtool._replay_day import (
+    BOUND_PREFIX_DAY,
     FLOODED_DAY,
     HEAVY_DAY,
     LARGE_DAY,
     MODES,
+    OVERLOADED_DAY,
     Mode,
     ReplayDay,
     scaled,
@@ -37,10 +39,12 @@
 from cicadaledge.loadtool._traffic import RequestRecord, Traffic
 
 __all__ = [
+    "BOUND_PREFIX_DAY",
     "FLOODED_DAY",
     "HEAVY_DAY",
     "LARGE_DAY",
     "MODES",
+    "OVERLOADED_DAY",
     "REPLAY_HEADER",
     "AccountLoad",
     "AccountSpec",
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -12,7 +12,9 @@
 import random
 from collections.abc import Callable
 
-from cicadaledge.loadtool._replay_day import MODES, Mode, ReplayDay, RequestClass
+from attrs import evolve
+
+from cicadaledge.loadtool._replay_day import MODES, EngineCrash, Mode, ReplayDay, RequestClass
 from cicadaledge.loadtool._replay_fleet import DirectViewExchange, RelayViewExchange, ViewExchange
 from cicadaledge.loadtool._replay_result import ReplayRequest, ReplayResult, measure
 from cicadaledge.placing import (
@@ -66,11 +68,12 @@
         self.fleet.set_roles(name, is_relay=True, members=members)
         self.load = LoadTracker(self.fleet)
         self.shares = AccountShares(4_000, self.fleet)
+        self.health = ServerHealth()
         self.placer = Placer(
             mode.settings,
             directory,
             self.load,
-            ServerHealth(),
+            self.health,
             lambda zone: zone,
             region,
         )
@@ -90,9 +93,12 @@
         self._request_numbers = itertools.count()
         self._requests: list[ReplayRequest] = []
         figures = EngineParameters(slots=day.slots)
+        self._figures = figures
         self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
+        self._down: set[str] = set()
         self._active_engines: set[str] = set()
-        directory = ServerDirectory()
+        self._loss_actions: dict[EngineRun, Callable[[float], None]] = {}
+        self._directory = directory = ServerDirectory()
         for index, name in enumerate(self._engines):
             zone = f"region-{index % day.regions}"
             entry = ServerEntry(
@@ -103,7 +109,7 @@
             _SimulatedRouter(f"router-{n}", f"region-{n % day.regions}", day, mode, directory)
             for n in range(day.routers)
         ]
-        self._service = Service(_SERVICE, engine=Engine(day.slots, figures.memory_tokens))
+        self._service = Service(_SERVICE, day.cold_per_s, Engine(day.slots, figures.memory_tokens))
         self._exchange: ViewExchange = (
             RelayViewExchange(day, self._routers, self._schedule, day.seed)
             if day.zones
@@ -115,6 +121,8 @@
         """Run until the last request has ended; return the measures."""
         for kind in self._day.classes:
             self._schedule(self._random.expovariate(kind.per_s) * 1000, self._arrival_action(kind))
+        for crash in self._day.crashes:
+            self._schedule(crash.at_ms, self._crash_action(crash))
         if self._mode.shared_views:
             self._exchange.start()
         while self._events:
@@ -125,6 +133,29 @@
     def _schedule(self, time_ms: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (time_ms, next(self._sequence), action))
 
+    def _crash_action(self, crash: EngineCrash) -> Callable[[float], None]:
+        names = list(self._engines)[-crash.engines :]
+
+        def go_down(now_ms: float) -> None:
+            for name in names:
+                self._down.add(name)
+                engine = self._engines[name]
+                for run in engine.running + engine.waiting:
+                    self._loss_actions.pop(run)(now_ms)
+            self._schedule(now_ms + crash.down_ms, come_back)
+
+        def come_back(now_ms: float) -> None:
+            for name in names:
+                entry = self._directory.usable_by_name(_SERVICE)[name]
+                self._directory.remove(name, now_ms)
+                restarted = f"{name}-restarted"
+                self._engines[restarted] = EngineEmulator(self._figures)
+                self._directory.apply(
+                    evolve(entry, server=restarted, cold_left_ms=self._day.cold_ms), now_ms
+                )
+
+        return go_down
+
     def _arrival_action(self, kind: RequestClass) -> Callable[[float], None]:
         def arrive(now_ms: float) -> None:
             if now_ms > self._day.seconds * 1000:
@@ -184,9 +215,9 @@
         if not self._clients:
             weights = self._day.router_weights[: len(self._routers)]
             return self._random.choices(self._routers, weights)[0]
-        rank = int(account.rpartition("-")[2])
-        if rank < self._day.single_client_accounts:
-            return self._clients[rank]
+        index = int(account.rpartition("-")[2]) - self._day.first_single_client_rank
+        if 0 <= index < self._day.single_client_accounts:
+            return self._clients[index]
         return self._random.choice(self._clients[self._day.single_client_accounts :])
 
     def _place(self, request: ReplayRequest, router: _SimulatedRouter, now_ms: float) -> None:
@@ -238,7 +269,9 @@
     ) -> Chosen | Refused:
         use = self._share_use(request, router, now_ms)
         route = _route(request)
-        return router.placer.choose(request.call, route, self._service, None, set(), use, now_ms)
+        return router.placer.choose(
+            request.call, route, self._service, None, request.tried_engines, use, now_ms
+        )
 
     def _share_use(
         self, request: ReplayRequest, router: _SimulatedRouter, now_ms: float
@@ -258,11 +291,12 @@
         router.placer.record_sent(request.call, chosen, now_ms)
         router.shares.record_admitted(request.account, request.call.cost_tokens, now_ms)
         request.admitted_ms = now_ms
-        engine = self._engines[chosen.server.server]
+        name = chosen.server.server
 
         def on_event(at_ms: float) -> None:
             if not request.started:
-                request.started = True
+                request.began_ms = at_ms
+                router.health.record_reached(name)
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
                 router.load.record_first_token(chosen.placement)
@@ -271,6 +305,7 @@
             request.last_event_ms = at_ms
 
         def on_end(at_ms: float) -> None:
+            del self._loss_actions[run]
             request.met_deadline = at_ms - request.arrived_ms <= request.kind.deadline_ms
             router.load.record_end(chosen.placement)
             self._serve_waiting(router, at_ms)
@@ -283,6 +318,10 @@
             on_end,
         )
 
+        def lose(at_ms: float) -> None:
+            run.cancelled = True
+            router.load.record_end(chosen.placement)
+
         def leave(at_ms: float) -> None:
             if not chosen.placement.ended:
                 run.cancelled = True
@@ -294,19 +333,28 @@
 
         self._schedule(_route(request).answer_due_ms(request.call), leave_if_silent)
         self._schedule(request.arrived_ms + request.kind.deadline_ms, leave)
-        self._schedule(
-            now_ms + _ENGINE_LATENCY_MS,
-            lambda at: self._submit(chosen.server.server, engine, run, at),
-        )
 
-    def _submit(self, name: str, engine: EngineEmulator, run: EngineRun, now_ms: float) -> None:
+        def connect(at_ms: float) -> None:
+            if name not in self._down:
+                self._loss_actions[run] = lose
+                self._submit(name, run, at_ms)
+                return
+            router.load.record_end(chosen.placement)
+            router.health.record_unreachable(name, at_ms)
+            request.tried_engines.add(name)
+            self._place(request, router, at_ms)
+
+        self._schedule(now_ms + _ENGINE_LATENCY_MS, connect)
+
+    def _submit(self, name: str, run: EngineRun, now_ms: float) -> None:
+        engine = self._engines[name]
         engine.submit(run)
         if name not in self._active_engines:
             self._active_engines.add(name)
             self._run_step(name, engine, now_ms)
 
     def _run_step(self, name: str, engine: EngineEmulator, now_ms: float) -> None:
-        if engine.is_idle:
+        if engine.is_idle or name in self._down:
             self._active_engines.discard(name)
             return
         end_ms = engine.step(now_ms)
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -36,6 +36,21 @@
     output_tokens: int
 
 
+@frozen
+class EngineCrash:
+    """Engines that crash at the same moment and come back.
+
+    Args:
+        at_ms: Time of the crash.
+        engines: Number of engines; those with the highest numbers crash.
+        down_ms: Time until new ones replace them, with empty caches.
+    """
+
+    at_ms: float
+    engines: int
+    down_ms: float
+
+
 @frozen
 class ReplayDay:
     """A load and the deployment that serves it.
@@ -55,7 +70,11 @@
             routers.
         clients: Callers, each connected to one router; 0 draws a router for each request by
             `router_weights`.
-        single_client_accounts: Number of largest accounts that have a single caller each.
+        single_client_accounts: Number of accounts that have a single caller each.
+        first_single_client_rank: Rank by size of the largest of these.
+        crashes: Crashes of engines.
+        cold_per_s: Requests per second that a cold engine can serve; 0 if none is ever cold.
+        cold_ms: Time for which an engine is cold after its start.
     """
 
     classes: tuple[RequestClass, ...]
@@ -78,6 +97,15 @@
     zones: int = 0
     clients: int = 0
     single_client_accounts: int = 0
+    first_single_client_rank: int = 0
+    crashes: tuple[EngineCrash, ...] = ()
+    cold_per_s: float = 0.0
+    cold_ms: float = 3_000.0
+
+
+def scaled(day: ReplayDay, factor: float) -> ReplayDay:
+    """Return a day with the request rates multiplied by *factor*."""
+    return evolve(day, classes=tuple(evolve(one, per_s=one.per_s * factor) for one in day.classes))
 
 
 HEAVY_DAY = ReplayDay(
@@ -129,6 +157,28 @@
     rates_every_views=1,
 )
 
+# All accounts together send twice what the engines of the large day can do. The largest account has
+# callers at almost all routers; the next ones are connected to a single router each. A quarter of
+# the engines crashes while all are full.
+OVERLOADED_DAY = evolve(
+    scaled(LARGE_DAY, 1.25),
+    hot_accounts=12,
+    hot_factor=2.5,
+    first_hot_rank=0,
+    first_single_client_rank=1,
+    crashes=(EngineCrash(9_000.0, 10, 2_000.0),),
+    cold_per_s=8.9,
+)
+
+# All drafts of an account share one prefix, and the engine that caches it is full. Other engines
+# have free slots.
+_DRAFT, _CHAT, _SORT = LARGE_DAY.classes
+BOUND_PREFIX_DAY = evolve(
+    OVERLOADED_DAY,
+    classes=(evolve(_DRAFT, subjects=LARGE_DAY.accounts), _CHAT, _SORT),
+    crashes=(),
+)
+
 
 @frozen
 class Mode:
@@ -154,8 +204,3 @@
     Mode("least_loaded", PlacingSettings(affinity_min_tokens=_AFFINITY_OFF_TOKENS)),
     Mode("no_shares", shares=False),
 )
-
-
-def scaled(day: ReplayDay, factor: float) -> ReplayDay:
-    """Return a day with the request rates multiplied by *factor*."""
-    return evolve(day, classes=tuple(evolve(one, per_s=one.per_s * factor) for one in day.classes))
--- a/src/cicadaledge/loadtool/_replay_result.py
+++ b/src/cicadaledge/loadtool/_replay_result.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from cicadaledge.loadtool._replay_day import Mode, ReplayDay, RequestClass
 from cicadaledge.placing import max_min_share
@@ -26,7 +26,14 @@
 
 @define
 class ReplayRequest:
-    """One request of a replay and its outcome."""
+    """One request of a replay and its outcome.
+
+    Args:
+        tried_engines: Engines that it could not reach.
+        admitted_ms: When it was first sent to an engine.
+        began_ms: When its first event was produced.
+        first_event_ms: Time from its arrival to that event.
+    """
 
     kind: RequestClass
     account: str
@@ -34,13 +41,19 @@
     arrived_ms: float
     size_factor: float
     attempts: int = 0
+    tried_engines: set[str] = field(factory=set)
     admitted_ms: float | None = None
-    started: bool = False
+    began_ms: float | None = None
     first_event_ms: float = 0.0
     last_event_ms: float = 0.0
     within_target: bool = True
     met_deadline: bool = False
 
+    @property
+    def started(self) -> bool:
+        """Whether an engine has begun to answer."""
+        return self.began_ms is not None
+
     @property
     def earned(self) -> float:
         """Worth of the answer as it was delivered."""
@@ -88,8 +101,8 @@
         refused: Fraction never admitted.
         read_again: Tokens of shared prefixes prefilled again over all tokens prefilled.
         evenness: Minimum, over spans and accounts with a refused or late request in each
-            second of the span, of the tokens admitted over the tokens that the account could
-            expect: in each second the lesser of its demand and the most any account got. The
+            second of the span, of the tokens whose answers began over the tokens that the account
+            could expect: in each second the lesser of its demand and the most any account got. The
             largest requests of the account are excluded.
         by_class: Worth earned over the worth of all requests, by request class; not limited
             to shares.
@@ -157,13 +170,14 @@
     underserved: list[set[str]] = [set() for _ in range(seconds)]
     sizes: dict[tuple[str, int], list[int]] = {}
     for request in requests:
-        second = min(int(request.arrived_ms / 1000), seconds - 1)
+        second = _second(request.arrived_ms, seconds)
         asked[second][request.account] += request.call.cost_tokens
         for begin in range(second - _EVENNESS_SPAN_S + 1, second + 1):
             sizes.setdefault((request.account, begin), []).append(request.call.cost_tokens)
-        if request.admitted_ms is not None:
-            got[second][request.account] += request.call.cost_tokens
-        if request.admitted_ms is None or not request.within_target:
+        if request.began_ms is not None:
+            began = _second(request.began_ms, seconds)
+            got[began][request.account] += request.call.cost_tokens
+        if request.began_ms is None or not request.within_target:
             underserved[second].add(request.account)
     least = 1.0
     for begin in range(seconds - _EVENNESS_SPAN_S + 1):
@@ -174,6 +188,11 @@
     return least
 
 
+def _second(time_ms: float, seconds: int) -> int:
+    """Return the second of a time, at most the last one of the day."""
+    return min(int(time_ms / 1000), seconds - 1)
+
+
 def _worth_by_window(
     day: ReplayDay, requests: list[ReplayRequest]
 ) -> dict[tuple[str, int], _WorthTotal]:
--- a/tests/loadtool/test_replay.py
+++ b/tests/loadtool/test_replay.py
@@ -4,10 +4,12 @@
 from attrs import evolve
 
 from cicadaledge.loadtool import (
+    BOUND_PREFIX_DAY,
     FLOODED_DAY,
     HEAVY_DAY,
     LARGE_DAY,
     MODES,
+    OVERLOADED_DAY,
     Replay,
     ReplayResult,
     scaled,
@@ -51,3 +53,13 @@
 def test_account_connected_to_one_of_many_routers_gets_at_least_half_of_what_others_get(seed):
     """A zone whose relay got no requests computed max-min shares from its own accounts only."""
     assert Replay(evolve(LARGE_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
+
+
+@pytest.mark.parametrize("seed", [1, 3])
+def test_accounts_whose_prompts_are_bound_to_a_full_engine_get_half_of_what_others_get(seed):
+    assert Replay(evolve(BOUND_PREFIX_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
+
+
+@pytest.mark.parametrize("seed", [2, 3])
+def test_accounts_of_one_router_get_half_of_what_others_get_while_full_engines_crash(seed):
+    assert Replay(evolve(OVERLOADED_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -466,6 +466,17 @@
     assert len(servers) == PlacingSettings().spill_engines
 
 
+def test_an_account_below_its_share_is_not_held_to_one_full_engine():
+    pool = Pool(*(entry(name) for name in "abcdef"))
+    for step in range(100):
+        for account, admitted in (("bound", 1_200), ("spread", 2_800)):
+            pool.shares.record_asked(account, 3_000, step * 50.0)
+            pool.shares.record_admitted(account, admitted, step * 50.0)
+    use = pool.shares.share_use("bound", 10_000.0, 5_000.0)
+    results = [pool.place(call(n), use=use) for n in range(200)]
+    assert len({one.server.server for one in results if isinstance(one, Chosen)}) > 1
+
+
 def test_a_server_that_may_be_gone_is_the_last_resort():
     pool = Pool(entry("a"), entry("b"))
     pool.directory.mark_unconfirmed("a")
