Let an account below its share use engines with room when its own is full

Cause: a prompt that shares a long prefix went to one engine only, unless its account got less than 0.3 of its due. Between 0.3 and 1.0 a full engine refused it beside engines with free slots. Class: a bound that knows neither the account nor what else is free.

Ruled out: refusals for its share, which such accounts have none of.

An account may now use the fraction of another engine's limits that it lacks of its due, so that engines keep room for prompts bound to them (trunk reservation).

--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -42,7 +42,7 @@
         affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
             cache them.
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
-            is underserved.
+            gets less than it is entitled to.
         spread_engines: Number of engines, by rank, among which any other request goes to the one
             with the shortest predicted time; as many others are tried if these are full.
         region_crossing_ms: Added to the predicted time for a server in another region.
@@ -103,6 +103,10 @@
     backlog: float
     requests: float
 
+    def capped(self, cap: float) -> _AllowedFractions:
+        """Return the fractions, limited to *cap*."""
+        return _AllowedFractions(min(self.backlog, cap), min(self.requests, cap))
+
 
 class Placer:
     """Chooses servers for one router, based on the known load of the fleet.
@@ -177,7 +181,7 @@
     def bound_engine(
         self, call: Call, service: Service, regions: frozenset[str] | None, now_ms: float
     ) -> str:
-        """Return the only engine that a request goes to while its account is served well, or ""."""
+        """Return the engine that a request goes to while it has room there, or "" for any."""
         if service.engine is None or not self._has_affinity(call):
             return ""
         usable = self._candidates(service, self._allowed(service, regions, set()), now_ms)
@@ -275,9 +279,10 @@
         first = ranked[0]
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
-        if self._has_affinity(call):
+        has_affinity = self._has_affinity(call)
+        if has_affinity:
             ranked = self._prefix_engines(ranked, speeds, now_ms)
-            ranked = ranked[: self._settings.spill_engines if use.is_underserved else 1]
+            ranked = ranked[: self._settings.spill_engines if use.served_fraction < 1.0 else 1]
             min_evaluated = 1
         else:
             ranked = self._spread_candidates(ranked)
@@ -288,6 +293,10 @@
         for index, entry in enumerate(ranked):
             if index >= min_evaluated and best is not None:
                 break
+            if index == min_evaluated and has_affinity:
+                # Engines keep room for the prompts that are bound to them: the more an account
+                # lacks, the more of another engine it may use.
+                allowed_fractions = allowed_fractions.capped(1.0 - use.served_fraction)
             result = self._evaluate(
                 call, route, service, entry, entry is first, allowed_fractions, speeds, now_ms
             )
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -28,9 +28,6 @@
 # The admitted fraction is raised by up to this factor for an account whose engines refuse more
 # requests than those of others.
 _MAX_CORRECTION = 2.0
-# An account may use more engines for a shared prefix while it gets less than this fraction of the
-# rate to which it is entitled.
-_UNDERSERVED_FRACTION = 0.3
 # An account counts as throttled if it gets less than this fraction of what it asks for.
 _THROTTLED_FRACTION = 0.8
 # An account counts as large if it asks for at least this fraction of the max-min share. Smaller
@@ -62,13 +59,14 @@
         least_served_multiple: The rate as a multiple of that of the least served large account that
             is throttled, or of the share if that is larger; 1 at least.
         admitted_fraction: Fraction of the account's requests that may be placed at all.
-        is_underserved: Whether it gets far less than it asks for or its share, whichever is less.
+        served_fraction: The rate as a fraction of that to which the account is entitled, at most 1:
+            what it asks for or its share, whichever is less.
     """
 
     share_multiple: float = 0.0
     least_served_multiple: float = 1.0
     admitted_fraction: float = 1.0
-    is_underserved: bool = False
+    served_fraction: float = 1.0
 
 
 class _Rates:
@@ -146,9 +144,9 @@
         asked_per_s = self._asked_per_s.get(account, 0.0)
         admitted_per_s = self._admitted_per_s.get(account, 0.0)
         entitled_per_s = min(asked_per_s, self._share_per_s)
-        is_underserved = admitted_per_s < entitled_per_s * _UNDERSERVED_FRACTION
+        served_fraction = min(1.0, admitted_per_s / entitled_per_s) if entitled_per_s else 1.0
         if math.isinf(self._share_per_s):
-            return ShareUse(is_underserved=is_underserved)
+            return ShareUse(served_fraction=served_fraction)
         least_served_multiple = max(
             1.0, admitted_per_s / max(self._least_served_per_s, self._share_per_s)
         )
@@ -160,7 +158,7 @@
             admitted_per_s / self._share_per_s,
             least_served_multiple,
             admitted_fraction,
-            is_underserved,
+            served_fraction,
         )
 
     def _update_share(self, capacity_per_s: float, now_ms: float) -> None:
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -460,7 +460,7 @@
 def test_an_underserved_account_may_use_more_engines_for_a_prefix():
     """A single engine cannot serve a frequently used prefix of a small account."""
     pool = Pool(*(entry(name) for name in "abcdef"))
-    underserved = ShareUse(0.2, is_underserved=True)
+    underserved = ShareUse(0.2, served_fraction=0.2)
     results = [pool.place(call(n), use=underserved) for n in range(200)]
     servers = {one.server.server for one in results if isinstance(one, Chosen)}
     assert len(servers) == PlacingSettings().spill_engines
