Admit to engines what they can begin, not a multiple of what was sent

Cause: the fair share came from 1.25 times the rate that routers had sent, and fell by a tenth a second. Engines queue what they cannot run, so the more was sent the higher the share: 1.4 to 1.7 million tokens a second where accounts got 0.1 to 0.4. Nobody was over its share, and whoever found a free slot first was served: an account at 195 routers before one at a single router. Class: a set point taken from what it controls.

EngineCapacity takes what engines begin over two seconds, and more by the fraction of their slots that is free: full engines admit what they begin, idle ones twice as much, and engines lost in a crash count no more after two seconds. Routers pass the rate on in their views, one number each.

--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -12,7 +12,7 @@
 from cicadaledge.edge._request_log import RequestLog
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.errors import RefusalError
-from cicadaledge.placing import AccountShares, Refused, ShareUse
+from cicadaledge.placing import AccountShares, EngineCapacity, Refused, ShareUse
 from cicadaledge.routing import Account, Call, Route, RouteKind, RoutingTable
 
 # A caller refused because this router lacks up-to-date data from the store is asked to retry after
@@ -32,12 +32,14 @@
         settings: EdgeSettings,
         control_state: ControlPlaneState,
         shares: AccountShares,
+        capacity: EngineCapacity,
         shutdown: ShutdownSchedule,
         request_log: RequestLog,
     ) -> None:
         self._settings = settings
         self._control_state = control_state
         self._shares = shares
+        self._capacity = capacity
         self._shutdown = shutdown
         self._request_log = request_log
         self._random = random.Random()
@@ -135,8 +137,10 @@
     def share_use(self, request: ActiveRequest, now_ms: float) -> ShareUse:
         if request.account is None or request.service.engine is None:
             return ShareUse()
-        capacity = request.table.limits.tokens_per_s
-        return self._shares.share_use(request.account.name, capacity, now_ms)
+        capacity_per_s = self._capacity.admissible_per_s(
+            request.table.services.values(), request.table.limits.tokens_per_s, now_ms
+        )
+        return self._shares.share_use(request.account.name, capacity_per_s, now_ms)
 
 
 def _allowed_regions(route: Route, account: Account | None) -> frozenset[str] | None:
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -320,6 +320,8 @@
             self._writer.start(head.status, self._codec.response_headers(head))
 
     def _record_streamed_bytes(self) -> None:
+        if self.first_byte_ms is None:
+            self._load.record_begun(self._request.call.cost_tokens, clock_ms())
         self._record_first_byte()
         self.last_byte_ms = clock_ms()
         assert self.first_byte_ms is not None
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -314,6 +314,7 @@
             accounts=self._shares.own_rates(now_ms) if with_rates else [],
             late_ms=round(self._load_shedder.late_ms),
             shedding=int(self._load_shedder.is_active),
+            begun_per_s=round(self._load.own_begun_per_s(now_ms)),
             departing=[DepartingServer(*item) for item in self._directory.leaving().items()],
             has_rates=with_rates,
         )
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -39,6 +39,7 @@
 from cicadaledge.placing import (
     AccountShares,
     Chosen,
+    EngineCapacity,
     LoadTracker,
     Placer,
     ServerHealth,
@@ -107,7 +108,10 @@
         self._random = random.Random()
         self._request_log = RequestLog(control_state, load, shares)
         self._answer_times = AnswerTimes()
-        self._admission = Admission(settings, control_state, shares, shutdown, self._request_log)
+        capacity = EngineCapacity(control_state.directory, load, health)
+        self._admission = Admission(
+            settings, control_state, shares, capacity, shutdown, self._request_log
+        )
         self._request_placer = RequestPlacer(
             settings,
             control_state,
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -20,6 +20,7 @@
 from cicadaledge.placing import (
     AccountShares,
     Chosen,
+    EngineCapacity,
     FleetLoad,
     LoadTracker,
     Placer,
@@ -69,6 +70,7 @@
         self.load = LoadTracker(self.fleet)
         self.shares = AccountShares(4_000, self.fleet)
         self.health = ServerHealth()
+        self.capacity = EngineCapacity(directory, self.load, self.health)
         self.placer = Placer(
             mode.settings,
             directory,
@@ -278,7 +280,10 @@
     ) -> ShareUse:
         if not self._mode.shares:
             return ShareUse()
-        return router.shares.share_use(request.account, self._day.tokens_per_s, now_ms)
+        capacity_per_s = router.capacity.admissible_per_s(
+            (self._service,), self._day.tokens_per_s, now_ms
+        )
+        return router.shares.share_use(request.account, capacity_per_s, now_ms)
 
     def _refuse(self, request: ReplayRequest, retry_after_ms: float, now_ms: float) -> None:
         left_ms = request.arrived_ms + request.kind.deadline_ms - now_ms
@@ -296,6 +301,7 @@
         def on_event(at_ms: float) -> None:
             if not request.started:
                 request.began_ms = at_ms
+                router.load.record_begun(request.call.cost_tokens, at_ms)
                 router.health.record_reached(name)
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
--- a/src/cicadaledge/loadtool/_replay_fleet.py
+++ b/src/cicadaledge/loadtool/_replay_fleet.py
@@ -152,5 +152,6 @@
         False,
         router.load.own_uses(now_ms),
         router.shares.own_rates(now_ms) if with_rates else [],
+        begun_per_s=round(router.load.own_begun_per_s(now_ms)),
         has_rates=with_rates,
     )
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -3,6 +3,7 @@
 Covers overload: times when accounts ask for more than the engines of a model pool can produce.
 """
 
+from cicadaledge.placing._capacity import EngineCapacity
 from cicadaledge.placing._choice import Chosen, Limit, Refused
 from cicadaledge.placing._engine_model import EngineModel, EngineSettings
 from cicadaledge.placing._failing import FailingServers
@@ -24,6 +25,7 @@
 __all__ = [
     "AccountShares",
     "Chosen",
+    "EngineCapacity",
     "EngineModel",
     "EngineSettings",
     "EngineSpeeds",
--- /dev/null
+++ b/src/cicadaledge/placing/_capacity.py
@@ -0,0 +1,66 @@
+"""Estimates how many tokens a second the engines of the fleet can begin to answer.
+
+Answers an overload in which engines queue more requests than they can run, and the loss of engines:
+what they begin follows both, whatever has been sent to them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from cicadaledge.placing._health import ServerHealth
+from cicadaledge.placing._load_tracker import LoadTracker
+from cicadaledge.routing import ServerDirectory, Service
+
+# The estimate is computed again after this time, as often as the shares that depend on it.
+_UPDATE_INTERVAL_MS = 100.0
+
+
+class EngineCapacity:
+    """The rate that may be admitted to all engines.
+
+    Args:
+        directory: The servers.
+        load: Their load, and the rate of answers that they begin.
+        health: Servers that are ejected.
+    """
+
+    def __init__(self, directory: ServerDirectory, load: LoadTracker, health: ServerHealth) -> None:
+        self._directory = directory
+        self._load = load
+        self._health = health
+        self._growth = 1.0
+        self._begun_per_s = 0.0
+        self._updated_ms = -math.inf
+
+    def admissible_per_s(
+        self, services: Iterable[Service], configured_per_s: float, now_ms: float
+    ) -> float:
+        """Return the rate in tokens per second; 0 for no limit.
+
+        Args:
+            services: All services.
+            configured_per_s: Configured capacity; 0 for no limit. Engines begin more where shared
+                prompt parts are cached.
+        """
+        if configured_per_s <= 0:
+            return 0.0
+        if now_ms - self._updated_ms >= _UPDATE_INTERVAL_MS:
+            self._growth = 1.0 + self._free_fraction(services, now_ms)
+            self._begun_per_s = self._load.begun_per_s(now_ms)
+            self._updated_ms = now_ms
+        return max(configured_per_s, self._begun_per_s * self._growth)
+
+    def _free_fraction(self, services: Iterable[Service], now_ms: float) -> float:
+        """Return the fraction of the engines' slots that are free."""
+        doubtful = self._health.ejected(now_ms) | self._directory.unconfirmed()
+        slots = free = 0
+        for service in services:
+            if service.engine is None:
+                continue
+            for name in self._directory.usable_by_name(service.name).keys() - doubtful:
+                running = self._load.totals(name, now_ms).running
+                slots += service.engine.slots
+                free += max(0, service.engine.slots - running)
+        return free / slots if slots else 0.0
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -49,6 +49,7 @@
     late_ms: int = 0
     shedding: int = 0
     departing: frozenset[DepartingServer] = frozenset()
+    begun_per_s: int = 0
 
 
 @frozen
@@ -101,6 +102,7 @@
         self.routers = 0
         self.late_ms = 0
         self.shedding = 0
+        self.begun_per_s = 0
         self.departing: dict[str, frozenset[DepartingServer]] = {}
         self._oldest_ms = math.inf
 
@@ -112,6 +114,7 @@
         self.routers += part.routers
         self.late_ms += part.late_ms
         self.shedding += part.shedding
+        self.begun_per_s += part.begun_per_s
         self._oldest_ms = min(self._oldest_ms, now_ms)
         if part.departing:
             self.departing[peer] = part.departing
@@ -126,6 +129,7 @@
         self.routers -= part.routers
         self.late_ms -= part.late_ms
         self.shedding -= part.shedding
+        self.begun_per_s -= part.begun_per_s
         self.departing.pop(peer, None)
         for name, use in part.servers.items():
             self.servers[name].add(use, -1)
@@ -277,6 +281,10 @@
             sum(load_sum.shedding for load_sum in sums),
         )
 
+    def begun_per_s(self, now_ms: float) -> int:
+        """Return the rate, in tokens per second, of the others' requests that engines begin."""
+        return sum(load_sum.begun_per_s for load_sum in self._active_sums(now_ms))
+
     def departing(self, now_ms: float) -> set[DepartingServer]:
         """Return the servers that have told another router that they are shutting down."""
         servers: set[DepartingServer] = set()
@@ -351,6 +359,7 @@
         view.late_ms,
         view.shedding,
         frozenset(view.departing),
+        view.begun_per_s,
     )
 
 
@@ -358,6 +367,7 @@
     totals: dict[str, _ServerSum] = {}
     accounts = {use.account: use for use in own.accounts}
     routers, late_ms, shedding = own.routers, own.late_ms, own.shedding
+    begun_per_s = own.begun_per_s
     departing = set(own.departing)
     for use in own.servers:
         totals.setdefault(use.server, _ServerSum()).add(use, 1)
@@ -365,6 +375,7 @@
         routers += load_sum.routers
         late_ms += load_sum.late_ms
         shedding += load_sum.shedding
+        begun_per_s += load_sum.begun_per_s
         departing.update(*load_sum.departing.values())
         for name, total in load_sum.servers.items():
             if _has_activity(total):
@@ -381,6 +392,7 @@
         late_ms=late_ms,
         shedding=shedding,
         departing=list(departing),
+        begun_per_s=begun_per_s,
     )
 
 
@@ -402,6 +414,7 @@
         routers=summed.routers - part.routers,
         late_ms=max(0, summed.late_ms - part.late_ms),
         shedding=max(0, summed.shedding - part.shedding),
+        begun_per_s=max(0, summed.begun_per_s - part.begun_per_s),
         servers=[use for use in servers.values() if _has_activity(use)],
         accounts=list(accounts.values()),
     )
--- a/src/cicadaledge/placing/_load_tracker.py
+++ b/src/cicadaledge/placing/_load_tracker.py
@@ -11,6 +11,9 @@
 
 _RATE_WINDOW_MS = 1_000.0
 _NO_LOAD = ServerTotals()
+# Answers that engines begin are counted over this time. Long prompts begin rarely, and each counts
+# for thousands of tokens.
+_BEGUN_WINDOW_MS = 2_000.0
 # First-token times and outcomes count for this time: a slow or failing server is detected within
 # one second, and gets another chance after three.
 _EVIDENCE_WINDOW_MS = 3_000.0
@@ -65,6 +68,7 @@
 
     def __init__(self, others: FleetLoad) -> None:
         self._own: dict[str, _OwnLoad] = {}
+        self._begun = SlidingSum(_BEGUN_WINDOW_MS)
         self._others = others
 
     def record_start(self, placement: Placement, now_ms: float) -> None:
@@ -81,6 +85,14 @@
             placement.awaits_first_token = False
             self._own[placement.server].unread_tokens -= placement.unread_tokens
 
+    def record_begun(self, cost_tokens: int, now_ms: float) -> None:
+        """Record that an engine has begun an answer.
+
+        Args:
+            cost_tokens: Cost of the request for the engine.
+        """
+        self._begun.add(cost_tokens, now_ms)
+
     def record_first_token_wait(
         self, placement: Placement, waited_ms: float, now_ms: float
     ) -> None:
@@ -181,6 +193,14 @@
         """Return whether this router is among about *count* routers selected for a server."""
         return self._others.is_selected_for(server, count)
 
+    def own_begun_per_s(self, now_ms: float) -> float:
+        """Return the rate, in tokens per second, of this router's requests that engines begin."""
+        return self._begun.per_s(now_ms)
+
+    def begun_per_s(self, now_ms: float) -> float:
+        """Return the rate, in tokens per second, of the fleet's requests that engines begin."""
+        return self.own_begun_per_s(now_ms) + self._others.begun_per_s(now_ms)
+
     def own_uses(self, now_ms: float) -> list[ServerUse]:
         """Return the load that this router has placed, for its peers."""
         uses = []
--- a/src/cicadaledge/placing/_shares.py
+++ b/src/cicadaledge/placing/_shares.py
@@ -20,11 +20,6 @@
 # Asked rates are measured over a shorter window than admitted ones: a flood that is spread over
 # many routers, each of which sees it only in the fleet's sum, must be detected soon.
 _ASKED_WINDOW_FRACTION = 0.25
-# Up to this multiple of the served rate is admitted, so that unused capacity is discovered.
-_GROWTH_FACTOR = 1.25
-# The served rate from which the share is computed falls by at most this fraction per second. A
-# faster decay would halve the share while engines are full for a moment.
-_DECAY_PER_S = 0.1
 # The admitted fraction is raised by up to this factor for an account whose engines refuse more
 # requests than those of others.
 _MAX_CORRECTION = 2.0
@@ -94,7 +89,6 @@
         self._asked_per_s: dict[str, float] = {}
         self._admitted_per_s: dict[str, float] = {}
         self._updated_ms = -math.inf
-        self._served_per_s = 0.0
 
     @property
     def share_per_s(self) -> int | None:
@@ -134,8 +128,8 @@
         """Return how much an account gets.
 
         Args:
-            capacity_per_s: Configured capacity of all engines in tokens per second; 0 for no limit.
-                Engines serve more where shared prompt parts are cached.
+            capacity_per_s: Rate that may be admitted to all engines, in tokens per second; 0 for no
+                limit.
         """
         if capacity_per_s <= 0:
             return ShareUse()
@@ -169,11 +163,7 @@
             admitted[use.account] = admitted.get(use.account, 0.0) + use.admitted_per_s
         self._asked_per_s = asked
         self._admitted_per_s = admitted
-        decay = min(1.0, _DECAY_PER_S * (now_ms - self._updated_ms) / 1000)
-        decayed_per_s = self._served_per_s * (1.0 - decay)
-        self._served_per_s = max(sum(admitted.values()), decayed_per_s)
-        admissible_per_s = max(capacity_per_s, _GROWTH_FACTOR * self._served_per_s)
-        self._share_per_s = max_min_share(asked.values(), admissible_per_s)
+        self._share_per_s = max_min_share(asked.values(), capacity_per_s)
         self._least_served_per_s = self._least_served(asked)
         self._updated_ms = now_ms
 
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -405,6 +405,7 @@
         late_ms: Sum of the delays of the routers' event loops.
         shedding: How many of the routers shed load and therefore get no new callers.
         departing: Servers that have announced their shutdown to one of the routers.
+        begun_per_s: Tokens per second of the routers' requests whose answers engines have begun.
         has_rates: Whether the view contains rates. Most views do not, as rates change more slowly
             than loads; the last rates received then stay valid.
     """
@@ -418,6 +419,7 @@
     late_ms: int = 0
     shedding: int = 0
     departing: list[DepartingServer] = field(factory=list)
+    begun_per_s: int = 0
     has_rates: bool = field(default=Factory(lambda self: bool(self.accounts), takes_self=True))
 
 
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -229,6 +229,7 @@
   servers @9 :ServerUses;
   hasRates @10 :Bool;        # the view contains rates; accounts is then complete, even if empty
   accounts @11 :AccountUses;
+  begunPerS @12 :UInt32;     # tokens per second of the answers that engines have begun
 }
 
 struct AccountUses {
