--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -18,8 +18,10 @@
     """Logs how one router handles its requests.
 
     Of the logged fields, `use_of_share` is the rate admitted for the account as a multiple of its
-    fair share, `use_of_least` that rate as a multiple of the least served account's, and
-    `learnt_factor` the learned correction by which the engine model's prediction was multiplied.
+    fair share, `use_of_least` that rate as a multiple of the least served account's,
+    `served_fraction` that rate as a fraction of what the account is entitled to, `begun_per_s` the
+    tokens per second that all engines begin, and `learnt_factor` the learned correction by which the
+    engine model's prediction was multiplied.
 
     Args:
         control_state: The router's view of configuration and servers.
@@ -110,7 +112,9 @@
             "cost_tokens": request.call.cost_tokens,
             "use_of_share": round(use.share_multiple, 2),
             "use_of_least": round(use.least_served_multiple, 2),
+            "served_fraction": round(use.served_fraction, 2),
             "share_per_s": self._shares.share_per_s,
+            "begun_per_s": round(self._load.begun_per_s(now_ms)),
             "rates_age_ms": _rounded_age_ms(self._shares.rates_age_ms(now_ms)),
             "routers": self._load.router_count(now_ms),
             "waited_ms": round(now_ms - request.call.started_ms),
