Count an engine as free by its backlog as well as its slots; spill within the usual backlog

Engines there have 64 slots and are bound by the prompts that they process, so half of the slots is free at full engines and the capacity was overstated. The fraction that is free is now the lesser one of slots and backlog. A request that spills is not bound to its engine and gets the usual backlog, not twice.

--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -70,7 +70,7 @@
         self.load = LoadTracker(self.fleet)
         self.shares = AccountShares(4_000, self.fleet)
         self.health = ServerHealth()
-        self.capacity = EngineCapacity(directory, self.load, self.health)
+        self.capacity = EngineCapacity(mode.settings, directory, self.load, self.health)
         self.placer = Placer(
             mode.settings,
             directory,
--- a/src/cicadaledge/placing/_capacity.py
+++ b/src/cicadaledge/placing/_capacity.py
@@ -8,9 +8,11 @@
 
 import math
 from collections.abc import Iterable
+from statistics import fmean
 
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker
+from cicadaledge.placing._placer import PlacingSettings
 from cicadaledge.routing import ServerDirectory, Service
 
 # The estimate is computed again after this time, as often as the shares that depend on it.
@@ -21,12 +23,20 @@
     """The rate that may be admitted to all engines.
 
     Args:
+        settings: Limits on the work of an engine.
         directory: The servers.
         load: Their load, and the rate of answers that they begin.
         health: Servers that are ejected.
     """
 
-    def __init__(self, directory: ServerDirectory, load: LoadTracker, health: ServerHealth) -> None:
+    def __init__(
+        self,
+        settings: PlacingSettings,
+        directory: ServerDirectory,
+        load: LoadTracker,
+        health: ServerHealth,
+    ) -> None:
+        self._settings = settings
         self._directory = directory
         self._load = load
         self._health = health
@@ -53,14 +63,17 @@
         return max(configured_per_s, self._begun_per_s * self._growth)
 
     def _free_fraction(self, services: Iterable[Service], now_ms: float) -> float:
-        """Return the fraction of the engines' slots that are free."""
+        """Return the mean fraction of the engines' slots or backlog that is free, the lesser one."""
         doubtful = self._health.ejected(now_ms) | self._directory.unconfirmed()
-        slots = free = 0
+        max_unread_tokens = self._settings.max_unread_tokens(self._load.max_view_age_ms)
+        free = []
         for service in services:
             if service.engine is None:
                 continue
             for name in self._directory.usable_by_name(service.name).keys() - doubtful:
-                running = self._load.totals(name, now_ms).running
-                slots += service.engine.slots
-                free += max(0, service.engine.slots - running)
-        return free / slots if slots else 0.0
+                totals = self._load.totals(name, now_ms)
+                used = max(
+                    totals.running / service.engine.slots, totals.unread_tokens / max_unread_tokens
+                )
+                free.append(max(0.0, 1.0 - used))
+        return fmean(free) if free else 0.0
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -90,6 +90,18 @@
     min_retry_ms: float = 150.0
     absent_retry_ms: float = 1_000.0
 
+    def max_backlog_ms(self, max_view_age_ms: float) -> float:
+        """Return the limit on the time for which waiting prompts may keep an engine busy.
+
+        Args:
+            max_view_age_ms: Largest age of the load views.
+        """
+        return max(self.min_backlog_ms, max_view_age_ms)
+
+    def max_unread_tokens(self, max_view_age_ms: float) -> float:
+        """Return that limit in prompt tokens."""
+        return self.max_backlog_ms(max_view_age_ms) * self.engine.prefill_tokens_per_ms
+
 
 @frozen
 class _AllowedFractions:
@@ -279,7 +291,7 @@
         first = ranked[0]
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
-        has_affinity = self._has_affinity(call)
+        is_bound = has_affinity = self._has_affinity(call)
         if has_affinity:
             ranked = self._prefix_engines(ranked, speeds, now_ms)
             ranked = ranked[: self._settings.spill_engines if use.served_fraction < 1.0 else 1]
@@ -297,8 +309,17 @@
                 # Engines keep room for the prompts that are bound to them: the more an account
                 # lacks, the more of another engine it may use.
                 allowed_fractions = allowed_fractions.capped(1.0 - use.served_fraction)
+                is_bound = False
             result = self._evaluate(
-                call, route, service, entry, entry is first, allowed_fractions, speeds, now_ms
+                call,
+                route,
+                service,
+                entry,
+                entry is first,
+                is_bound,
+                allowed_fractions,
+                speeds,
+                now_ms,
             )
             if isinstance(result, Limit):
                 first_limit = first_limit or result
@@ -350,11 +371,17 @@
         service: Service,
         entry: ServerEntry,
         is_first: bool,
+        is_bound: bool,
         allowed_fractions: _AllowedFractions,
         speeds: ServiceSpeeds,
         now_ms: float,
     ) -> Chosen | Limit:
-        """Return the choice of one server, or the limit that the request would exceed there."""
+        """Return the choice of one server, or the limit that the request would exceed there.
+
+        Args:
+            is_first: Whether the server ranks first for the request's shared prompt parts.
+            is_bound: Whether the request may go nowhere else.
+        """
         assert service.engine is not None
         totals = self._load.totals(entry.server, now_ms)
         limit = self._exceeded_limit(call, service, totals, allowed_fractions)
@@ -373,7 +400,7 @@
             expected_ms += self._settings.region_crossing_ms
         predicted_ms = expected_ms * factor
         max_backlog_ms = self._max_backlog_ms() * allowed_fractions.backlog
-        if self._has_affinity(call):
+        if is_bound:
             max_backlog_ms *= self._settings.bound_backlog_multiple
         if backlog_ms > max_backlog_ms:
             return Limit.READING
@@ -389,7 +416,7 @@
         return Chosen(entry, placement, predicted_ms, factor)
 
     def _max_backlog_ms(self) -> float:
-        return max(self._settings.min_backlog_ms, self._load.max_view_age_ms)
+        return self._settings.max_backlog_ms(self._load.max_view_age_ms)
 
     def _exceeded_limit(
         self,
--- a/tests/placing/test_capacity.py
+++ b/tests/placing/test_capacity.py
@@ -9,6 +9,7 @@
     FleetLoad,
     LoadTracker,
     Placement,
+    PlacingSettings,
     ServerHealth,
 )
 from cicadaledge.routing import Engine, ServerDirectory, ServerEntry, ServerState, Service
@@ -33,7 +34,7 @@
         for name in ENGINES:
             entry = ServerEntry(name, "pool", "h", 1, "zone", ServerState.READY, SLOTS, 0.0, 1, 1)
             directory.apply(entry, 0.0)
-        self.capacity = EngineCapacity(directory, self.load, self.health)
+        self.capacity = EngineCapacity(PlacingSettings(), directory, self.load, self.health)
         self.placements: dict[str, list[Placement]] = {}
         self.now_ms = 0.0
 
@@ -74,6 +75,14 @@
     assert fleet.run(4.0, begun=1_000) == pytest.approx(20_000 * growth, rel=0.05)
 
 
+def test_engines_with_a_full_backlog_have_nothing_free():
+    fleet = Fleet()
+    max_unread_tokens = round(PlacingSettings().max_unread_tokens(0.0))
+    for name in ENGINES:
+        fleet.load.record_start(Placement(name, max_unread_tokens, 0), 0.0)
+    assert fleet.run(4.0, begun=1_000) == pytest.approx(20_000, rel=0.05)
+
+
 def test_slots_of_an_ejected_engine_are_not_free():
     fleet = Fleet()
     fleet.occupy(SLOTS)
