Keep the settings of placing in their own module; cold engines have nothing free

A cold engine takes few requests, so its slots do not show that more can be admitted. A configuration with engines of no slots no longer divides by zero.

--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -10,9 +10,10 @@
 from cicadaledge.placing._fleet import FleetLoad, RouterTotals
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker, Placement
-from cicadaledge.placing._placer import Placer, PlacingSettings
+from cicadaledge.placing._placer import Placer
 from cicadaledge.placing._rates import RateWindow
 from cicadaledge.placing._server_stats import FirstTokenWaits, ServerOutcomes, ServerTotals
+from cicadaledge.placing._settings import PlacingSettings
 from cicadaledge.placing._shares import AccountShares, ShareUse, max_min_share
 from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
 from cicadaledge.placing._waiting import (
--- a/src/cicadaledge/placing/_capacity.py
+++ b/src/cicadaledge/placing/_capacity.py
@@ -12,7 +12,7 @@
 
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker
-from cicadaledge.placing._placer import PlacingSettings
+from cicadaledge.placing._settings import PlacingSettings
 from cicadaledge.routing import ServerDirectory, Service
 
 # The estimate is computed again after this time, as often as the shares that depend on it.
@@ -63,17 +63,20 @@
         return max(configured_per_s, self._begun_per_s * self._growth)
 
     def _free_fraction(self, services: Iterable[Service], now_ms: float) -> float:
-        """Return the mean fraction of the engines' slots or backlog that is free, the lesser one."""
+        """Return the mean fraction of the engines' slots or backlog that is free, the lesser one.
+
+        A cold engine takes few requests, however many of its slots are free.
+        """
         doubtful = self._health.ejected(now_ms) | self._directory.unconfirmed()
         max_unread_tokens = self._settings.max_unread_tokens(self._load.max_view_age_ms)
         free = []
         for service in services:
             if service.engine is None:
                 continue
+            slots = max(1, service.engine.slots)
             for name in self._directory.usable_by_name(service.name).keys() - doubtful:
                 totals = self._load.totals(name, now_ms)
-                used = max(
-                    totals.running / service.engine.slots, totals.unread_tokens / max_unread_tokens
-                )
-                free.append(max(0.0, 1.0 - used))
+                used = max(totals.running / slots, totals.unread_tokens / max_unread_tokens)
+                is_cold = self._directory.cold_until_ms(name) > now_ms
+                free.append(0.0 if is_cold else max(0.0, 1.0 - used))
         return fmean(free) if free else 0.0
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -4,17 +4,18 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import field, frozen
+from attrs import frozen
 
 from cicadaledge.placing._choice import Chosen, Limit, Refused
-from cicadaledge.placing._engine_model import EngineModel, EngineSettings
+from cicadaledge.placing._engine_model import EngineModel
 from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker, Placement
 from cicadaledge.placing._ranking import EngineRanking
 from cicadaledge.placing._server_stats import ServerTotals
+from cicadaledge.placing._settings import PlacingSettings
 from cicadaledge.placing._shares import ShareUse
-from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
+from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds
 from cicadaledge.routing import Call, Route, ServerDirectory, ServerEntry, Service
 
 _NO_LOAD = ServerTotals()
@@ -27,82 +28,6 @@
 _MIN_UNREAD_FRACTION = 0.7
 
 
-@frozen
-class PlacingSettings:
-    """Thresholds of placing and admission.
-
-    Args:
-        engine: Speed of the engines, before learned corrections.
-        speeds: Thresholds for correcting it.
-        min_backlog_ms: Time for which the prompts that wait at one engine may keep it busy, unless
-            load views are older. An engine with less work runs idle until routers learn that it is
-            free; with more, requests wait where neither rank nor share decides who is next.
-        bound_backlog_multiple: Multiple of that for requests that only one engine may take. Others
-            would fill each engine up to the limit, wherever there is room, and leave them none.
-        affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
-            cache them.
-        spill_engines: Number of engines, by rank, that may cache such a prefix while its account
-            gets less than it is entitled to.
-        spread_engines: Number of engines, by rank, among which any other request goes to the one
-            with the shortest predicted time; as many others are tried if these are full.
-        region_crossing_ms: Added to the predicted time for a server in another region.
-        throttle_start_multiple: Multiple of its share up to which an account is not throttled.
-        throttle_full_multiple: Multiple of its share from which an account's part of the backlog
-            shrinks in inverse proportion.
-        throttled_prefill_fraction: Fraction of the backlog up to which an account that asks for
-            more than its share may add to it, so that others find room.
-        over_share_prefill_fraction: The same for an account at `throttle_full_multiple`.
-        over_share_running_fraction: Smallest fraction of an engine's slots that is allowed to an
-            account within `evenness_threshold`. A running request slows others by only a hundredth;
-            its prefill delays them.
-        evenness_threshold: Multiple of the rate of the least served throttled account from which an
-            account may run fewer requests, so that none gets twice as much.
-        evenness_exponent: Exponent by which the allowed requests fall beyond that threshold.
-        cold_capacity_fraction: Fraction of a cold server's capacity that the fleet uses.
-        cold_overage: Multiple of a cold server's capacity that no server may exceed, as one can
-            become cold unnoticed.
-        cold_slack: Requests per second allowed in addition to that multiple.
-        settle_ms: Age from which a server is assumed to cache the parts for which it ranks first.
-        min_retry_ms: Shortest pause before a refused request may be retried.
-        absent_retry_ms: Such a pause while there is no server at all: new ones are announced within
-            about a heartbeat.
-    """
-
-    engine: EngineSettings = field(factory=EngineSettings)
-    speeds: SpeedSettings = field(factory=SpeedSettings)
-    min_backlog_ms: float = 200.0
-    bound_backlog_multiple: float = 2.0
-    affinity_min_tokens: int = 1_000
-    spill_engines: int = 4
-    spread_engines: int = 9
-    region_crossing_ms: float = 60.0
-    throttle_start_multiple: float = 0.9
-    throttle_full_multiple: float = 1.5
-    throttled_prefill_fraction: float = 0.35
-    over_share_prefill_fraction: float = 0.3
-    over_share_running_fraction: float = 0.6
-    evenness_threshold: float = 1.5
-    evenness_exponent: float = 4.0
-    cold_capacity_fraction: float = 0.8
-    cold_overage: float = 1.5
-    cold_slack: float = 5.0
-    settle_ms: float = 6_000.0
-    min_retry_ms: float = 150.0
-    absent_retry_ms: float = 1_000.0
-
-    def max_backlog_ms(self, max_view_age_ms: float) -> float:
-        """Return the limit on the time for which waiting prompts may keep an engine busy.
-
-        Args:
-            max_view_age_ms: Largest age of the load views.
-        """
-        return max(self.min_backlog_ms, max_view_age_ms)
-
-    def max_unread_tokens(self, max_view_age_ms: float) -> float:
-        """Return that limit in prompt tokens."""
-        return self.max_backlog_ms(max_view_age_ms) * self.engine.prefill_tokens_per_ms
-
-
 @frozen
 class _AllowedFractions:
     """Fractions of the limits that an account may use.
--- a/tests/placing/test_capacity.py
+++ b/tests/placing/test_capacity.py
@@ -25,14 +25,16 @@
 class Fleet:
     """One router and its engines; the rates of other routers are those of a view."""
 
-    def __init__(self) -> None:
+    def __init__(self, cold_ms: float = 0.0) -> None:
         self.others = FleetLoad()
         self.load = LoadTracker(self.others)
         self.health = ServerHealth()
         self.shares = AccountShares(4_000, self.others)
         directory = ServerDirectory()
         for name in ENGINES:
-            entry = ServerEntry(name, "pool", "h", 1, "zone", ServerState.READY, SLOTS, 0.0, 1, 1)
+            entry = ServerEntry(
+                name, "pool", "h", 1, "zone", ServerState.READY, SLOTS, cold_ms, 1, 1
+            )
             directory.apply(entry, 0.0)
         self.capacity = EngineCapacity(PlacingSettings(), directory, self.load, self.health)
         self.placements: dict[str, list[Placement]] = {}
@@ -83,6 +85,10 @@
     assert fleet.run(4.0, begun=1_000) == pytest.approx(20_000, rel=0.05)
 
 
+def test_slots_of_cold_engines_are_not_free():
+    assert Fleet(cold_ms=60_000.0).run(4.0, begun=1_000) == pytest.approx(20_000, rel=0.05)
+
+
 def test_slots_of_an_ejected_engine_are_not_free():
     fleet = Fleet()
     fleet.occupy(SLOTS)
