Place by the speeds that servers on shared machines report

The fourth figure of Server-Load says how long work takes on a server's machine at the moment. Nothing read it: an engine at 1.7 of the usual time got as many prompt prefixes as one at 0.7 until the learned correction found it slow, near that correction's threshold.

The replay gets engines whose speeds differ and change, and reports them with the first event.

Plain servers are chosen as before, as no measurement shows a gain.

--- a/src/cicadaledge/edge/_header_codec.py
+++ b/src/cicadaledge/edge/_header_codec.py
@@ -21,6 +21,8 @@
         cold_left_ms: Remaining warm-up time of the server, or None.
         leaving: Whether the server states that it is shutting down.
         pause_ms: Time during which the server wants no requests, or None.
+        time_factor: How long work takes on the server's machine at the moment, as a multiple of the
+            usual time, or None.
         invalid_headers: Names of the headers whose values are invalid.
     """
 
@@ -30,6 +32,7 @@
     cold_left_ms: float | None
     leaving: bool = False
     pause_ms: float | None = None
+    time_factor: float | None = None
     invalid_headers: tuple[str, ...] = ()
 
 
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -317,6 +317,7 @@
             begun_per_s=round(self._load.own_begun_per_s(now_ms)),
             departing=[DepartingServer(*item) for item in self._directory.leaving().items()],
             has_rates=with_rates,
+            speeds=self._load.speed_reports.own_reports(now_ms),
         )
 
     def _send_idle_views(self, receivers: set[str]) -> None:
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -355,7 +355,10 @@
         self._load.record_attempt_outcome(server, now_ms, failed=failed)
 
     def _apply_signals(self, chosen: Chosen, signals: ResponseSignals) -> None:
-        self._signal_handler.apply(chosen.server, signals, clock_ms())
+        now_ms = clock_ms()
+        self._signal_handler.apply(chosen.server, signals, now_ms)
+        if signals.time_factor is not None and not signals.wrong_server:
+            self._load.speed_reports.record(chosen.server.server, signals.time_factor, now_ms)
 
     def _may_send(self, request: ActiveRequest, chosen: Chosen) -> bool:
         """Return whether the configuration, key, server and shutdown still allow the request."""
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -49,6 +49,7 @@
             unread_tokens=chosen.placement.unread_tokens,
             predicted_ms=round(chosen.predicted_ms),
             learnt_factor=round(chosen.factor, 2),
+            reported_factor=round(self._load.speed_reports.factor(chosen.server.server, now_ms), 2),
             running=totals.running,
             running_unread_tokens=totals.unread_tokens,
             proof_age_ms=_rounded_age_ms(self._control_state.proof_age_ms(now_ms)),
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -17,6 +17,7 @@
 from cicadaledge.loadtool._replay_day import MODES, EngineCrash, Mode, ReplayDay, RequestClass
 from cicadaledge.loadtool._replay_fleet import DirectViewExchange, RelayViewExchange, ViewExchange
 from cicadaledge.loadtool._replay_result import ReplayRequest, ReplayResult, measure
+from cicadaledge.loadtool._replay_speeds import MachineSpeed, SpeedPattern
 from cicadaledge.placing import (
     AccountShares,
     Chosen,
@@ -96,7 +97,8 @@
         self._requests: list[ReplayRequest] = []
         figures = EngineParameters(slots=day.slots)
         self._figures = figures
-        self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
+        self._speeds = self._machine_speeds()
+        self._engines = {name: self._new_engine(name) for name in self._speeds}
         self._down: set[str] = set()
         self._active_engines: set[str] = set()
         self._loss_actions: dict[EngineRun, Callable[[float], None]] = {}
@@ -151,13 +153,25 @@
                 entry = self._directory.usable_by_name(_SERVICE)[name]
                 self._directory.remove(name, now_ms)
                 restarted = f"{name}-restarted"
-                self._engines[restarted] = EngineEmulator(self._figures)
+                self._speeds[restarted] = self._speeds[name]
+                self._engines[restarted] = self._new_engine(restarted)
                 self._directory.apply(
                     evolve(entry, server=restarted, cold_left_ms=self._day.cold_ms), now_ms
                 )
 
         return go_down
 
+    def _machine_speeds(self) -> dict[str, MachineSpeed]:
+        day = self._day
+        pattern = day.speeds or SpeedPattern((1.0,))
+        end_ms = day.seconds * 1000
+        return {
+            f"engine-{n}": MachineSpeed(pattern, n, day.seed, end_ms) for n in range(day.engines)
+        }
+
+    def _new_engine(self, name: str) -> EngineEmulator:
+        return EngineEmulator(self._figures, self._speeds[name].time_factor)
+
     def _arrival_action(self, kind: RequestClass) -> Callable[[float], None]:
         def arrive(now_ms: float) -> None:
             if now_ms > self._day.seconds * 1000:
@@ -306,6 +320,8 @@
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
                 router.load.record_first_token(chosen.placement)
+                if self._day.speeds is not None:
+                    self._record_speed(router, chosen, at_ms - now_ms, at_ms)
             elif at_ms - request.last_event_ms > _MAX_EVENT_GAP_MS:
                 request.within_target = False
             request.last_event_ms = at_ms
@@ -352,6 +368,16 @@
 
         self._schedule(now_ms + _ENGINE_LATENCY_MS, connect)
 
+    def _record_speed(
+        self, router: _SimulatedRouter, chosen: Chosen, waited_ms: float, now_ms: float
+    ) -> None:
+        """Record what an answer that begins now shows about its engine's speed."""
+        router.load.record_first_token_wait(chosen.placement, waited_ms, now_ms)
+        if self._mode.reports:
+            name = chosen.server.server
+            factor = self._speeds[name].time_factor(now_ms)
+            router.load.speed_reports.record(name, factor, now_ms)
+
     def _submit(self, name: str, run: EngineRun, now_ms: float) -> None:
         engine = self._engines[name]
         engine.submit(run)
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -4,6 +4,7 @@
 
 from attrs import evolve, field, frozen
 
+from cicadaledge.loadtool._replay_speeds import SpeedPattern
 from cicadaledge.placing import PlacingSettings
 
 _AFFINITY_OFF_TOKENS = 100_000
@@ -75,6 +76,7 @@
         crashes: Crashes of engines.
         cold_per_s: Requests per second that a cold engine can serve; 0 if none is ever cold.
         cold_ms: Time for which an engine is cold after its start.
+        speeds: How the speeds of the engines differ and change; None if all are alike.
     """
 
     classes: tuple[RequestClass, ...]
@@ -101,6 +103,7 @@
     crashes: tuple[EngineCrash, ...] = ()
     cold_per_s: float = 0.0
     cold_ms: float = 3_000.0
+    speeds: SpeedPattern | None = None
 
 
 def scaled(day: ReplayDay, factor: float) -> ReplayDay:
@@ -179,6 +182,28 @@
     crashes=(),
 )
 
+# The engines' machines are shared: two thirds of them take 0.7 and one third 1.7 of the usual time,
+# and each takes 2.5 times as long in spells. This is a third of a fleet of 45 engines.
+SHARED_MACHINES_DAY = ReplayDay(
+    (
+        RequestClass("long", 50, 1000, 12_000, 4.0, 1.2, 5382, 240, 6610, 0.5, 378),
+        RequestClass("question", 72, 1200, 10_000, 1.5, 0.45, 198, 300, 628, 0.5, 288),
+        RequestClass("summary", 76, 2000, 3_000, 0.4, 0.12, 568, 300, 1800, 0.5, 27),
+    ),
+    seconds=15.0,
+    routers=21,
+    engines=15,
+    accounts=30,
+    hot_accounts=0,
+    router_weights=tuple(1.0 + number % 5 for number in range(21)),
+    tokens_per_s=900_000.0,
+    slots=32,
+    zones=3,
+    view_interval_ms=83.0,
+    rates_every_views=1,
+    speeds=SpeedPattern((0.7, 0.7, 1.7), 2.5, 0.15),
+)
+
 
 @frozen
 class Mode:
@@ -188,6 +213,7 @@
         shared_views: Whether routers exchange load views.
         split: Whether each router assumes that every other router places as much as itself.
         shares: Whether accounts that exceed their share are throttled.
+        reports: Whether engines report their speed with their answers.
     """
 
     name: str
@@ -195,6 +221,7 @@
     shared_views: bool = True
     split: bool = False
     shares: bool = True
+    reports: bool = True
 
 
 MODES = (
--- a/src/cicadaledge/loadtool/_replay_fleet.py
+++ b/src/cicadaledge/loadtool/_replay_fleet.py
@@ -154,4 +154,5 @@
         router.shares.own_rates(now_ms) if with_rates else [],
         begun_per_s=round(router.load.own_begun_per_s(now_ms)),
         has_rates=with_rates,
+        speeds=router.load.speed_reports.own_reports(now_ms),
     )
--- a/src/cicadaledge/loadtool/_replay_result.py
+++ b/src/cicadaledge/loadtool/_replay_result.py
@@ -106,6 +106,8 @@
             largest requests of the account are excluded.
         by_class: Worth earned over the worth of all requests, by request class; not limited
             to shares.
+        begun_in_time: Fraction of requests answered with the first event within the latency target,
+            whatever the gaps between events, by request class.
     """
 
     mode: str
@@ -117,6 +119,7 @@
     read_again: float
     evenness: float
     by_class: dict[str, float]
+    begun_in_time: dict[str, float]
 
     def row(self) -> str:
         """Return a line of the table."""
@@ -158,9 +161,19 @@
         / max(1, sum(one.prefilled_tokens for one in used)),
         evenness=_evenness(day, requests),
         by_class={name: one.ratio for name, one in by_class.items()},
+        begun_in_time=_begun_in_time(requests),
     )
 
 
+def _begun_in_time(requests: list[ReplayRequest]) -> dict[str, float]:
+    by_class: dict[str, list[bool]] = {}
+    for request in requests:
+        in_time = request.first_event_ms <= request.kind.latency_target_ms
+        in_time = in_time and request.met_deadline
+        by_class.setdefault(request.kind.name, []).append(in_time)
+    return {name: sum(in_time) / len(in_time) for name, in_time in by_class.items()}
+
+
 def _evenness(day: ReplayDay, requests: list[ReplayRequest]) -> float:
     """Return the lowest service of an account that was short of service throughout a span."""
     seconds = int(day.seconds)
--- a/src/cicadaledge/placing/__init__.py
+++ b/src/cicadaledge/placing/__init__.py
@@ -15,6 +15,7 @@
 from cicadaledge.placing._server_stats import FirstTokenWaits, ServerOutcomes, ServerTotals
 from cicadaledge.placing._settings import PlacingSettings
 from cicadaledge.placing._shares import AccountShares, ShareUse, max_min_share
+from cicadaledge.placing._speed_reports import SpeedReports, SpeedReportSettings
 from cicadaledge.placing._speeds import EngineSpeeds, ServiceSpeeds, SpeedSettings
 from cicadaledge.placing._waiting import (
     WaitingQueue,
@@ -46,6 +47,8 @@
     "FirstTokenWaits",
     "ServiceSpeeds",
     "ShareUse",
+    "SpeedReportSettings",
+    "SpeedReports",
     "SpeedSettings",
     "WaitingQueue",
     "WaitingRequest",
--- a/src/cicadaledge/placing/_fleet.py
+++ b/src/cicadaledge/placing/_fleet.py
@@ -15,7 +15,14 @@
 from attrs import define, evolve, frozen
 
 from cicadaledge.placing._server_stats import FirstTokenWaits, ServerOutcomes, ServerTotals
-from cicadaledge.wire import AccountUse, DepartingServer, LoadView, ServerUse, ViewScope
+from cicadaledge.wire import (
+    AccountUse,
+    DepartingServer,
+    LoadView,
+    ServerUse,
+    SpeedReport,
+    ViewScope,
+)
 
 # A peer sends ten or more views in this time, or fewer in large fleets, where views are less
 # frequent. If none has been received, its load is out of date and no longer counted.
@@ -50,6 +57,7 @@
     shedding: int = 0
     departing: frozenset[DepartingServer] = frozenset()
     begun_per_s: int = 0
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 @frozen
@@ -104,6 +112,7 @@
         self.shedding = 0
         self.begun_per_s = 0
         self.departing: dict[str, frozenset[DepartingServer]] = {}
+        self.speeds: dict[str, SpeedReport] = {}
         self._oldest_ms = math.inf
 
     def update(self, peer: str, view: LoadView, now_ms: float) -> None:
@@ -120,6 +129,7 @@
             self.departing[peer] = part.departing
         for name, use in part.servers.items():
             self.servers.setdefault(name, _ServerSum()).add(use, 1)
+        _add_speeds(self.speeds, part.speeds, 1)
 
     def remove(self, peer: str) -> None:
         """Subtract the load of a peer."""
@@ -133,6 +143,7 @@
         self.departing.pop(peer, None)
         for name, use in part.servers.items():
             self.servers[name].add(use, -1)
+        _add_speeds(self.speeds, part.speeds, -1)
 
     def expire(self, now_ms: float) -> None:
         """Subtract the loads of peers whose last view is too old."""
@@ -258,6 +269,14 @@
             failed += total.failed
         return ServerOutcomes(ended, failed)
 
+    def speed_report(self, server: str, now_ms: float) -> SpeedReport:
+        """Return the sum of the others' newest reports of a server's speed."""
+        speeds: dict[str, SpeedReport] = {}
+        for load_sum in self._active_sums(now_ms):
+            if server in load_sum.speeds:
+                _add_speeds(speeds, (load_sum.speeds[server],), 1)
+        return speeds.get(server) or SpeedReport(server)
+
     def account_rates(self, now_ms: float) -> list[AccountUse]:
         """Return the others' account rates; an account may occur several times."""
         return [
@@ -360,15 +379,28 @@
         view.shedding,
         frozenset(view.departing),
         view.begun_per_s,
+        tuple(view.speeds),
     )
 
 
+def _add_speeds(speeds: dict[str, SpeedReport], reports: Iterable[SpeedReport], sign: int) -> None:
+    """Add reports to sums, or subtract them; servers without reports are dropped."""
+    for report in reports:
+        total = speeds.pop(report.server, SpeedReport(report.server))
+        count = total.reports + sign * report.reports
+        if count > 0:
+            percent_sum = max(0, total.percent_sum + sign * report.percent_sum)
+            speeds[report.server] = SpeedReport(report.server, count, percent_sum)
+
+
 def _sum_view(own: LoadView, sums: Iterable[_LoadSum], scope: ViewScope, now_ms: float) -> LoadView:
     totals: dict[str, _ServerSum] = {}
     accounts = {use.account: use for use in own.accounts}
     routers, late_ms, shedding = own.routers, own.late_ms, own.shedding
     begun_per_s = own.begun_per_s
     departing = set(own.departing)
+    speeds: dict[str, SpeedReport] = {}
+    _add_speeds(speeds, own.speeds, 1)
     for use in own.servers:
         totals.setdefault(use.server, _ServerSum()).add(use, 1)
     for load_sum in sums:
@@ -377,6 +409,7 @@
         shedding += load_sum.shedding
         begun_per_s += load_sum.begun_per_s
         departing.update(*load_sum.departing.values())
+        _add_speeds(speeds, load_sum.speeds.values(), 1)
         for name, total in load_sum.servers.items():
             if _has_activity(total):
                 totals.setdefault(name, _ServerSum()).add(_server_use(name, total), 1)
@@ -393,6 +426,7 @@
         shedding=shedding,
         departing=list(departing),
         begun_per_s=begun_per_s,
+        speeds=list(speeds.values()),
     )
 
 
@@ -405,6 +439,8 @@
             total.add(servers[name], 1)
             total.add(use, -1)
             servers[name] = _server_use(name, total)
+    speeds = {report.server: report for report in summed.speeds}
+    _add_speeds(speeds, part.speeds, -1)
     accounts = {use.account: use for use in summed.accounts}
     if summed.has_rates and now_ms - part.accounts_ms <= _RATES_TTL_MS:
         for rate in part.accounts.values():
@@ -417,6 +453,7 @@
         begun_per_s=max(0, summed.begun_per_s - part.begun_per_s),
         servers=[use for use in servers.values() if _has_activity(use)],
         accounts=list(accounts.values()),
+        speeds=list(speeds.values()),
     )
 
 
--- a/src/cicadaledge/placing/_load_tracker.py
+++ b/src/cicadaledge/placing/_load_tracker.py
@@ -7,6 +7,7 @@
 from cicadaledge.placing._fleet import FleetLoad
 from cicadaledge.placing._rates import RateWindow, SlidingSum
 from cicadaledge.placing._server_stats import FirstTokenWaits, ServerOutcomes, ServerTotals
+from cicadaledge.placing._speed_reports import SpeedReports, SpeedReportSettings
 from cicadaledge.wire import DepartingServer, ServerUse
 
 _RATE_WINDOW_MS = 1_000.0
@@ -64,9 +65,16 @@
 
     Args:
         others: The other routers' load.
+        speed_reports: How the speeds that servers report are used.
+
+    Attributes:
+        speed_reports: The speeds that the servers report.
     """
 
-    def __init__(self, others: FleetLoad) -> None:
+    def __init__(
+        self, others: FleetLoad, speed_reports: SpeedReportSettings = SpeedReportSettings()
+    ) -> None:
+        self.speed_reports = SpeedReports(speed_reports, others)
         self._own: dict[str, _OwnLoad] = {}
         self._begun = SlidingSum(_BEGUN_WINDOW_MS)
         self._others = others
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -73,7 +73,7 @@
         self._region_of = region_of
         self._own_region = own_region
         self._engines: dict[str, EngineModel] = {}
-        self._ranking = EngineRanking(directory)
+        self._ranking = EngineRanking(directory, load.speed_reports)
         self._speeds = EngineSpeeds(settings.speeds, load)
         self._failing = FailingServers(load)
         self._rotation = 0
@@ -122,7 +122,7 @@
         if service.engine is None or not self._has_affinity(call):
             return ""
         usable = self._candidates(service, self._allowed(service, regions, set()), now_ms)
-        ranked = self._ranking.ranked(call, service.name, usable)
+        ranked = self._ranking.ranked(call, service.name, usable, now_ms)
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
         return self._prefix_engines(ranked, speeds, now_ms)[0].server if ranked else ""
@@ -212,7 +212,7 @@
         use: ShareUse,
         now_ms: float,
     ) -> Chosen | Refused:
-        ranked = self._ranking.ranked(call, service.name, usable)
+        ranked = self._ranking.ranked(call, service.name, usable, now_ms)
         first = ranked[0]
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
@@ -317,8 +317,9 @@
         unread = engine.unread_tokens(
             call.prompt_tokens, call.shared_parts, assume_cached=is_first and is_settled
         )
-        expected_ms = engine.first_token_ms(totals, unread)
-        unloaded_ms = engine.first_token_ms(_NO_LOAD, unread)
+        reported = self._load.speed_reports.factor(entry.server, now_ms)
+        expected_ms = engine.first_token_ms(totals, unread) * reported
+        unloaded_ms = engine.first_token_ms(_NO_LOAD, unread) * reported
         factor = speeds.factor * speeds.slowness.get(entry.server, 1.0)
         backlog_ms = (expected_ms - unloaded_ms) * factor
         if not self._is_in_own_region(entry):
@@ -423,6 +424,7 @@
         """Drop the engine models of servers that are not in *kept*."""
         for server in self._engines.keys() - kept:
             del self._engines[server]
+        self._load.speed_reports.retain_servers(kept)
 
     def _engine(self, server: str) -> EngineModel:
         engine = self._engines.get(server)
--- a/src/cicadaledge/placing/_ranking.py
+++ b/src/cicadaledge/placing/_ranking.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections import OrderedDict
 
+from cicadaledge.placing._speed_reports import SpeedReports
 from cicadaledge.routing import Call, ServerDirectory, ServerEntry
 
 # Each prompt prefix has its own order, and about this many prefixes are in use at a time. An order
@@ -15,38 +17,57 @@
 class EngineRanking:
     """Ranks the engines of a service by rendezvous hash of a prompt's last shared part.
 
-    Orders are cached until the set of usable servers changes.
+    An engine on which work lasts longer ranks first for fewer prompts. Orders are cached until the
+    set of usable servers or their speed levels change.
 
     Args:
         directory: The servers.
+        speeds: The speeds that the servers report.
     """
 
-    def __init__(self, directory: ServerDirectory) -> None:
+    def __init__(self, directory: ServerDirectory, speeds: SpeedReports) -> None:
         self._directory = directory
-        self._generation = -1
+        self._speeds = speeds
+        self._generation = (-1, -1)
         self._orders: OrderedDict[tuple[str, str], list[str]] = OrderedDict()
 
     def ranked(
-        self, call: Call, service: str, candidates: dict[str, ServerEntry]
+        self, call: Call, service: str, candidates: dict[str, ServerEntry], now_ms: float
     ) -> list[ServerEntry]:
         """Return the candidates, which must be usable, in the order for a request's prompt."""
-        return [candidates[name] for name in self._order(call, service) if name in candidates]
+        return [
+            candidates[name] for name in self._order(call, service, now_ms) if name in candidates
+        ]
 
-    def _order(self, call: Call, service: str) -> list[str]:
-        if self._generation != self._directory.generation:
+    def _order(self, call: Call, service: str, now_ms: float) -> list[str]:
+        names = self._directory.usable_by_name(service)
+        speeds = self._speeds
+        generation = (self._directory.generation, speeds.level_generation(service, names, now_ms))
+        if self._generation != generation:
             self._orders.clear()
-            self._generation = self._directory.generation
+            self._generation = generation
         shared = call.shared_parts
         key = (service, shared[-1].digest if shared else call.request_id)
         order = self._orders.get(key)
         if order is None:
-            names = self._directory.usable_by_name(service)
-            order = sorted(names, key=lambda name: _rendezvous_hash(key[1], name))
+            order = sorted(
+                names, key=lambda name: _rendezvous_score(key[1], name, speeds.level(name))
+            )
             self._orders[key] = order
             if len(self._orders) > _MAX_CACHED_ORDERS:
                 self._orders.popitem(last=False)
         return order
 
 
-def _rendezvous_hash(prefix: str, server: str) -> bytes:
-    return hashlib.blake2b(f"{prefix}/{server}".encode(), digest_size=8).digest()
+def _rendezvous_score(prefix: str, server: str, speed_level: int) -> float:
+    """Return the score of a server, of which the lowest wins.
+
+    A server wins in proportion to the inverse square of how long its work takes. With the plain
+    inverse, fewer long prompts are answered in time (docs/design/reported-speeds.md).
+
+    Args:
+        speed_level: How long work takes, in half octaves.
+    """
+    hashed = hashlib.blake2b(f"{prefix}/{server}".encode(), digest_size=8).digest()
+    uniform = (int.from_bytes(hashed, "big") >> 11) / 2.0**53
+    return -math.log1p(-uniform) * 2.0**speed_level
--- a/src/cicadaledge/platform/_header_codec.py
+++ b/src/cicadaledge/platform/_header_codec.py
@@ -13,6 +13,8 @@
 _MISDIRECTED = 421
 _BUSY = 503
 _MS_PER_S = 1_000.0
+_TIME_FIGURE = 3
+_PERCENT = 100.0
 
 T = TypeVar("T")
 
@@ -124,6 +126,7 @@
             cold_left_ms=read.value(b"Cold-Ms", _milliseconds),
             leaving=read.value(b"Server-Leaving", _is_one) or False,
             pause_ms=read.value(b"Retry-After", _seconds) if head.status == _BUSY else None,
+            time_factor=read.value(b"Server-Load", _time_factor),
             invalid_headers=tuple(read.unreadable),
         )
 
@@ -200,6 +203,20 @@
     return number
 
 
+def _time_factor(value: str) -> float | None:
+    """Parse the fourth of a server's load figures: how long work takes, in percent of the usual.
+
+    Some servers send only the first three.
+    """
+    figures = value.split(",")
+    if len(figures) <= _TIME_FIGURE:
+        return None
+    percent = float(figures[_TIME_FIGURE])
+    if not 0 < percent < math.inf:
+        raise ValueError(f"expected percent of the usual time, found {value!r}")
+    return percent / _PERCENT
+
+
 def _deadline_ms(value: str | None) -> float | None:
     return None if value is None else _milliseconds(value)
 
--- a/src/cicadaledge/standins/_engine_emulator.py
+++ b/src/cicadaledge/standins/_engine_emulator.py
@@ -54,9 +54,15 @@
 
 @define
 class EngineEmulator:
-    """Runs requests step by step and admits them in order of arrival."""
+    """Runs requests step by step and admits them in order of arrival.
+
+    Args:
+        time_factor: Returns how long a step takes that starts at a time, as a multiple of the usual
+            time; other work on the same machine changes it.
+    """
 
     parameters: EngineParameters = field(factory=EngineParameters)
+    time_factor: Callable[[float], float] = field(default=lambda now_ms: 1.0)
     waiting: list[EngineRun] = field(factory=list)
     running: list[EngineRun] = field(factory=list)
     prefilled_tokens: int = 0
@@ -83,9 +89,10 @@
         prefill_ms = self._prefill_chunk()
         parameters = self.parameters
         context_k = sum(run.context_tokens for run in self.running) / 1000
-        end_ms = now_ms + parameters.step_ms + prefill_ms
-        end_ms += parameters.step_ms_per_request * len(self.running)
-        end_ms += parameters.step_ms_per_k_context * context_k
+        step_ms = parameters.step_ms + prefill_ms
+        step_ms += parameters.step_ms_per_request * len(self.running)
+        step_ms += parameters.step_ms_per_k_context * context_k
+        end_ms = now_ms + step_ms * self.time_factor(now_ms)
         self._decode(end_ms)
         return end_ms
 
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -14,7 +14,7 @@
 from cicadaledge.errors import FrameError
 from cicadaledge.wire import _messages
 from cicadaledge.wire._columns import from_columns, to_columns
-from cicadaledge.wire._messages import IN_COLUMNS, IS_INTERNED, AccountUse, ServerUse
+from cicadaledge.wire._messages import IN_COLUMNS, IS_INTERNED, AccountUse, ServerUse, SpeedReport
 
 FRAME_LIMIT_BYTES = 4 * 1_048_576
 _TRAVERSAL_LIMIT_WORDS = 4 * 1_048_576
@@ -103,9 +103,20 @@
     return from_columns(AccountUse, names, value["figures"])
 
 
+def _unstructure_speeds(reports: list[SpeedReport]) -> dict[str, Any]:
+    names = [_current_table.index(report.server) for report in reports]
+    return {"servers": names, "figures": to_columns(SpeedReport, reports)}
+
+
+def _structure_speeds(value: dict[str, Any], message_type: Any) -> list[SpeedReport]:
+    names = [_current_table.name(index) for index in value["servers"]]
+    return from_columns(SpeedReport, names, value["figures"])
+
+
 _COLUMN_HOOKS: dict[str, tuple[Any, Any]] = {
     "servers": (_unstructure_server_uses, _structure_server_uses),
     "accounts": (_unstructure_account_uses, _structure_account_uses),
+    "speeds": (_unstructure_speeds, _structure_speeds),
 }
 
 
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -363,6 +363,20 @@
     failed: int = 0
 
 
+@frozen
+class SpeedReport:
+    """The newest speeds that a backend server has reported to one or several routers.
+
+    Args:
+        reports: Number of reports, at most one of each router.
+        percent_sum: Sum of the reported times that work takes, in percent of the usual time.
+    """
+
+    server: str
+    reports: int = 0
+    percent_sum: int = 0
+
+
 @frozen
 class AccountUse:
     """Demand and admitted rate of one account at one router, in tokens per second."""
@@ -408,6 +422,7 @@
         begun_per_s: Tokens per second of the routers' requests whose answers engines have begun.
         has_rates: Whether the view contains rates. Most views do not, as rates change more slowly
             than loads; the last rates received then stay valid.
+        speeds: The newest speeds of the servers that report them.
     """
 
     sent_ms: int
@@ -421,6 +436,7 @@
     departing: list[DepartingServer] = field(factory=list)
     begun_per_s: int = 0
     has_rates: bool = field(default=Factory(lambda self: bool(self.accounts), takes_self=True))
+    speeds: list[SpeedReport] = field(factory=list, metadata=COLUMNS)
 
 
 @frozen
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -230,6 +230,12 @@
   hasRates @10 :Bool;        # the view contains rates; accounts is then complete, even if empty
   accounts @11 :AccountUses;
   begunPerS @12 :UInt32;     # tokens per second of the answers that engines have begun
+  speeds @13 :SpeedReports;  # empty from earlier versions
+}
+
+struct SpeedReports {
+  servers @0 :List(Name);
+  figures @1 :Data;          # columns of SpeedReport, encoded as in ServerUses
 }
 
 struct AccountUses {
--- a/tests/loadtool/test_replay.py
+++ b/tests/loadtool/test_replay.py
@@ -1,5 +1,7 @@
 """Replays of heavy loads against the placing code compare it with baselines."""
 
+from collections import Counter
+
 import pytest
 from attrs import evolve
 
@@ -10,6 +12,8 @@
     LARGE_DAY,
     MODES,
     OVERLOADED_DAY,
+    SHARED_MACHINES_DAY,
+    Mode,
     Replay,
     ReplayResult,
     scaled,
@@ -63,3 +67,16 @@
 @pytest.mark.parametrize("seed", [2, 3])
 def test_accounts_of_one_router_get_half_of_what_others_get_while_full_engines_crash(seed):
     assert Replay(evolve(OVERLOADED_DAY, seed=seed), MODES[0]).run().evenness >= 0.5
+
+
+def test_reported_speeds_let_more_requests_of_each_kind_begin_in_time_on_shared_machines():
+    """Without the figure, long prompts stayed on slow engines: 0.84 of them began in time."""
+    day = scaled(SHARED_MACHINES_DAY, 0.7)
+    results: dict[bool, Counter[str]] = {}
+    for reports in (False, True):
+        results[reports] = Counter()
+        for seed in (1, 2, 3, 4):
+            result = Replay(evolve(day, seed=seed), Mode("placed", reports=reports)).run()
+            results[reports].update(result.begun_in_time)
+    assert all(results[True][kind] > results[False][kind] for kind in results[False])
+    assert results[True]["long"] > results[False]["long"] + 4 * 0.05
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -178,6 +178,21 @@
     assert signs.invalid_headers == (headers[0][0].decode(),)
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b"3,0,8,250", 2.5), (b"3, 0, 8, 70", 0.7), (b"1,0,8", None), (b"1,0,8,100,7", 1.0)],
+)
+def test_the_time_that_work_takes_on_a_servers_machine_is_read(value, expected):
+    signs = PlatformHeaderCodec().read_signals(ResponseHead(200, [(b"server-load", value)]))
+    assert (signs.time_factor, signs.invalid_headers) == (expected, ())
+
+
+@pytest.mark.parametrize("value", [b"1,0,8,0", b"1,0,8,-5", b"1,0,8,inf", b"1,0,8,nan", b"1,0,8,"])
+def test_an_unreadable_time_of_work_is_ignored_and_listed(value):
+    signs = PlatformHeaderCodec().read_signals(ResponseHead(200, [(b"Server-Load", value)]))
+    assert (signs.time_factor, signs.invalid_headers) == (None, ("Server-Load",))
+
+
 def test_not_executed_and_cold_headers_are_read():
     head = ResponseHead(503, [(b"not-executed", b"1"), (b"Cold-Ms", b"40")])
     signs = PlatformHeaderCodec().read_signals(head)
