--- a/src/cicadaledge/placing/_choice.py
+++ b/src/cicadaledge/placing/_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Sequence
 
 from attrs import frozen
 
@@ -63,3 +64,18 @@
     limit: Limit | None = None
     available_from_ms: float = 0.0
     work_ms: float = 0.0
+
+
+def first_within(ranked: Sequence[Chosen], slack_ms: float) -> Chosen:
+    """Return the first choice whose predicted time is at most *slack_ms* above the shortest.
+
+    Answers a load of many short shared prompt parts: the engine that ranks first has most probably
+    cached them, and each other engine would process them again. An engine with a backlog loses its
+    place to the next one, as in "Consistent Hashing with Bounded Loads" (Mirrokni, Thorup and
+    Zadimoghaddam, 2018).
+
+    Args:
+        ranked: At least one choice, in the order of the engines for the request's shared parts.
+    """
+    limit_ms = min(choice.predicted_ms for choice in ranked) + slack_ms
+    return next(choice for choice in ranked if choice.predicted_ms <= limit_ms)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from cicadaledge.placing._choice import Chosen, Limit, Refused
+from cicadaledge.placing._choice import Chosen, Limit, Refused, first_within
 from cicadaledge.placing._engine_model import EngineModel
 from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._health import ServerHealth
@@ -225,10 +225,10 @@
             ranked = self._spread_candidates(ranked)
             min_evaluated = self._settings.spread_engines
         allowed_fractions = self._allowed_fractions(use)
-        best: Chosen | None = None
+        choices: list[Chosen] = []
         first_limit: Limit | None = None
         for index, entry in enumerate(ranked):
-            if index >= min_evaluated and best is not None:
+            if index >= min_evaluated and choices:
                 break
             if index == min_evaluated and has_affinity:
                 # Engines keep room for the prompts that are bound to them: the more an account
@@ -248,10 +248,10 @@
             )
             if isinstance(result, Limit):
                 first_limit = first_limit or result
-            elif best is None or result.predicted_ms < best.predicted_ms:
-                best = result
-        if best is not None:
-            return best
+            else:
+                choices.append(result)
+        if choices:
+            return first_within(choices, self._settings.prefix_slack_ms)
         preferred = ranked[0].server
         totals = self._load.totals(preferred, now_ms)
         unread = self._engine(preferred).unread_tokens(call.prompt_tokens, call.shared_parts)
--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -25,7 +25,11 @@
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
             gets less than it is entitled to.
         spread_engines: Number of engines, by rank, among which any other request goes to the one
-            with the shortest predicted time; as many others are tried if these are full.
+            with a short predicted time; as many others are tried if these are full.
+        prefix_slack_ms: Such a request goes to the first of these engines by rank whose predicted
+            time exceeds the shortest one by at most this much. Callers do not notice it in the time
+            to a first token, and it is less than `region_crossing_ms`, so that requests do not
+            leave their region for a cached part.
         region_crossing_ms: Added to the predicted time for a server in another region.
         throttle_start_multiple: Multiple of its share up to which an account is not throttled.
         throttle_full_multiple: Multiple of its share from which an account's part of the backlog
@@ -56,6 +60,7 @@
     affinity_min_tokens: int = 1_000
     spill_engines: int = 4
     spread_engines: int = 9
+    prefix_slack_ms: float = 40.0
     region_crossing_ms: float = 60.0
     throttle_start_multiple: float = 0.9
     throttle_full_multiple: float = 1.5
