--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -113,7 +113,12 @@
             _SimulatedRouter(f"router-{n}", f"region-{n % day.regions}", day, mode, directory)
             for n in range(day.routers)
         ]
-        self._service = Service(_SERVICE, day.cold_per_s, Engine(day.slots, figures.memory_tokens))
+        self._service = Service(
+            _SERVICE,
+            day.cold_per_s,
+            Engine(day.slots, figures.memory_tokens),
+            shortest_objective_ms=min(kind.latency_target_ms for kind in day.classes),
+        )
         self._exchange: ViewExchange = (
             RelayViewExchange(day, self._routers, self._schedule, day.seed)
             if day.zones
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -325,10 +325,10 @@
         if not self._is_in_own_region(entry):
             expected_ms += self._settings.region_crossing_ms
         predicted_ms = expected_ms * factor
-        max_backlog_ms = self._max_backlog_ms() * allowed_fractions.backlog
-        if is_bound:
-            max_backlog_ms *= self._settings.bound_backlog_multiple
-        if backlog_ms > max_backlog_ms:
+        max_backlog_ms = self._settings.max_backlog_ms(
+            self._load.max_view_age_ms, service.shortest_objective_ms, is_bound=is_bound
+        )
+        if backlog_ms > max_backlog_ms * allowed_fractions.backlog:
             return Limit.READING
         # Nobody can tell for a prompt on an idle engine that it takes too long before it is tried.
         if backlog_ms > 0 and now_ms + predicted_ms > route.answer_due_ms(call):
--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -20,6 +20,10 @@
             free; with more, requests wait where neither rank nor share decides who is next.
         bound_backlog_multiple: Multiple of that for requests that only one engine may take. Others
             would fill each engine up to the limit, wherever there is room, and leave them none.
+        objective_backlog_fraction: Fraction of the shortest latency objective among the routes to an
+            engine for which its backlog may keep it busy: the prompts of one route delay those of
+            all. The rest is for the request itself, and for prompts that other routers place at the
+            same moment.
         affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
             cache them.
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
@@ -57,6 +61,7 @@
     speeds: SpeedSettings = field(factory=SpeedSettings)
     min_backlog_ms: float = 200.0
     bound_backlog_multiple: float = 2.0
+    objective_backlog_fraction: float = 0.6
     affinity_min_tokens: int = 1_000
     spill_engines: int = 4
     spread_engines: int = 9
@@ -76,13 +81,23 @@
     min_retry_ms: float = 150.0
     absent_retry_ms: float = 1_000.0
 
-    def max_backlog_ms(self, max_view_age_ms: float) -> float:
+    def max_backlog_ms(
+        self, max_view_age_ms: float, objective_ms: float = 0.0, *, is_bound: bool = False
+    ) -> float:
         """Return the limit on the time for which waiting prompts may keep an engine busy.
 
         Args:
             max_view_age_ms: Largest age of the load views.
+            objective_ms: Shortest latency objective among the requests of the engine; 0 for none.
+            is_bound: Whether the request may go to no other engine.
         """
-        return max(self.min_backlog_ms, max_view_age_ms)
+        limit_ms = max(self.min_backlog_ms, max_view_age_ms)
+        if is_bound:
+            limit_ms *= self.bound_backlog_multiple
+        if objective_ms <= 0:
+            return limit_ms
+        objective_limit_ms = objective_ms * self.objective_backlog_fraction
+        return min(limit_ms, max(self.min_backlog_ms, objective_limit_ms))
 
     def max_unread_tokens(self, max_view_age_ms: float) -> float:
         """Return that limit in prompt tokens."""
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -17,6 +17,7 @@
     ServerState,
     Service,
     ServiceWeight,
+    with_objectives,
 )
 from cicadaledge.suspects import MAX_TRIALS, Evidence, PartEvidence, TrialClaim
 
@@ -42,12 +43,14 @@
         ValueError: The data is not a valid configuration.
     """
     fields = Fields.parse(data)
+    routes = tuple(_route(route) for route in fields.nested_list("routes"))
+    services = {
+        service.text("name"): _service(service) for service in fields.nested_list("services")
+    }
     return RoutingTable(
         version=fields.integer("version"),
-        routes=tuple(_route(route) for route in fields.nested_list("routes")),
-        services={
-            service.text("name"): _service(service) for service in fields.nested_list("services")
-        },
+        routes=routes,
+        services=with_objectives(services, routes),
         accounts=tuple(_account(account) for account in fields.nested_list("tenants")),
         limits=_limits(fields.nested("limits")) if fields.has("limits") else Limits(),
     )
--- a/src/cicadaledge/routing/__init__.py
+++ b/src/cicadaledge/routing/__init__.py
@@ -11,6 +11,7 @@
     RoutingTable,
     Service,
     ServiceWeight,
+    with_objectives,
 )
 
 __all__ = [
@@ -27,4 +28,5 @@
     "ServerState",
     "Service",
     "ServiceWeight",
+    "with_objectives",
 ]
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -4,8 +4,9 @@
 
 import enum
 import random
+from collections.abc import Iterable, Mapping
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from cicadaledge.routing._call import Call
 
@@ -117,11 +118,31 @@
     Args:
         cold_per_s: Requests per second that a cold server can serve; 0 if servers need no warm-up.
         engine: None for plain services.
+        shortest_objective_ms: Shortest latency objective of the routes that lead to it; 0 if they
+            have none.
     """
 
     name: str
     cold_per_s: float = 0.0
     engine: Engine | None = None
+    shortest_objective_ms: float = 0.0
+
+
+def with_objectives(
+    services: Mapping[str, Service], routes: Iterable[Route]
+) -> dict[str, Service]:
+    """Return the services, each with the shortest latency objective of the routes to it."""
+    shortest_ms: dict[str, float] = {}
+    for route in routes:
+        if route.latency_target_ms <= 0:
+            continue
+        for one in route.split:
+            known_ms = shortest_ms.get(one.service, route.latency_target_ms)
+            shortest_ms[one.service] = min(known_ms, route.latency_target_ms)
+    return {
+        name: evolve(service, shortest_objective_ms=shortest_ms.get(name, 0.0))
+        for name, service in services.items()
+    }
 
 
 @frozen
