--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from attrs import define
 
@@ -218,7 +219,13 @@
         self, request: ActiveRequest, refused: Refused, use: ShareUse, now_ms: float
     ) -> WaitingRequest:
         typical_ms = self._answer_times.typical_ms(request.route.name)
-        work_ms = typical_ms if request.service.engine is None else refused.work_ms
+        work_ms = typical_ms
+        objective_start_ms = math.inf
+        if request.service.engine is not None:
+            work_ms = refused.work_ms
+            objective_start_ms = self._settings.placing.objective_start_ms(
+                request.route, request.call, work_ms
+            )
         return WaitingRequest(
             group=self._group(request, use, now_ms),
             rank=request.rank,
@@ -231,6 +238,7 @@
             ),
             refused=refused,
             size_bytes=len(request.call.body),
+            objective_start_ms=objective_start_ms,
         )
 
     def _release(self, future: asyncio.Future[Chosen | None]) -> None:
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -256,7 +256,16 @@
             self._schedule(now_ms + _LOOK_INTERVAL_MS, lambda at: self._look(router, at))
         latest_start_ms = _route(request).answer_due_ms(request.call) - refused.work_ms
         waiting = WaitingRequest(
-            group, 0, use.share_multiple > 1.0, refused.work_ms, now_ms, latest_start_ms, refused
+            group,
+            0,
+            use.share_multiple > 1.0,
+            refused.work_ms,
+            now_ms,
+            latest_start_ms,
+            refused,
+            objective_start_ms=self._mode.settings.objective_start_ms(
+                _route(request), request.call, refused.work_ms
+            ),
         )
         router.queue.add(waiting, now_ms)
         router.waiting[waiting] = request
--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import field, frozen
 
 from cicadaledge.placing._engine_model import EngineSettings
 from cicadaledge.placing._speeds import SpeedSettings
+from cicadaledge.routing import Call, Route
 
 
 @frozen
@@ -99,6 +102,17 @@
         objective_limit_ms = objective_ms * self.objective_backlog_fraction
         return min(limit_ms, max(self.min_backlog_ms, objective_limit_ms))
 
+    def objective_start_ms(self, route: Route, call: Call, work_ms: float) -> float:
+        """Return until when a request must be sent to begin within its route's objective.
+
+        Args:
+            work_ms: Predicted time to the first token on an engine without other load.
+        """
+        if route.latency_target_ms <= 0:
+            return math.inf
+        backlog_ms = route.latency_target_ms * self.objective_backlog_fraction
+        return call.started_ms + route.latency_target_ms - backlog_ms - work_ms
+
     def max_unread_tokens(self, max_view_age_ms: float) -> float:
         """Return that limit in prompt tokens."""
         return self.max_backlog_ms(max_view_age_ms) * self.engine.prefill_tokens_per_ms
--- a/src/cicadaledge/placing/_waiting.py
+++ b/src/cicadaledge/placing/_waiting.py
@@ -59,6 +59,8 @@
         work_ms: Expected time until a server begins the answer of a stream or ends a plain one.
         latest_start_ms: Time after which it can no longer be answered in its caller's time.
         refused: Why no server could take it at the latest try.
+        objective_start_ms: Time after which its answer would probably begin later than its route's
+            latency objective.
     """
 
     group: str
@@ -69,6 +71,7 @@
     latest_start_ms: float
     refused: Refused
     size_bytes: int = 0
+    objective_start_ms: float = math.inf
 
     @property
     def order(self) -> tuple[int, bool, float]:
@@ -196,5 +199,9 @@
         if not self.is_overloaded(now_ms):
             return request.latest_start_ms
         time_ms = request.latest_start_ms - request.joined_ms
-        wait_ms = max(request.work_ms, time_ms * self._settings.overload_ratio)
+        wait_ms = time_ms * self._settings.overload_ratio
+        # In an overload some requests are refused in any case. Those that wait past their objective
+        # would only make the answers late that take their place in the queue.
+        wait_ms = min(wait_ms, request.objective_start_ms - request.joined_ms)
+        wait_ms = max(request.work_ms, wait_ms)
         return min(request.latest_start_ms, request.joined_ms + wait_ms)
--- a/src/cicadaledge/routing/_table.py
+++ b/src/cicadaledge/routing/_table.py
@@ -128,9 +128,7 @@
     shortest_objective_ms: float = 0.0
 
 
-def with_objectives(
-    services: Mapping[str, Service], routes: Iterable[Route]
-) -> dict[str, Service]:
+def with_objectives(services: Mapping[str, Service], routes: Iterable[Route]) -> dict[str, Service]:
     """Return the services, each with the shortest latency objective of the routes to it."""
     shortest_ms: dict[str, float] = {}
     for route in routes:
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -521,3 +521,15 @@
     assert fraction_after(0, 100) == 1.0
     within_a_second = fraction_after(100, 20)
     assert within_a_second <= 1.1 * fraction_after(120, 80)
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "is_bound", "limit_ms"),
+    [(0.0, False, 400.0), (0.0, True, 800.0), (600.0, True, 360.0), (100.0, False, 200.0)],
+)
+def test_an_engine_is_not_filled_for_longer_than_the_shortest_objective_allows(
+    objective_ms, is_bound, limit_ms
+):
+    """In large fleets, whose views are older, long prompts made all short ones late."""
+    settings = PlacingSettings()
+    assert settings.max_backlog_ms(400.0, objective_ms, is_bound=is_bound) == limit_ms
--- a/tests/placing/test_waiting.py
+++ b/tests/placing/test_waiting.py
@@ -1,5 +1,7 @@
 """Requests that wait at a router: their order, and how long waiting helps their callers."""
 
+import math
+
 import pytest
 
 from cicadaledge.placing import (
@@ -32,9 +34,18 @@
     joined_ms: float = 0.0,
     latest_start_ms: float = 1_600.0,
     size_bytes: int = 0,
+    objective_start_ms: float = math.inf,
 ) -> WaitingRequest:
     return WaitingRequest(
-        group, rank, over_share, work_ms, joined_ms, latest_start_ms, FULL, size_bytes
+        group,
+        rank,
+        over_share,
+        work_ms,
+        joined_ms,
+        latest_start_ms,
+        FULL,
+        size_bytes,
+        objective_start_ms,
     )
 
 
@@ -188,3 +199,17 @@
     queue.remove(gone)
     queue.remove(gone)
     assert [one for one, _ in queue.serve(lambda one: chosen(), 0.0)] == [here]
+
+
+def test_requests_past_their_objective_do_not_delay_others_in_an_overload():
+    """In a lasting overload all waited until their objective was over, and were answered late."""
+    late = waiting(latest_start_ms=10_000.0, objective_start_ms=300.0)
+    queue = queue_of(late)
+    assert queue.take_hopeless(SETTINGS.standing_ms - 1) == []
+    assert queue.take_hopeless(SETTINGS.standing_ms) == [late]
+
+
+def test_without_an_objective_a_request_waits_a_fraction_of_its_time_in_an_overload():
+    queue = queue_of(waiting(latest_start_ms=10_000.0))
+    assert queue.take_hopeless(SETTINGS.standing_ms) == []
+    assert len(queue.take_hopeless(2_501.0)) == 1
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cicadaledge.routing import Call, Route, RouteKind, ServiceWeight
+from cicadaledge.routing import Call, Route, RouteKind, Service, ServiceWeight, with_objectives
 
 ARRIVED_MS = 5_000.0
 
@@ -37,3 +37,14 @@
     stream = route(RouteKind.STREAM, **how)
     assert stream.answer_due_ms(call()) == ARRIVED_MS + patience_ms
     assert route(RouteKind.UNSAFE, **how).answer_due_ms(call()) == ARRIVED_MS + 12_000
+
+
+def test_a_service_has_the_shortest_objective_of_its_routes():
+    """Long prompts filled an engine for longer than callers of its other routes wait."""
+    routes = [
+        route(RouteKind.STREAM, latency_target_ms=objective_ms)
+        for objective_ms in (1_000.0, 400.0, 0.0)
+    ]
+    services = with_objectives({"s": Service("s"), "other": Service("other")}, routes)
+    assert services["s"].shortest_objective_ms == 400.0
+    assert services["other"].shortest_objective_ms == 0.0
