--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -41,6 +41,10 @@
         self._servers_proof_ms = float("-inf")
         self._defer_removals_until_ms = 0.0
         self._deferred_removals: dict[str, float] = {}
+        self._kept_servers: dict[str, float] = {}
+        self._kept_evacuations: dict[str, float] = {}
+        self._settles_until_ms = float("-inf")
+        self._counts_proofs_from_ms = float("-inf")
 
     def apply(self, change: Change, now_ms: float) -> None:
         """Apply one change."""
@@ -48,9 +52,10 @@
             case TableChanged(table):
                 self._apply_table(table)
             case ZoneChanged(zone, evacuated):
+                self._kept_evacuations.pop(zone, None)
                 self._apply_zone(zone, evacuated)
             case ServerChanged(entry):
-                self._cancel_removal(entry)
+                self._cancel_removal(entry, now_ms)
                 if self.directory.apply(entry, now_ms):
                     _log.info(
                         "Server entry has changed; requests are placed by the new entry.",
@@ -67,19 +72,52 @@
             case UnreadableEntry() | MemberSeen() | EvidenceSeen():
                 pass
 
-    def retain_servers(self, servers: set[str], now_ms: float) -> None:
-        """Remove the servers that a complete read of the topic did not return."""
-        for server in self.directory.server_names() - servers:
-            self._remove(server, now_ms)
+    def retain_servers(self, servers: set[str], now_ms: float, *, from_copy: bool = False) -> None:
+        """Remove the servers that a complete read of the topic did not return.
 
-    def retain_evacuated_zones(self, zones: set[str]) -> None:
-        """Restore the zones that a complete read did not return as evacuated."""
+        Args:
+            from_copy: Whether the store was restored from a copy, after which servers have to write
+                their entries again.
+        """
+        if from_copy:
+            self._settles_until_ms = now_ms + self._settings.timing.epoch_settle_ms
+            self._defer_removals(self._settings.timing.lapse_ms, now_ms)
+        for server in self.directory.server_names() - servers:
+            if not from_copy:
+                self._remove(server, now_ms)
+            elif server not in self._deferred_removals:
+                self._keep_until(self._settles_until_ms, server, self._kept_servers, now_ms)
+
+    def retain_evacuated_zones(
+        self, zones: set[str], now_ms: float, *, from_copy: bool = False
+    ) -> None:
+        """Restore the zones that a complete read did not return as evacuated.
+
+        Args:
+            from_copy: Whether the store was restored from a copy, after which the operator has to
+                write evacuations again.
+        """
         for zone in self.directory.evacuated() - zones:
-            self._apply_zone(zone, evacuated=False)
+            if from_copy:
+                until_ms = now_ms + self._settings.timing.epoch_settle_ms
+                self._kept_evacuations[zone] = until_ms
+                _log.info(
+                    "Restored store has no evacuation of the zone; the zone stays evacuated until"
+                    " the operator has had time to write it again.",
+                    zone=zone,
+                    held_ms=round(until_ms - now_ms),
+                )
+            elif zone not in self._kept_evacuations:
+                self._apply_zone(zone, evacuated=False)
+
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Do not count proofs until the operator has had time to write the configuration again."""
+        self._counts_proofs_from_ms = now_ms + self._settings.timing.operator_rewrite_ms
 
     def record_proof(self, proof_ms: float) -> None:
         """Record that the configuration was current at *proof_ms*."""
-        self._proof_ms = max(self._proof_ms, proof_ms)
+        if proof_ms >= self._counts_proofs_from_ms:
+            self._proof_ms = max(self._proof_ms, proof_ms)
 
     def record_servers_proof(self, proof_ms: float) -> None:
         """Record that the server directory was current at *proof_ms*."""
@@ -93,14 +131,23 @@
         """Defer removals, as entries of live servers can have expired during the outage."""
         if outage_ms < self._settings.timing.lapse_outage_ms:
             return
-        self._defer_removals_until_ms = now_ms + self._settings.timing.lapse_ms
+        self._defer_removals(self._settings.timing.lapse_ms, now_ms)
+
+    def _defer_removals(self, lapse_ms: float, now_ms: float) -> None:
+        until_ms = now_ms + lapse_ms
+        self._defer_removals_until_ms = max(self._defer_removals_until_ms, until_ms)
 
     def apply_due_removals(self, now_ms: float) -> None:
-        """Remove the servers whose deferral has ended."""
-        for server, until_ms in list(self._deferred_removals.items()):
+        """Remove the servers, and restore the zones, whose deferral has ended."""
+        for zone, until_ms in list(self._kept_evacuations.items()):
             if now_ms >= until_ms:
-                del self._deferred_removals[server]
-                self._remove_now(server, now_ms)
+                del self._kept_evacuations[zone]
+                self._apply_zone(zone, evacuated=False)
+        for kept in (self._deferred_removals, self._kept_servers):
+            for server, until_ms in list(kept.items()):
+                if now_ms >= until_ms:
+                    del kept[server]
+                    self._remove_now(server, now_ms)
 
     def proof_age_ms(self, now_ms: float) -> float:
         """Return the age of the newest proof that the configuration is current."""
@@ -137,23 +184,34 @@
             )
 
     def _remove(self, server: str, now_ms: float) -> None:
+        self._kept_servers.pop(server, None)
         if now_ms < self._defer_removals_until_ms:
             if server not in self._deferred_removals:
-                self._deferred_removals[server] = self._defer_removals_until_ms
-                self.directory.mark_unconfirmed(server)
-                held_ms = self._defer_removals_until_ms - now_ms
-                _log.info(
-                    "Server removal is deferred after a store outage; other servers are preferred"
-                    " meanwhile.",
-                    server=server,
-                    held_ms=round(held_ms),
-                )
+                until_ms = self._defer_removals_until_ms
+                self._keep_until(until_ms, server, self._deferred_removals, now_ms)
             return
         self._remove_now(server, now_ms)
 
-    def _cancel_removal(self, entry: ServerEntry) -> None:
-        if entry.server in self._deferred_removals and self.directory.is_newer(entry):
-            del self._deferred_removals[entry.server]
+    def _keep_until(
+        self, until_ms: float, server: str, kept: dict[str, float], now_ms: float
+    ) -> None:
+        kept[server] = until_ms
+        self.directory.mark_unconfirmed(server)
+        _log.info(
+            "Server removal is deferred after a store outage; other servers are preferred"
+            " meanwhile.",
+            server=server,
+            held_ms=round(until_ms - now_ms),
+        )
+
+    def _cancel_removal(self, entry: ServerEntry, now_ms: float) -> None:
+        if entry.server not in self._deferred_removals and entry.server not in self._kept_servers:
+            return
+        # A server may write the entry that a restored store lacks again without any change.
+        is_repeated = now_ms < self._settles_until_ms and self.directory.is_newest(entry)
+        if is_repeated or self.directory.is_newer(entry):
+            self._deferred_removals.pop(entry.server, None)
+            self._kept_servers.pop(entry.server, None)
             self.directory.mark_confirmed(entry.server)
             _log.info(
                 "Deferred server removal is cancelled by a heartbeat.",
@@ -178,6 +236,16 @@
 
     def __init__(self, state: ControlPlaneState) -> None:
         self._state = state
+        self._reads_copy = False
+
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Take the next complete read as one of an older copy."""
+        self._reads_copy = True
+
+    def _end_reading_copy(self) -> bool:
+        """Return whether this complete read is the first one of a restored store."""
+        reads_copy, self._reads_copy = self._reads_copy, False
+        return reads_copy
 
     def apply(self, change: Change, now_ms: float) -> None:
         """Apply one change."""
@@ -190,7 +258,16 @@
     def on_complete_read(self, changes: list[Change], now_ms: float) -> None:
         """Restore the zones that are no longer evacuated."""
         zones = [change for change in changes if isinstance(change, ZoneChanged)]
-        self._state.retain_evacuated_zones({change.zone for change in zones if change.evacuated})
+        self._state.retain_evacuated_zones(
+            {change.zone for change in zones if change.evacuated},
+            now_ms,
+            from_copy=self._end_reading_copy(),
+        )
+
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Take the next complete read as one of an older copy, and count proofs only later."""
+        super().on_epoch_changed(now_ms)
+        self._state.on_epoch_changed(now_ms)
 
     def record_proof(self, proof_ms: float, now_ms: float) -> None:
         """Record that the configuration was current at *proof_ms*."""
@@ -217,7 +294,7 @@
         """Remove the servers that have no entry."""
         seen = {change.entry.server for change in changes if isinstance(change, ServerChanged)}
         seen |= {change.subject for change in changes if isinstance(change, UnreadableEntry)}
-        self._state.retain_servers(seen, now_ms)
+        self._state.retain_servers(seen, now_ms, from_copy=self._end_reading_copy())
 
     def record_proof(self, proof_ms: float, now_ms: float) -> None:
         """Record that the server directory was current at *proof_ms*."""
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -135,7 +135,8 @@
         self._pool = ServerPool(settings)
         self._fleet = fleet
         self._load_shedder = LoadShedder(settings.shedding)
-        availability = StoreAvailability()
+        availability = StoreAvailability(topics.registry.epoch)
+        self._epoch = topics.registry.epoch
         health = ServerHealth()
         self._placer = Placer(
             settings.placing,
@@ -148,7 +149,10 @@
         self._shutdown_schedule = ShutdownSchedule(settings)
         self._poison_guard = PoisonRequestGuard(self._metrics, self._load.is_selected_for)
         self._suspect_news = SuspectNews(
-            settings.router, self._poison_guard, topics.registry.suspects
+            settings.router,
+            self._poison_guard,
+            topics.registry.suspects,
+            settings.timing.rewrite_spread_ms,
         )
         self._crash_detector = CrashDetector(
             self._control_state.directory,
@@ -337,6 +341,7 @@
             self._metrics.set_gauge("active", self._request_handler.active)
             self._metrics.set_gauge("waiting", self._request_handler.waiting)
             self._metrics.set_gauge("peers", len(self._peers.links.peers()))
+            self._metrics.set_store_epoch(self._epoch)
             self._metrics.set_gauge("proof_age_ms", self._control_state.proof_age_ms(clock_ms()))
             await self._sleep_until_upkeep()
 
--- a/src/cicadaledge/edge/_evidence_publisher.py
+++ b/src/cicadaledge/edge/_evidence_publisher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
 from cicadaledge.edge._source import (
@@ -28,9 +29,17 @@
 
     Args:
         router: Name of this router.
+        rewrite_spread_ms: Records are written to a restored store within this time, at random.
     """
 
-    def __init__(self, router: str, guard: PoisonRequestGuard, registry: SuspectRegistry) -> None:
+    def __init__(
+        self,
+        router: str,
+        guard: PoisonRequestGuard,
+        registry: SuspectRegistry,
+        rewrite_spread_ms: float,
+    ) -> None:
+        self._rewrite_spread_ms = rewrite_spread_ms
         self._router = router
         self._guard = guard
         self._registry = registry
@@ -54,7 +63,10 @@
             await asyncio.sleep(_PUBLISH_INTERVAL_S)
 
     async def keep_claims_written(self) -> None:
-        """Write claims to trials forever; one that fails is given up, as the trial can wait."""
+        """Write claims to trials forever; a new one that fails is given up, as the trial can wait.
+
+        A claim that is written again after a restore of the store is retried.
+        """
         await self._has_read.wait()
         while True:
             claim = await self._guard.new_claims.get()
@@ -62,6 +74,9 @@
                 await self._registry.claim_trial(claim)
             except StoreError as error:
                 _log.info("Trial of prompt parts could not be claimed.", error=str(error))
+                if claim in self._guard.own_claims():
+                    self._guard.new_claims.put_nowait(claim)
+                    await asyncio.sleep(_RETRY_S)
 
     def apply(self, change: Change, now_ms: float) -> None:
         """Merge a router's evidence, or record a claim."""
@@ -82,3 +97,8 @@
 
     def on_store_recovered(self, outage_ms: float, now_ms: float) -> None:
         """Do nothing: evidence does not expire during an outage."""
+
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Publish evidence and claims again; those of others are kept, as this router read them."""
+        delay_s = random.uniform(0.0, self._rewrite_spread_ms) / 1000
+        asyncio.get_running_loop().call_later(delay_s, self._guard.publish_again)
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Protocol
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._epoch import NO_EPOCH
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._news import StoreRelay
 from cicadaledge.edge._source import (
@@ -25,6 +27,9 @@
 # A slow store responds within this time after the long-poll wait. If the last proof is older than
 # both, the next read does not wait at the store.
 _MAX_RESPONSE_MS = 1_000.0
+# The first long poll of a topic after a restore of the store waits no longer than this, as a proof
+# read by then ends the time for which the operator's rewriting is awaited (`operator_rewrite_ms`).
+_FIRST_WAIT_AFTER_RESTORE_MS = 500
 _log = PartLog("store")
 
 
@@ -64,6 +69,9 @@
             outage_ms: Time since the last page, read or relayed.
         """
 
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Prepare for a complete read from a store that was restored from an older copy."""
+
 
 class TopicFollower:
     """Follows one topic forever: reads all current entries first, then each new record.
@@ -97,6 +105,10 @@
         self._reads = 0
         self._proof_ms = float("-inf")
         self._last_page_ms = clock_ms()
+        self._epoch = availability.epoch
+        self._epoch.subscribe(self._restart)
+        self._restarted = asyncio.Event()
+        self._reads_copy = False
         relay.register(self)
 
     @property
@@ -119,12 +131,16 @@
                 await self._availability.wait_until_reachable()
                 continue
             if await self._read_once():
-                await asyncio.sleep(self._pause_ms() / 1000)
+                await self._pause()
 
     def apply_relayed(self, message: StoreNews, proof_ms: float) -> bool:
-        """Apply a relayed page; return False if a page before it is missing."""
+        """Apply a relayed page; return False if the store must be read instead."""
         if self._offset is None:
             return True
+        if self._epoch.is_newer(message.epoch):
+            self._offset = None
+            self._restarted.set()
+            return False
         if message.first_offset <= self._offset < message.next_offset:
             if message.first_offset != self._offset:
                 return False
@@ -135,7 +151,8 @@
             self._apply_page(page)
             return True
         if message.next_offset < self._offset:
-            return True
+            # A relay of a former build does not tell of a restore, but its offsets go back.
+            return message.epoch == self._epoch.current
         if message.first_offset > self._offset:
             return False
         self._record_success(after_outage=message.after_outage)
@@ -145,9 +162,13 @@
     async def _read_once(self) -> bool:
         """Read and forward a page; return False after a failure and a pause."""
         offset = self._offset
+        sent_ms = clock_ms()
         page = await self._read(offset)
         if page is None:
             return False
+        self._epoch.observe(page.epoch, sent_ms)
+        if not self._epoch.is_current(page.epoch):
+            return False
         self._reads += 1
         after_outage = self._availability.outage_seen_ms > self._last_page_ms
         self._availability.record_success()
@@ -155,13 +176,28 @@
         if offset is None:
             self._apply_page(page)
             self._sink.on_complete_read(page.changes, clock_ms())
+            if self._reads > 1 and page.epoch != NO_EPOCH:
+                # Shows the epoch to the routers of the zone without the delay of a long poll.
+                end = evolve(page, changes=[], first_offset=page.next_offset)
+                self._relay.forward(self.topic, end, after_outage=after_outage)
             return True
         self._relay.forward(self.topic, page, after_outage=after_outage)
         if offset == self._offset:
             self._apply_page(page)
         elif page.next_offset == self._offset:
             self._record_proof(page.proof_ms)
-        return True
+        return self._offset is not None
+
+    def _restart(self, now_ms: float) -> None:
+        """Read the whole topic again, as offsets of the former epoch are void."""
+        if not self._reads:
+            return
+        _log.info("Topic is read again from its start.", topic=self.topic, offset=self._offset)
+        self._offset = None
+        self._reads_copy = True
+        self._sink.on_epoch_changed(now_ms)
+        self._relay.wake(self.topic)
+        self._restarted.set()
 
     async def _read(self, offset: int | None) -> ChangePage | None:
         """Return the next page, or None after a failure and a pause."""
@@ -170,6 +206,9 @@
                 return await self._source.newest()
             # A long poll would delay the proof that the router's state is current.
             wait_ms = 0 if self._failed or self._is_overdue() else self._timing.wait_ms
+            if self._reads_copy:
+                wait_ms = min(wait_ms, _FIRST_WAIT_AFTER_RESTORE_MS)
+                self._reads_copy = False
             return await self._source.since(offset, wait_ms)
         except HistoryLostError as error:
             _log.warning(
@@ -246,6 +285,15 @@
             )
         await asyncio.sleep(self._availability.retry_delay_s())
 
+    async def _pause(self) -> None:
+        """Wait until the next read is due."""
+        self._restarted.clear()
+        if self._offset is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_ms() / 1000):
+                await self._restarted.wait()
+
     def _pause_ms(self) -> float:
         first = self._timing.first_pauses_ms
         return first[self._reads - 1] if self._reads <= len(first) else self._timing.pause_ms
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -8,6 +8,8 @@
 import aioprometheus
 from aioprometheus.renderer import render
 
+from cicadaledge.edge._epoch import StoreEpoch
+
 _BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0)
 
 
@@ -51,6 +53,11 @@
             "Entries of the store that could not be read or taken over.",
             registry=registry,
         )
+        self._epoch_events = aioprometheus.Counter(
+            "cicadaledge_store_epochs_total",
+            "Changes of the store's epoch, and relayed pages dropped because of one.",
+            registry=registry,
+        )
         self._part_failures = aioprometheus.Counter(
             "cicadaledge_part_failures_total",
             "Failures of a part of the router, which was started again.",
@@ -104,6 +111,12 @@
         """Count a failure of a background task."""
         self._part_failures.inc({"part": part})
 
+    def set_store_epoch(self, epoch: StoreEpoch) -> None:
+        """Take over the counts of the store's epochs."""
+        self.set_gauge("store_epoch", epoch.current)
+        for what, count in epoch.counts.items():
+            self._epoch_events.set({"what": what}, count)
+
     def observe_first_byte(self, seconds: float) -> None:
         """Observe the time to the first byte of a server's answer."""
         self._first_byte_seconds.add({}, seconds)
--- a/src/cicadaledge/edge/_news.py
+++ b/src/cicadaledge/edge/_news.py
@@ -107,6 +107,7 @@
                 page.records,
                 self._timestamp_before(peer, page.proof_ms),
                 after_outage,
+                page.epoch,
             )
             self._send(peer, message)
 
@@ -115,6 +116,8 @@
         reader = self._readers.get(message.topic)
         if reader is None:
             return
+        if self._availability.epoch.drops_relayed(message.epoch):
+            return
         proof_ms = float(message.echo_ms) if message.echo_ms != _NO_TIMESTAMP else float("-inf")
         if reader.apply_relayed(message, proof_ms):
             head_start_ms = 0.0 if self._availability.reads_for_zone else _CANDIDATE_HEAD_START_MS
@@ -125,8 +128,12 @@
             topic=message.topic,
             offset=message.first_offset,
         )
-        self._fresh_until_ms[message.topic] = 0.0
-        self._wake_events[message.topic].set()
+        self.wake(message.topic)
+
+    def wake(self, topic: str) -> None:
+        """Let the follower of a topic read the store itself."""
+        self._fresh_until_ms[topic] = 0.0
+        self._wake_events[topic].set()
 
     def _extend_freshness(self, topic: str, until_ms: float) -> None:
         """Treat relayed pages of a topic as fresh until a time.
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
+import random
 import time
 
 from attrs import define, evolve
@@ -96,6 +98,8 @@
         self._ranked: dict[str, list[str]] = {}
         self._missing_ms: dict[str, float] = {}
         self._announced_ms = math.inf
+        self._announce_again = asyncio.Event()
+        self._reads_copy_until_ms = -math.inf
         self._self = FleetMember(
             settings.router,
             settings.peers.host,
@@ -122,6 +126,7 @@
     async def keep_announced(self) -> None:
         """Write this process's entry to the members topic periodically, forever."""
         while True:
+            self._announce_again.clear()
             try:
                 await self._registry.announce(self._self)
             except StoreError as error:
@@ -133,7 +138,9 @@
                 continue
             self._announced_ms = min(self._announced_ms, clock_ms())
             self._self = evolve(self._self, announced=self._self.announced + 1)
-            await asyncio.sleep(self._settings.timing.announce_ms / 1000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._settings.timing.announce_ms / 1000):
+                    await self._announce_again.wait()
 
     async def keep_views(self) -> None:
         """Send load views and maintain the links, forever."""
@@ -166,6 +173,8 @@
         if member.router == self._settings.router and member.started_ms != self._self.started_ms:
             self._learn_list("an earlier process of this router is listed")
         known = self._known.get(member.router)
+        if known is not None and now_ms < self._reads_copy_until_ms and _is_older(member, known):
+            return
         if known is None or known.member != member:
             self._known[member.router] = _KnownMember(member, now_ms)
 
@@ -196,6 +205,19 @@
     def on_store_recovered(self, outage_ms: float, now_ms: float) -> None:
         """Do nothing: entries do not expire during an outage."""
 
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Write this process's entry again, and ignore older entries than the known ones.
+
+        A list of routers that is not yet known to be complete is so only after the routers that
+        started before the restore have announced themselves again.
+        """
+        timing = self._settings.timing
+        self._reads_copy_until_ms = now_ms + timing.epoch_settle_ms
+        if not self.knows_list:
+            self._announced_ms = math.inf
+        delay_s = random.uniform(0.0, timing.rewrite_spread_ms) / 1000
+        asyncio.get_running_loop().call_later(delay_s, self._announce_again.set)
+
     def _rank_zones(self) -> None:
         zones: dict[str, set[str]] = {zone: set() for zone in self._settings.regions_by_zone}
         for name, known in self._known.items():
@@ -362,3 +384,9 @@
         self._fleet.remove_peer(peer)
         self.store_relay.forget_peer(peer)
         _log.info("Link to the peer has ended; its load view is discarded.", peer=peer)
+
+
+def _is_older(member: FleetMember, known: _KnownMember) -> bool:
+    """Return whether an entry was written before the known one of its router."""
+    newest = known.member
+    return (member.started_ms, member.announced) < (newest.started_ms, newest.announced)
--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -238,6 +238,17 @@
         """Record a claim to a trial of prompt parts, in the order of the log."""
         self._parts.record_claim(claim)
 
+    def own_claims(self) -> list[TrialClaim]:
+        """Return the claims of this router that were read in the log."""
+        return self._parts.own_claims()
+
+    def publish_again(self) -> None:
+        """Publish this router's evidence and claims again, as the store has lost writes."""
+        if self.evidence() != CrashEvidence():
+            self.has_unpublished.set()
+        for claim in self.own_claims():
+            self.new_claims.put_nowait(claim)
+
     def drop_trials(self) -> None:
         """Give up trials that were not begun, as the order of their claims is not certain."""
         self._parts.drop_trials()
--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -378,6 +378,10 @@
         blame.claim_pending_until_ms = 0.0
         blame.has_trial = blame.has_trial or is_won
 
+    def own_claims(self) -> list[TrialClaim]:
+        """Return the claims of this router that it has read in the log."""
+        return self._claims.own()
+
     def drop_trials(self) -> None:
         """Give up trials that were not begun, as the order of their claims is not certain."""
         for blame in self._blamed.values():
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -76,6 +76,13 @@
             heartbeats whose absence removes it.
         lapse_ms: How long removals are deferred after an outage of the store, as live servers
             write their entries again within 2 s.
+        epoch_settle_ms: After a restore of the store from an older copy, servers and evacuations
+            that the copy lacks are kept for this long. Servers write their entries again within
+            2 s, which are read within 0.8 s.
+        operator_rewrite_ms: Reads of a restored store prove the configuration current only this
+            long after the restore was noticed, as the operator may have to revoke a key again.
+        rewrite_spread_ms: Routers write their own records to a restored store within this time, at
+            random; 385 routers and 600 servers then stay below its limit of 1,200 writes a second.
     """
 
     control_wait_ms: int = field(default=1_200, validator=ge(0))
@@ -100,6 +107,9 @@
     stop_margin_ms: float = field(default=400.0, validator=ge(0))
     lapse_outage_ms: float = field(default=2_000.0, validator=ge(0))
     lapse_ms: float = field(default=2_000.0, validator=ge(0))
+    epoch_settle_ms: float = field(default=3_000.0, validator=ge(0))
+    operator_rewrite_ms: float = field(default=500.0, validator=ge(0))
+    rewrite_spread_ms: float = field(default=1_000.0, validator=ge(0))
 
 
 @frozen
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from cicadaledge.edge._epoch import NO_EPOCH, StoreEpoch
 from cicadaledge.errors import CicadaledgeError
 from cicadaledge.routing import RoutingTable, ServerEntry
 from cicadaledge.suspects import Evidence, PartEvidence, TrialClaim
@@ -132,6 +133,7 @@
         proof_ms: Time at which the store had nothing newer than `next_offset`, on a clock that
             includes the time in which the machine is suspended.
         records: The changes as the store sent them; empty in a complete read.
+        epoch: Epoch of the store in which the offsets hold.
     """
 
     changes: list[Change]
@@ -139,6 +141,7 @@
     next_offset: int
     proof_ms: float
     records: bytes = b""
+    epoch: int = NO_EPOCH
 
 
 class ChangeSource(Protocol):
@@ -194,9 +197,11 @@
 
     Attributes:
         suspects: Evidence of requests that crash servers.
+        epoch: Epoch of the store, as shown by the answers to all calls.
     """
 
     suspects: SuspectRegistry
+    epoch: StoreEpoch
 
     async def announce(self, member: FleetMember) -> None:
         """Write this process's entry.
--- a/src/cicadaledge/edge/_store_reach.py
+++ b/src/cicadaledge/edge/_store_reach.py
@@ -10,6 +10,7 @@
 import random
 
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._epoch import StoreEpoch
 
 # The first failures are retried after this delay, which keeps calls that fail at once within the
 # store's rate limits.
@@ -38,9 +39,11 @@
         reads_for_zone: Whether other routers of the zone depend on the reads of this one.
         failures: Number of consecutive failed calls of the probing topic.
         outage_seen_ms: When an outage, which is several failures in a row, was last observed.
+        epoch: Epoch of the store.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, epoch: StoreEpoch | None = None) -> None:
+        self.epoch = epoch or StoreEpoch()
         self.reads_for_zone = True
         self.failures = 0
         self.outage_seen_ms = float("-inf")
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -12,6 +12,7 @@
 from attrs import evolve, frozen
 
 from cicadaledge.edge import (
+    NO_EPOCH,
     Change,
     ChangePage,
     CrashEvidence,
@@ -20,8 +21,10 @@
     HistoryLostError,
     HttpConnection,
     MemberSeen,
+    ResponseHead,
     ServerChanged,
     ServerRemoved,
+    StoreEpoch,
     StoreError,
     SuspectRegistry,
     TableChanged,
@@ -32,6 +35,7 @@
     timeout_after_reads,
 )
 from cicadaledge.errors import BackendError
+from cicadaledge.logs import PartLog
 from cicadaledge.platform._decode import (
     decode_evidence,
     decode_member,
@@ -67,6 +71,10 @@
 _TABLE_KEY = "config"
 _EVACUATION_PREFIX = "evacuate/"
 _PATH = "/cicadaledge/"
+_EPOCH_HEADER = b"Store-Era"
+# Longer epochs are ignored; this many digits fit into the integers of messages between routers.
+_EPOCH_DIGITS = 15
+_log = PartLog("store")
 
 
 @frozen
@@ -85,6 +93,7 @@
         proof_ms: Time at which the store had no records at or after `next_offset`; minus infinity
             if it had.
         data: The records as the store sent them.
+        epoch: Epoch of the store in which the offsets hold.
     """
 
     records: list[_KeyedRecord]
@@ -92,6 +101,7 @@
     next_offset: int
     proof_ms: float
     data: bytes = b""
+    epoch: int = NO_EPOCH
 
 
 class StoreClient:
@@ -100,12 +110,17 @@
     Args:
         host: Address of the store.
         port: Port of the store.
+
+    Attributes:
+        epoch: Epoch of the store, as shown by its answers to all calls.
     """
 
     def __init__(self, host: str, port: int) -> None:
         self._host = host
         self._port = port
         self._idle: list[HttpConnection] = []
+        self.epoch = StoreEpoch()
+        self._reported_header: str | None = None
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> _Page:
         """Return the records of a topic starting at an offset; wait up to *wait_ms* for the first.
@@ -118,9 +133,9 @@
         if wait_ms:
             query["waitMs"] = wait_ms
         sent_ms = clock_ms()
-        data = await self._request("GET", "log-read", query, b"", wait_ms)
+        data, epoch = await self._request("GET", "log-read", query, b"", wait_ms)
         end = int.from_bytes(data[:_OFFSET_BYTES], "big")
-        page = _read_page(data[2 * _OFFSET_BYTES :], offset, sent_ms)
+        page = evolve(_read_page(data[2 * _OFFSET_BYTES :], offset, sent_ms), epoch=epoch)
         if page.next_offset < end:
             return evolve(page, proof_ms=float("-inf"))
         has_timed_out = not page.records and clock_ms() - sent_ms >= wait_ms
@@ -133,15 +148,20 @@
         page, so a later read from it returns all records written in the meantime.
 
         Raises:
+            HistoryLostError: The store was restored from a copy between two pages.
             StoreError: The store did not answer, or the pages exceed the size limit.
         """
         sent_ms = clock_ms()
         size = 0
         records: list[_KeyedRecord] = []
         end: int | None = None
+        first_epoch: int | None = None
         query: dict[str, Any] = {"topic": topic, "part": 0}
         while True:
-            data = await self._request("GET", "log-newest", query, b"", 0)
+            data, epoch = await self._request("GET", "log-newest", query, b"", 0)
+            first_epoch = epoch if first_epoch is None else first_epoch
+            if epoch != first_epoch:
+                raise HistoryLostError(f"the epoch of the store changed while {topic} was read")
             size += len(data)
             if size > _NEWEST_LIMIT_BYTES:
                 raise StoreError(f"the entries of {topic} exceed {_NEWEST_LIMIT_BYTES} bytes")
@@ -151,7 +171,7 @@
                 for item in page["items"]:
                     records.append(_KeyedRecord(item["key"], base64.b64decode(item["value"])))
                 if not page.get("hasMore") or not page["items"]:
-                    return _Page(records, 0, end, sent_ms)
+                    return _Page(records, 0, end, sent_ms, epoch=epoch)
                 query["after"] = page["items"][-1]["key"]
             except (ValueError, LookupError, TypeError, AttributeError) as error:
                 raise StoreError(f"malformed page of {topic}: {error!r}") from error
@@ -169,9 +189,11 @@
 
     async def _request(
         self, method: str, call: str, query: dict[str, Any], body: bytes, wait_ms: int
-    ) -> bytes:
+    ) -> tuple[bytes, int]:
+        """Return the body of an answer and the store's epoch."""
         target = f"{_PATH}{call}?{urlencode(query)}"
         connection = None
+        sent_ms = clock_ms()
         try:
             async with timeout_after_reads(_CALL_TIMEOUT_MS + wait_ms):
                 connection = await self._acquire()
@@ -194,13 +216,28 @@
             self._idle.append(connection)
         else:
             connection.channel.close()
+        epoch = self._read_epoch(head)
+        self.epoch.observe(epoch, sent_ms)
         if head.status == _GONE:
             raise HistoryLostError(
                 f"{call}: the store no longer has the requested records of {query['topic']}"
             )
         if head.status != _OK:
             raise StoreError(f"the store answered {call} with status {head.status}")
-        return data
+        return data, epoch
+
+    def _read_epoch(self, head: ResponseHead) -> int:
+        """Return the epoch in the head of an answer, `NO_EPOCH` without a valid one."""
+        values = set(head.get_all(_EPOCH_HEADER))
+        if not values:
+            return NO_EPOCH
+        value = values.pop().strip()
+        if not values and value.isascii() and value.isdigit() and len(value) <= _EPOCH_DIGITS:
+            return int(value)
+        if value != self._reported_header:
+            self._reported_header = value
+            _log.warning("Epoch of the store is unreadable and ignored.", value=value[:40])
+        return NO_EPOCH
 
     def _abort_idle(self) -> None:
         """Close all idle connections, as a fault that stops one of them stops the others, too."""
@@ -246,7 +283,9 @@
     def _page(self, page: _Page) -> ChangePage:
         decoded = [self._decode_record(record) for record in page.records]
         changes = [change for change in decoded if change is not None]
-        return ChangePage(changes, page.first_offset, page.next_offset, page.proof_ms, page.data)
+        return ChangePage(
+            changes, page.first_offset, page.next_offset, page.proof_ms, page.data, page.epoch
+        )
 
     def _decode_record(self, record: _KeyedRecord) -> Change | None:
         """Decode a record; a malformed one gives an `UnreadableEntry` and does not block others."""
@@ -353,6 +392,7 @@
 
     Attributes:
         suspects: Topic of the routers' evidence about requests that crash servers.
+        epoch: Epoch of the store.
     """
 
     name = "members"
@@ -361,6 +401,7 @@
     def __init__(self, client: StoreClient) -> None:
         super().__init__(client)
         self.suspects: SuspectRegistry = SuspectTopic(client)
+        self.epoch = client.epoch
 
     async def announce(self, member: FleetMember) -> None:
         """Publish the membership entry of a router."""
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -118,6 +118,11 @@
         newest = record.entry
         return (entry.born_ms, entry.sequence) > (newest.born_ms, newest.sequence)
 
+    def is_newest(self, entry: ServerEntry) -> bool:
+        """Return whether a heartbeat repeats the newest known one of its server."""
+        record = self._records.get(entry.server)
+        return record is not None and record.entry == entry
+
     def remove(self, server: str, now_ms: float) -> bool:
         """Mark a server as removed; return whether it was not so marked."""
         record = self._records.get(server)
--- a/src/cicadaledge/standins/_platform_store.py
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import base64
+import copy
 import json
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from cicadaledge.edge import RequestHead, ResponseWriter
+from cicadaledge.edge import Headers, RequestHead, ResponseWriter
 from cicadaledge.standins._http_service import HttpService
 from cicadaledge.standins._odd_entries import INVALID_ENTRIES
 
@@ -34,6 +35,14 @@
         return self.start_offset + len(self.records)
 
 
+@frozen
+class StoreCopy:
+    """The contents of the store at one time."""
+
+    topics: dict[str, _Topic]
+    latest_by_key: dict[str, dict[str, tuple[bytes, int]]]
+
+
 class PlatformStore(HttpService):
     """Stores topics of one partition each.
 
@@ -42,6 +51,7 @@
             not answered).
         down_topics: Topics whose calls are answered with 503.
         calls: Number of calls by name, including refused ones.
+        era: Epoch of the store, which all answers contain; None for a store without epochs.
         peer_ports: Ports of proxies by the peer ports that routers announce, which they replace.
     """
 
@@ -50,6 +60,7 @@
         self.fault = ""
         self.down_topics: set[str] = set()
         self.calls: dict[str, int] = {}
+        self.era: int | None = None
         self.peer_ports: dict[int, int] = {}
         self._topics: dict[str, _Topic] = {}
         self._latest_by_key: dict[str, dict[str, tuple[bytes, int]]] = {}
@@ -91,6 +102,33 @@
         log.start_offset = log.end_offset
         log.records.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        return StoreCopy(copy.deepcopy(self._topics), copy.deepcopy(self._latest_by_key))
+
+    def restore(self, contents: StoreCopy) -> None:
+        """Go back to a copy, from whose offsets on others are assigned again; begin a new era."""
+        self._topics = copy.deepcopy(contents.topics)
+        self._latest_by_key = copy.deepcopy(contents.latest_by_key)
+        if self.era is not None:
+            self.era += 1
+
+    async def drill(self, contents: StoreCopy, away_s: float) -> None:
+        """Be away for some time, and come back from a copy."""
+        self.fault = "reset"
+        self._abort_connections()
+        await asyncio.sleep(away_s)
+        self.restore(contents)
+        self._abort_connections()
+        self.fault = ""
+
+    def _abort_connections(self) -> None:
+        for channel in self.channels:
+            channel.abort()
+
+    def _headers(self) -> Headers:
+        return [] if self.era is None else [(b"Store-Era", str(self.era).encode())]
+
     async def answer(self, head: RequestHead, body: bytes, writer: ResponseWriter) -> None:
         """Answer one call."""
         url = urlsplit(head.target)
@@ -107,14 +145,14 @@
                     return
                 end_offset = self._topic(query["topic"]).end_offset
                 await writer.send_response(
-                    200, [], _json({"offset": offset, "endOffset": end_offset})
+                    200, self._headers(), _json({"offset": offset, "endOffset": end_offset})
                 )
             case "read":
                 await self._read(query, writer)
             case "newest":
-                await writer.send_response(200, [], self._latest_page(query["topic"]))
+                await writer.send_response(200, self._headers(), self._latest_page(query["topic"]))
             case _:
-                await writer.send_response(404, [], b"")
+                await writer.send_response(404, self._headers(), b"")
 
     async def _apply_fault(self, topic: str | None, writer: ResponseWriter) -> bool:
         """Apply the fault of a call; return whether the call is not carried out."""
@@ -123,7 +161,7 @@
         elif self.fault == "silent":
             await asyncio.Event().wait()
         elif self.fault == "busy" or topic in self.down_topics:
-            await writer.send_response(503, [], b"")
+            await writer.send_response(503, self._headers(), b"")
         else:
             return False
         return True
@@ -131,21 +169,26 @@
     async def _read(self, query: dict[str, str], writer: ResponseWriter) -> None:
         topic = self._topic(query["topic"])
         offset = int(query["from"])
-        if offset < topic.start_offset:
-            await writer.send_response(410, [], _json({"firstOffset": topic.start_offset}))
+        if not topic.start_offset <= offset <= topic.end_offset:
+            await self._send_gone(topic, writer)
             return
         left_s = int(query.get("waitMs", "0")) / 1000
         while topic.end_offset <= offset and left_s > 0:
             await asyncio.sleep(_POLL_STEP_S)
             left_s -= _POLL_STEP_S
-        if offset < topic.start_offset:
-            await writer.send_response(410, [], _json({"firstOffset": topic.start_offset}))
+            topic = self._topic(query["topic"])
+        if not topic.start_offset <= offset <= topic.end_offset:
+            await self._send_gone(topic, writer)
             return
         numbers = (topic.end_offset, topic.start_offset)
         data = b"".join(number.to_bytes(_OFFSET_BYTES, "big") for number in numbers)
         for record in topic.records[offset - topic.start_offset :]:
             data += len(record).to_bytes(_LENGTH_BYTES, "big") + record
-        await writer.send_response(200, [], data)
+        await writer.send_response(200, self._headers(), data)
+
+    async def _send_gone(self, topic: _Topic, writer: ResponseWriter) -> None:
+        body = _json({"firstOffset": topic.start_offset})
+        await writer.send_response(410, self._headers(), body)
 
     def _append_call(self, topic: str, body: bytes) -> int:
         offset = -1
--- a/src/cicadaledge/suspects/_trial_claims.py
+++ b/src/cicadaledge/suspects/_trial_claims.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         self._claimant = secrets.token_hex(_CLAIMANT_BYTES)
         self._used: dict[str, _Used] = {}
+        self._own: list[TrialClaim] = []
 
     def used(self, parts: PartGroup) -> int:
         """Return how many trials of these parts were claimed."""
@@ -79,15 +80,22 @@
             if claim.number > used.trials:
                 used.trials = claim.number
                 used.at_ms = at_ms
+        if self.is_own(claim) and claim not in self._own:
+            self._own.append(claim)
         return is_won
 
     def is_own(self, claim: TrialClaim) -> bool:
         """Return whether this process made a claim."""
         return claim.claimant == self._claimant
 
+    def own(self) -> list[TrialClaim]:
+        """Return the claims of this process that it has read in the log."""
+        return list(self._own)
+
     def expire(self, before_ms: float, blamed: Iterable[PartGroup]) -> None:
         """Forget claims before a time, but for those of groups that are still blamed."""
         kept = {part for group in blamed for part in group}
         for part, used in list(self._used.items()):
             if used.at_ms < before_ms and part not in kept:
                 del self._used[part]
+        self._own = [claim for claim in self._own if claim.parts & self._used.keys()]
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -434,6 +434,8 @@
         echo_ms: Newest `sent_ms` of the receiver's views that the sender had received before the
             page was current in the store; -1 if none.
         after_outage: Whether the store had been unreachable for the sender before this page.
+        epoch: Epoch of the store in which the offsets hold; -1 if it has none, or if the sender is
+            of a former build.
     """
 
     topic: str
@@ -442,3 +444,4 @@
     records: bytes
     echo_ms: int
     after_outage: bool
+    epoch: int = -1
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -254,6 +254,7 @@
   records @3 :Data;          # as the store sent them
   echoMs @4 :Int64;          # receiver's clock: newest sentMs received before the read, -1 if none
   afterOutage @5 :Bool;
+  epoch @6 :Int64 = -1;      # epoch of the store, -1 if it has none or the sender does not know it
 }
 
 struct Frame {
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -121,7 +121,7 @@
     is_cut = False
     cut_topics: frozenset[str] = frozenset()
 
-    async def _request(self, method: str, call: str, query: dict[str, Any], *args: Any) -> bytes:
+    async def _request(self, method: str, call: str, query: dict[str, Any], *args: Any) -> Any:
         if self.is_cut or query.get("topic") in self.cut_topics:
             await asyncio.sleep(0.1)
             raise StoreError("the store cannot be reached")
