--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -9,7 +10,7 @@
 import pytest
 import uvloop
 
-from cicadaledge.edge import StoreError
+from cicadaledge.edge import NO_EPOCH, HistoryLostError, ResponseHead, StoreError
 from cicadaledge.platform import StoreClient
 from cicadaledge.standins import PlatformStore
 
@@ -99,3 +100,86 @@
         store.close()
 
     run(scenario())
+
+
+CALLS = {
+    "read": lambda client: client.read("keyed.op", 0, 0),
+    "newest": lambda client: client.newest("keyed.op"),
+    "append": lambda client: client.append("keyed.op", "key", b"{}"),
+}
+
+
+@pytest.mark.parametrize("fault", ["", "busy", "gone"])
+@pytest.mark.parametrize("call", CALLS)
+def test_every_answer_shows_the_epoch_of_the_store(call, fault):
+    """A router learns of a restore from whatever call comes first, also from a refused one."""
+
+    async def scenario():
+        store = PlatformStore()
+        store.era = 3
+        await store.start()
+        client = StoreClient("127.0.0.1", store.port)
+        store.fault = "busy" if fault == "busy" else ""
+        with contextlib.suppress(StoreError):
+            await (client.read("keyed.op", 9, 0) if fault == "gone" else CALLS[call](client))
+        assert client.epoch.current == 3
+        await store.stop()
+
+    asyncio.run(scenario())
+
+
+def test_an_offset_that_a_restored_store_does_not_have_is_lost_history():
+    async def scenario():
+        store = PlatformStore()
+        store.era = 1
+        await store.start()
+        client = StoreClient("127.0.0.1", store.port)
+        contents = store.copy()
+        await client.append("keyed.op", "key", b"{}")
+        assert (await client.read("keyed.op", 1, 0)).epoch == 1
+        store.restore(contents)
+        with pytest.raises(HistoryLostError):
+            await client.read("keyed.op", 1, 0)
+        assert client.epoch.current == 2
+        await store.stop()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("values", "epoch"),
+    [
+        ([], NO_EPOCH),
+        ([b"7"], 7),
+        ([b"7", b"7"], 7),
+        ([b"7", b"8"], NO_EPOCH),
+        ([b"-7"], NO_EPOCH),
+        ([b"seven"], NO_EPOCH),
+        ([b"9" * 40], NO_EPOCH),
+        ([b"\xb2"], NO_EPOCH),
+    ],
+)
+def test_an_invalid_epoch_is_ignored(values, epoch):
+    """An epoch that does not fit into a message would end the relaying of pages."""
+    client = StoreClient("127.0.0.1", 1)
+    head = ResponseHead(200, [(b"Store-Era", value) for value in values])
+    assert client._read_epoch(head) == epoch
+
+
+def test_pages_of_a_complete_read_from_two_epochs_are_not_combined():
+    """The first page had keys of the copy and the next ones those written again, or none."""
+
+    async def scenario():
+        client = StoreClient("127.0.0.1", 1)
+        item = {"key": "a", "value": "", "offset": 1}
+        pages = iter([({"items": [item], "hasMore": True, "endOffset": 2}, 1), (None, 2)])
+
+        async def request(*args):
+            page, epoch = next(pages)
+            return json.dumps(page).encode(), epoch
+
+        client._request = request
+        with pytest.raises(HistoryLostError):
+            await client.newest("keyed.op")
+
+    asyncio.run(scenario())
--- a/tests/suspects/test_trial_claims.py
+++ b/tests/suspects/test_trial_claims.py
@@ -56,3 +56,15 @@
     claims = TrialClaims()
     claims.record(TrialClaim(GROUPS[0], 1, "other", 1e15), 500.0)
     assert claims.claimed_at_ms(GROUPS[0]) == 500.0
+
+
+def test_own_claims_are_kept_from_when_they_were_read_until_they_expire():
+    """They are written again after a restore; a claim that was never read may have been lost."""
+    claims, other = TrialClaims(), TrialClaims()
+    own, foreign = (one.next_claim(GROUPS[0], 5.0) for one in (claims, other))
+    assert claims.own() == []
+    for claim in (own, foreign, own):
+        claims.record(claim, 5.0)
+    assert claims.own() == [own]
+    claims.expire(6.0, [])
+    assert claims.own() == []
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -1,7 +1,9 @@
 """Tests of frames and links: round trips, damaged data, authentication."""
 
 import asyncio
+from pathlib import Path
 
+import capnp
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,7 +21,9 @@
     NameTable,
     PeerLinks,
     ServerUse,
+    StoreNews,
     ViewScope,
+    _codec,
     decode_message,
     encode_message,
 )
@@ -33,6 +37,7 @@
     Grant(7, "p", "z", "s", "boot", 12),
     LeaseReply("p", "z", 3, 1500, [LeaseGrant("s", 3, "b", -1, -1, 2, True)]),
     Counters("p", "z", 4, 2, -1.0, [AccountCost("ash", 1.5, 2)]),
+    StoreNews("control", 3, 4, b"record", 5, True, 7),
 ]
 
 
@@ -41,6 +46,28 @@
     assert decode_message(encode_message(message)) == message
 
 
+def former_schema(directory):
+    """Return the schema of a build whose relayed pages have no epoch."""
+    current = Path(_codec.__file__).with_name("control.capnp").read_text()
+    lines = [line for line in current.splitlines() if "epoch @6" not in line]
+    path = directory / "former.capnp"
+    path.write_text("\n".join(lines))
+    return capnp.SchemaParser().load(str(path))
+
+
+def test_relayed_pages_are_exchanged_with_routers_of_a_build_without_epochs(tmp_path):
+    """While a fleet is upgraded, a page without an epoch was taken for one of epoch 0."""
+    former = former_schema(tmp_path)
+    page = {"topic": "control", "firstOffset": 3, "nextOffset": 4, "records": b"record"}
+    page |= {"echoMs": 5, "afterOutage": True}
+    sent = former.Frame.new_message(storeNews=page).to_bytes_packed()
+    assert decode_message(sent) == StoreNews("control", 3, 4, b"record", 5, True, -1)
+    received = former.Frame.from_bytes_packed(
+        encode_message(StoreNews("control", 3, 4, b"record", 5, True, 7))
+    )
+    assert received.storeNews.to_dict() == page
+
+
 def test_names_are_sent_once_on_a_link():
     sent, received = NameTable(), NameTable()
     frames = [encode_message(message, sent) for message in MESSAGES * 2]
