--- a/src/cicadaledge/soak/_deployment.py
+++ b/src/cicadaledge/soak/_deployment.py
@@ -171,6 +171,7 @@
     routed_service: str = "desk"
     keys: list[str] = field(factory=lambda: list(KEYS))
     cold_per_s: float = 0.0
+    evacuated: set[str] = field(factory=set)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     _port_reservations: list[socket.socket] = field(factory=list)
 
@@ -217,6 +218,22 @@
         self.version += 1
         self.store.put_configuration(self._configuration())
 
+    def evacuate(self, zone: str, *, evacuated: bool) -> None:
+        """Evacuate an availability zone, or restore it."""
+        (self.evacuated.add if evacuated else self.evacuated.discard)(zone)
+        self.store.put_evacuation(zone, evacuated=evacuated)
+
+    def write_again(self) -> None:
+        """Write all that a restored store may have lost, as the operator and the servers do."""
+        self.store.put_configuration(self._configuration())
+        for zone in self.size.regions_by_zone:
+            self.store.put_evacuation(zone, evacuated=zone in self.evacuated)
+        for server in self.servers.values():
+            if not server.has_entry:
+                self.store.put_server(server.name, None)
+            elif server.is_alive and not server.backend.is_down:
+                self.write_entry(server)
+
     def _configuration(self) -> dict[str, Any]:
         service = self.routed_service
         limit = {"timeoutMs": ROUTE_TIMEOUT_MS}
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -24,6 +24,7 @@
 _INVALID_ENTRY_COUNTS = (0, 3)
 _MISLEADING_ANSWER_COUNTS = (0, 3)
 _PARTIAL_OUTAGE_COUNTS = (0, 2)
+_RESTORE_COUNTS = (1, 2)
 _PAUSES_S = (0.3, 1.5, 4.0, 10.0)
 # Killed processes are started again after this time, as their platform does.
 _RESTART_S = 0.2
@@ -38,6 +39,10 @@
 # A storm writes this many versions of the configuration in quick succession.
 _STORM_VERSIONS = 6
 _EXIT_POLL_S = 0.05
+# The store is restored from a copy of this age.
+_COPY_AGES_S = (0.2, 1.0, 2.5)
+_MAX_AWAY_S = 1.5  # The store is away for a moment; routers use their keys for 4.5 s without it.
+_REWRITE_S = 0.4  # The operator and the servers write to a restored store after this time.
 # A router that is kept busy is suspended and resumed in turn. The length of each suspension, and of
 # each time between two, is drawn from this range.
 _BUSY_S = (0.1, 0.4)
@@ -75,6 +80,7 @@
     invalid_entries: bool = False,
     misleading_answers: bool = False,
     partial_outages: bool = False,
+    restores: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a seed, ordered by time.
 
@@ -87,6 +93,7 @@
         invalid_entries: Add some of `INVALID_ENTRY_KINDS` in the same way.
         misleading_answers: Add some of `MISLEADING_ANSWER_KINDS` in the same way.
         partial_outages: Add some of `PARTIAL_OUTAGE_KINDS` in the same way.
+        restores: Add at least one of `RESTORE_KINDS` in the same way.
     """
     rng = random.Random(seed)
     if count is None:
@@ -98,6 +105,7 @@
         (invalid_entries, "entries", _INVALID_ENTRY_COUNTS, INVALID_ENTRY_KINDS),
         (misleading_answers, "answers", _MISLEADING_ANSWER_COUNTS, MISLEADING_ANSWER_KINDS),
         (partial_outages, "outages", _PARTIAL_OUTAGE_COUNTS, PARTIAL_OUTAGE_KINDS),
+        (restores, "restores", _RESTORE_COUNTS, RESTORE_KINDS),
     )
     for is_drawn, name, counts, kinds in more:
         if is_drawn:
@@ -295,6 +303,17 @@
         self.world.store.delete_all_history()
         self._record_disturbance(list(self.world.routers), begin_ms, is_lossless=True)
 
+    async def restore_store(self, fault: PlannedFault) -> None:
+        """Take the store away and bring it back from an older copy."""
+        async with self._lock("store"):
+            contents = self.world.store.copy()
+            await asyncio.sleep(_COPY_AGES_S[fault.random_number % len(_COPY_AGES_S)])
+            begin_ms = clock_ms()
+            await self.world.store.drill(contents, min(fault.duration_s, _MAX_AWAY_S))
+            await asyncio.sleep(_REWRITE_S)
+            self.world.write_again()
+            self._record_disturbance(list(self.world.routers), begin_ms, is_lossless=True)
+
     async def store_link(self, fault: PlannedFault) -> None:
         """Disrupt the link between one router and the store."""
         router = self._router(fault)
@@ -454,7 +473,7 @@
         zones = list(self.world.size.regions_by_zone)
         zone = zones[fault.random_number % len(zones)]
         async with self._lock(zone):
-            self.world.store.put_evacuation(zone, evacuated=True)
+            self.world.evacuate(zone, evacuated=True)
             acked_ms = clock_ms()
             bounds = self.world.observations.bounds
             await self._wait_past_bound(fault, bounds.evacuation_ms)
@@ -463,7 +482,7 @@
             self._record_restriction(
                 f"evacuation of {zone}", acked_ms, bounds.evacuation_ms, servers=names
             )
-            self.world.store.put_evacuation(zone, evacuated=False)
+            self.world.evacuate(zone, evacuated=False)
 
     async def _wait_past_bound(self, fault: PlannedFault, bound_ms: float) -> None:
         """Wait past a bound, so that requests that come too late are seen."""
@@ -550,6 +569,9 @@
 PARTIAL_OUTAGE_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
     "lose-list": FaultInjector.lose_list,
 }
+RESTORE_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
+    "restore-store": FaultInjector.restore_store,
+}
 _ALL_KINDS = (
     FAULT_KINDS
     | BUSY_LOOP_KINDS
@@ -557,4 +579,5 @@
     | INVALID_ENTRY_KINDS
     | MISLEADING_ANSWER_KINDS
     | PARTIAL_OUTAGE_KINDS
+    | RESTORE_KINDS
 )
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -46,6 +46,7 @@
             send without end.
         partial_outages: Whether all routers restart beside cold servers while topics of the store
             are down.
+        restores: Whether the store has epochs and is restored from an older copy.
         size: Size of the deployment.
     """
 
@@ -59,6 +60,7 @@
     invalid_entries: bool = True
     misleading_answers: bool = True
     partial_outages: bool = True
+    restores: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -94,10 +96,12 @@
         invalid_entries=plan.invalid_entries,
         misleading_answers=plan.misleading_answers,
         partial_outages=plan.partial_outages,
+        restores=plan.restores,
     )
     world = SoakWorld(plan.size, directory)
     if plan.partial_outages:
         world.cold_per_s = COLD_PER_S
+    world.store.era = 1 if plan.restores else None
     world.observations.bounds = _bounds(plan, faults)
     async with world.running():
         callers = Callers(world, plan.seed)
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -8,6 +8,7 @@
     INVALID_ENTRY_KINDS,
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
+    RESTORE_KINDS,
     SERVER_SIGNAL_KINDS,
     SoakPlan,
     SoakSize,
@@ -68,6 +69,7 @@
         "invalid_entries": False,
         "misleading_answers": False,
         "partial_outages": False,
+        "restores": False,
     }
     return SoakPlan(seed, **{"size": size, **usual, **changes})
 
@@ -128,6 +130,25 @@
         assert [fault for fault in more if fault.kind not in PARTIAL_OUTAGE_KINDS] == plain
 
 
+def test_restores_of_the_store_do_not_change_the_other_faults_of_a_seed():
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, server_signals=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, server_signals=True, restores=True)
+        assert [fault for fault in more if fault.kind not in RESTORE_KINDS] == plain
+        assert len(more) > len(plain)
+
+
+# Guards against routers that read a restored store from the offsets of the former one, and then
+# miss revocations, moves of routes and evacuations, or use them no more.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [148, 149])
+def test_a_restored_store_breaks_no_guarantee(seed, tmp_path):
+    result = run_round(plan(seed, faults=4, busy=False, restores=True), tmp_path)
+    assert "restore-store" in {fault.kind for fault in result.faults}
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 # Guards against routers that each use the whole rate of a cold server.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize("seed", [5, 7])
@@ -214,6 +235,7 @@
             invalid_entries=False,
             misleading_answers=False,
             partial_outages=False,
+            restores=False,
         ),
         tmp_path,
     )
@@ -231,6 +253,7 @@
             invalid_entries=False,
             misleading_answers=False,
             partial_outages=False,
+            restores=False,
         ),
         tmp_path,
     )
@@ -242,6 +265,7 @@
 def test_past_failures_with_invalid_entries_do_not_recur(seed, tmp_path):
     size = SoakSize(first_port=FIRST_PORT)
     result = run_round(
-        SoakPlan(seed, size=size, misleading_answers=False, partial_outages=False), tmp_path
+        SoakPlan(seed, size=size, misleading_answers=False, partial_outages=False, restores=False),
+        tmp_path,
     )
     assert result.broken == []
