--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -27,9 +27,11 @@
 # A slow store responds within this time after the long-poll wait. If the last proof is older than
 # both, the next read does not wait at the store.
 _MAX_RESPONSE_MS = 1_000.0
-# The first long poll of a topic after a restore of the store waits no longer than this, as a proof
-# read by then ends the time for which the operator's rewriting is awaited (`operator_rewrite_ms`).
-_FIRST_WAIT_AFTER_RESTORE_MS = 500
+# For this long after a restore of the store, long polls wait no longer than the second value. Proofs
+# do not count until the operator can have written again (`operator_rewrite_ms`), and the next proof
+# would otherwise come a whole wait later; a relayed one is up to a second older than its page.
+_SHORT_WAITS_MS = 2_000.0
+_SHORT_WAIT_MS = 500
 _log = PartLog("store")
 
 
@@ -108,7 +110,7 @@
         self._epoch = availability.epoch
         self._epoch.subscribe(self._restart)
         self._restarted = asyncio.Event()
-        self._reads_copy = False
+        self._restarted_ms = float("-inf")
         relay.register(self)
 
     @property
@@ -194,7 +196,7 @@
             return
         _log.info("Topic is read again from its start.", topic=self.topic, offset=self._offset)
         self._offset = None
-        self._reads_copy = True
+        self._restarted_ms = now_ms
         self._sink.on_epoch_changed(now_ms)
         self._relay.wake(self.topic)
         self._restarted.set()
@@ -206,9 +208,8 @@
                 return await self._source.newest()
             # A long poll would delay the proof that the router's state is current.
             wait_ms = 0 if self._failed or self._is_overdue() else self._timing.wait_ms
-            if self._reads_copy:
-                wait_ms = min(wait_ms, _FIRST_WAIT_AFTER_RESTORE_MS)
-                self._reads_copy = False
+            if clock_ms() - self._restarted_ms < _SHORT_WAITS_MS:
+                wait_ms = min(wait_ms, _SHORT_WAIT_MS)
             return await self._source.since(offset, wait_ms)
         except HistoryLostError as error:
             _log.warning(
--- a/tests/edge/test_store_epoch.py
+++ b/tests/edge/test_store_epoch.py
@@ -48,6 +48,7 @@
         self.records = [*records]
         self.epoch = 1
         self.complete_reads = 0
+        self.waits_ms = []
 
     def restore(self, records):
         self.records = [*records]
@@ -59,6 +60,7 @@
         return ChangePage(changes, 0, len(self.records), clock_ms(), b"", self.epoch)
 
     async def since(self, offset, wait_ms):
+        self.waits_ms.append(wait_ms)
         await asyncio.sleep(0.005)
         if offset > len(self.records):
             raise HistoryLostError("gone")
@@ -188,6 +190,26 @@
     asyncio.run(run())
 
 
+def test_proofs_come_soon_after_a_restore():
+    """With whole long polls, keys were refused for over a second more after an outage."""
+    topic = EpochTopic(zones("z-0"))
+
+    async def run():
+        reader = Reader(topic)
+        reader.follower._timing = evolve(TIMES, wait_ms=1_200)
+        async with reader.running():
+            await reader.until_seen("z-0")
+            await asyncio.sleep(0.1)
+            topic.restore(zones("z-0", "new"))
+            await reader.until_seen("new")
+            assert max(topic.waits_ms) == 1_200
+            topic.waits_ms.clear()
+            await asyncio.sleep(0.1)
+            assert max(topic.waits_ms) == 500
+
+    asyncio.run(run())
+
+
 def test_a_follower_that_waits_for_its_relay_reads_the_store_when_a_call_shows_the_new_epoch():
     topic = EpochTopic(zones("z-0"))
 
