--- a/src/cicadaledge/edge/_epoch.py
+++ b/src/cicadaledge/edge/_epoch.py
@@ -35,6 +35,8 @@
         self.current = NO_EPOCH
         self.counts: Counter[str] = Counter()
         self._changed_ms = float("-inf")
+        self._announced = NO_EPOCH
+        self._has_logged_drop = False
         self._listeners: list[Callable[[float], None]] = []
 
     def subscribe(self, on_change: Callable[[float], None]) -> None:
@@ -57,6 +59,7 @@
             return
         former, self.current = self.current, epoch
         self._changed_ms = clock_ms()
+        self._has_logged_drop = False
         if former != NO_EPOCH:
             self.counts["changed"] += 1
             _log.warning(
@@ -72,9 +75,15 @@
         return epoch in (NO_EPOCH, self.current)
 
     def is_newer(self, epoch: int) -> bool:
-        """Return whether a relayed page shows an epoch that this router has not seen yet."""
+        """Return whether a relayed page shows an epoch that this router has not read itself."""
         return epoch > self.current
 
+    def is_first_announcement(self, epoch: int) -> bool:
+        """Return whether a newer epoch is shown by a relayed page for the first time."""
+        is_first = epoch > self._announced
+        self._announced = max(self._announced, epoch)
+        return is_first
+
     def drops_relayed(self, epoch: int) -> bool:
         """Return whether a relayed page is dropped because it may be older than the last change."""
         if epoch == NO_EPOCH:
@@ -82,4 +91,11 @@
         else:
             dropped = epoch < self.current
         self.counts["page_dropped"] += dropped
+        if dropped and not self._has_logged_drop:
+            self._has_logged_drop = True
+            _log.info(
+                "Relayed pages from before the store's restore are dropped.",
+                epoch=epoch,
+                current_epoch=self.current,
+            )
         return dropped
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -132,6 +132,7 @@
             if not self._availability.may_call(self.topic):
                 await self._availability.wait_until_reachable()
                 continue
+            self._restarted.clear()
             if await self._read_once():
                 await self._pause()
 
@@ -141,7 +142,9 @@
             return True
         if self._epoch.is_newer(message.epoch):
             self._offset = None
-            self._restarted.set()
+            if self._epoch.is_first_announcement(message.epoch):
+                self._availability.retry_now(self.topic)
+                self._restarted.set()
             return False
         if message.first_offset <= self._offset < message.next_offset:
             if message.first_offset != self._offset:
@@ -284,15 +287,17 @@
                 topic=self.topic,
                 error=str(error),
             )
-        await asyncio.sleep(self._availability.retry_delay_s())
+        await self._sleep(self._availability.retry_delay_s())
 
     async def _pause(self) -> None:
         """Wait until the next read is due."""
-        self._restarted.clear()
-        if self._offset is None:
-            return
+        if self._offset is not None:
+            await self._sleep(self._pause_ms() / 1000)
+
+    async def _sleep(self, seconds: float) -> None:
+        """Wait for some time, or until a restore that was noticed since the last read began."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._pause_ms() / 1000):
+            async with asyncio.timeout(seconds):
                 await self._restarted.wait()
 
     def _pause_ms(self) -> float:
--- a/src/cicadaledge/edge/_store_reach.py
+++ b/src/cicadaledge/edge/_store_reach.py
@@ -75,6 +75,14 @@
         except TimeoutError:
             return
 
+    def retry_now(self, topic: str) -> None:
+        """Let a topic probe the store at once, as another router has just reached it."""
+        self._probe = topic
+        # Wakes the topics that wait now, and no later ones.
+        self._reachable.set()
+        if self.failures:
+            self._reachable.clear()
+
     def record_success(self) -> None:
         """Record that the store has answered."""
         self.failures = 0
--- a/tests/edge/test_store_epoch.py
+++ b/tests/edge/test_store_epoch.py
@@ -20,6 +20,7 @@
     ServerRemoved,
     StoreAvailability,
     StoreEpoch,
+    StoreError,
     StoreRelay,
     TableChanged,
     TopicFollower,
@@ -210,6 +211,32 @@
     asyncio.run(run())
 
 
+def test_a_router_that_has_backed_off_reads_a_restored_store_when_its_relay_has_reached_it():
+    """It was not ready until the end of its pause of two seconds, as relayed pages were void."""
+    topic = EpochTopic(zones("z-0"))
+
+    async def run():
+        reader = Reader(topic)
+        reader.relay.set_role([], is_relay=False)
+        async with reader.running():
+            await reader.until_seen("z-0")
+            reads = topic.newest, topic.since
+
+            async def fail(*args):
+                raise StoreError("down")
+
+            topic.newest = topic.since = fail
+            while reader.availability.failures < 6:
+                await asyncio.sleep(0.01)
+            topic.restore(zones("z-0", "new"))
+            topic.newest, topic.since = reads
+            for _ in range(2):
+                reader.relay.receive(fresh(relayed_page(2, []), 2))
+            await reader.until_seen("new", within_s=0.4)
+
+    asyncio.run(run())
+
+
 def test_a_follower_that_waits_for_its_relay_reads_the_store_when_a_call_shows_the_new_epoch():
     topic = EpochTopic(zones("z-0"))
 
@@ -510,6 +537,9 @@
             assert world.runners[0].runs == []
             world.store.put_evacuation("zone-a", evacuated=True)
             await asyncio.sleep(1.2)
+            metrics = (await world.get(world.settings[0].metrics, "/metrics")).body
+            assert b'cicadaledge_store_epochs_total{what="changed"} 1' in metrics
+            assert b'cicadaledge_state{name="store_epoch"} 2' in metrics
             for number in range(10):
                 assert (await world.call("/book/2", router=number % 2)).status == 200
             assert world.runners[0].runs == []
