--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -114,6 +114,10 @@
         """Do not count proofs until the operator has had time to write the configuration again."""
         self._counts_proofs_from_ms = now_ms + self._settings.timing.operator_rewrite_ms
 
+    def on_configuration_written(self) -> None:
+        """Count proofs again, as the operator has written to the store since its restore."""
+        self._counts_proofs_from_ms = float("-inf")
+
     def record_proof(self, proof_ms: float) -> None:
         """Record that the configuration was current at *proof_ms*."""
         if proof_ms >= self._counts_proofs_from_ms:
@@ -255,6 +259,12 @@
 class ControlSink(_StateSink):
     """Applies the control topic, which operators write."""
 
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Apply one change; a configuration after the complete read shows that it is current."""
+        super().apply(change, now_ms)
+        if isinstance(change, TableChanged) and not self._reads_copy:
+            self._state.on_configuration_written()
+
     def on_complete_read(self, changes: list[Change], now_ms: float) -> None:
         """Restore the zones that are no longer evacuated."""
         zones = [change for change in changes if isinstance(change, ZoneChanged)]
--- a/tests/edge/test_store_epoch.py
+++ b/tests/edge/test_store_epoch.py
@@ -472,6 +472,20 @@
     assert state.proof_age_ms(2_000.0) == 1_000.0 - REWRITE_MS
 
 
+def test_proofs_count_at_once_when_the_operator_has_written_the_configuration_again():
+    """Keys were refused for half a second although the configuration was known to be current."""
+    state = ControlPlaneState(SETTINGS)
+    control = ControlSink(state)
+    control.on_epoch_changed(1_000.0)
+    for read_ms in (1_000.0, 1_100.0):
+        control.apply(table(8), read_ms)
+        control.record_proof(read_ms, read_ms)
+        if read_ms == 1_000.0:
+            assert state.proof_age_ms(read_ms) == float("inf")
+            control.on_complete_read([table(8)], read_ms)
+    assert state.proof_age_ms(1_100.0) == 0.0
+
+
 WORLD_TIMING = evolve(FAST, epoch_settle_ms=800.0, rewrite_spread_ms=100.0)
 
 
