--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/edge/_follow.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Protocol
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._epoch import NO_EPOCH
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._news import StoreRelay
 from cicadaledge.edge._source import (
@@ -25,6 +27,11 @@
 # A slow store responds within this time after the long-poll wait. If the last proof is older than
 # both, the next read does not wait at the store.
 _MAX_RESPONSE_MS = 1_000.0
+# For this long after a restore of the store, long polls wait no longer than the second value. Proofs
+# do not count until the operator can have written again (`operator_rewrite_ms`), and the next proof
+# would otherwise come a whole wait later; a relayed one is up to a second older than its page.
+_SHORT_WAITS_MS = 2_000.0
+_SHORT_WAIT_MS = 500
 _log = PartLog("store")
 
 
@@ -64,6 +71,9 @@
             outage_ms: Time since the last page, read or relayed.
         """
 
+    def on_epoch_changed(self, now_ms: float) -> None:
+        """Prepare for a complete read from a store that was restored from an older copy."""
+
 
 class TopicFollower:
     """Follows one topic forever: reads all current entries first, then each new record.
@@ -97,6 +107,10 @@
         self._reads = 0
         self._proof_ms = float("-inf")
         self._last_page_ms = clock_ms()
+        self._epoch = availability.epoch
+        self._epoch.subscribe(self._restart)
+        self._restarted = asyncio.Event()
+        self._restarted_ms = float("-inf")
         relay.register(self)
 
     @property
@@ -118,13 +132,20 @@
             if not self._availability.may_call(self.topic):
                 await self._availability.wait_until_reachable()
                 continue
+            self._restarted.clear()
             if await self._read_once():
-                await asyncio.sleep(self._pause_ms() / 1000)
+                await self._pause()
 
     def apply_relayed(self, message: StoreNews, proof_ms: float) -> bool:
-        """Apply a relayed page; return False if a page before it is missing."""
+        """Apply a relayed page; return False if the store must be read instead."""
         if self._offset is None:
             return True
+        if self._epoch.is_newer(message.epoch):
+            self._offset = None
+            if self._epoch.is_first_announcement(message.epoch):
+                self._availability.retry_now(self.topic)
+                self._restarted.set()
+            return False
         if message.first_offset <= self._offset < message.next_offset:
             if message.first_offset != self._offset:
                 return False
@@ -135,7 +156,8 @@
             self._apply_page(page)
             return True
         if message.next_offset < self._offset:
-            return True
+            # A relay of a former build does not tell of a restore, but its offsets go back.
+            return message.epoch == self._epoch.current
         if message.first_offset > self._offset:
             return False
         self._record_success(after_outage=message.after_outage)
@@ -145,9 +167,13 @@
     async def _read_once(self) -> bool:
         """Read and forward a page; return False after a failure and a pause."""
         offset = self._offset
+        sent_ms = clock_ms()
         page = await self._read(offset)
         if page is None:
             return False
+        self._epoch.observe(page.epoch, sent_ms)
+        if not self._epoch.is_current(page.epoch):
+            return False
         self._reads += 1
         after_outage = self._availability.outage_seen_ms > self._last_page_ms
         self._availability.record_success()
@@ -155,13 +181,28 @@
         if offset is None:
             self._apply_page(page)
             self._sink.on_complete_read(page.changes, clock_ms())
+            if self._reads > 1 and page.epoch != NO_EPOCH:
+                # Shows the epoch to the routers of the zone without the delay of a long poll.
+                end = evolve(page, changes=[], first_offset=page.next_offset)
+                self._relay.forward(self.topic, end, after_outage=after_outage)
             return True
         self._relay.forward(self.topic, page, after_outage=after_outage)
         if offset == self._offset:
             self._apply_page(page)
         elif page.next_offset == self._offset:
             self._record_proof(page.proof_ms)
-        return True
+        return self._offset is not None
+
+    def _restart(self, now_ms: float) -> None:
+        """Read the whole topic again, as offsets of the former epoch are void."""
+        if not self._reads:
+            return
+        _log.info("Topic is read again from its start.", topic=self.topic, offset=self._offset)
+        self._offset = None
+        self._restarted_ms = now_ms
+        self._sink.on_epoch_changed(now_ms)
+        self._relay.wake(self.topic)
+        self._restarted.set()
 
     async def _read(self, offset: int | None) -> ChangePage | None:
         """Return the next page, or None after a failure and a pause."""
@@ -170,6 +211,8 @@
                 return await self._source.newest()
             # A long poll would delay the proof that the router's state is current.
             wait_ms = 0 if self._failed or self._is_overdue() else self._timing.wait_ms
+            if clock_ms() - self._restarted_ms < _SHORT_WAITS_MS:
+                wait_ms = min(wait_ms, _SHORT_WAIT_MS)
             return await self._source.since(offset, wait_ms)
         except HistoryLostError as error:
             _log.warning(
@@ -244,7 +287,18 @@
                 topic=self.topic,
                 error=str(error),
             )
-        await asyncio.sleep(self._availability.retry_delay_s())
+        await self._sleep(self._availability.retry_delay_s())
+
+    async def _pause(self) -> None:
+        """Wait until the next read is due."""
+        if self._offset is not None:
+            await self._sleep(self._pause_ms() / 1000)
+
+    async def _sleep(self, seconds: float) -> None:
+        """Wait for some time, or until a restore that was noticed since the last read began."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._restarted.wait()
 
     def _pause_ms(self) -> float:
         first = self._timing.first_pauses_ms
