--- a/src/cicadaledge/routing/__init__.py
+++ b/src/cicadaledge/routing/__init__.py
@@ -1,7 +1,7 @@
 """Routes, client accounts and backend servers, as known to one router."""
 
 from cicadaledge.routing._call import Call, PromptPart
-from cicadaledge.routing._servers import ServerDirectory, ServerEntry, ServerState
+from cicadaledge.routing._servers import ServerDirectory, ServerEntry, ServerState, Version
 from cicadaledge.routing._table import (
     Account,
     Engine,
@@ -27,4 +27,5 @@
     "ServerState",
     "Service",
     "ServiceWeight",
+    "Version",
 ]
--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -12,6 +12,10 @@
 _REMOVED_RETENTION_MS = 60_000
 
 
+# Version of a server's software; its type is that of the field in the entry.
+Version = str | int
+
+
 class ServerState(enum.StrEnum):
     """State that a server reports."""
 
@@ -30,6 +34,7 @@
         cold_left_ms: Time from the heartbeat on for which the server stays cold.
         born_ms: Start of its incarnation, milliseconds since the epoch.
         sequence: Grows with each heartbeat of one incarnation.
+        version: Version of its software; empty if it states none.
     """
 
     server: str
@@ -42,6 +47,7 @@
     cold_left_ms: float
     born_ms: int
     sequence: int
+    version: Version = ""
 
 
 @define
