--- a/src/cicadaledge/edge/_active_request.py
+++ b/src/cicadaledge/edge/_active_request.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from cicadaledge.rollouts import RequestSide
 from cicadaledge.routing import Account, Call, Route, RoutingTable, Service
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
         last_failure: The latest error response of a server.
         is_part_trial: Whether it was let through to find out whether a part of its prompt still
             crashes servers.
+        side: What the rollout of its service remembers of it.
         fingerprint: Identifies repetitions of the same request; computed on first use.
     """
 
@@ -47,6 +49,7 @@
     cannot_resume: bool = False
     last_failure: BufferedResponse | None = None
     is_part_trial: bool = False
+    side: RequestSide = field(factory=RequestSide)
     fingerprint: str | None = None
 
     @property
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -103,6 +103,7 @@
         was_sent: Whether the request was written to a connection.
         first_byte_ms: Time of the first byte of the response, or None.
         last_byte_ms: Time of the latest byte of a streamed response, or None.
+        caller_wait_ms: Time spent waiting until the caller took parts of a streamed response.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
         self.was_sent = False
         self.first_byte_ms: float | None = None
         self.last_byte_ms: float | None = None
+        self.caller_wait_ms = 0.0
         self._started_ms = clock_ms()
         self._request = request
         self._chosen = chosen
@@ -304,7 +306,9 @@
                 self._request.cannot_resume = True
             if data:
                 self._start_response(head)
+                sending_ms = clock_ms()
                 await self._writer.send_chunk(data)
+                self.caller_wait_ms += clock_ms() - sending_ms
         is_cut = boundary.is_within_event and holds_events
         # The end of a connection is a sound end only right after an event.
         if is_cut or not (head.is_framed or boundary.is_reached):
--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import (
     Change,
     EvidenceSeen,
     MemberSeen,
+    RolloutOrdered,
+    RolloutStatusSeen,
     ServerChanged,
     ServerRemoved,
     TableChanged,
@@ -66,6 +70,8 @@
                 self._remove(server, now_ms)
             case UnreadableEntry() | MemberSeen() | EvidenceSeen():
                 pass
+            case RolloutOrdered() | RolloutStatusSeen():
+                pass
 
     def retain_servers(self, servers: set[str], now_ms: float) -> None:
         """Remove the servers that a complete read of the topic did not return."""
@@ -169,6 +175,16 @@
             )
 
 
+class OrderSink(Protocol):
+    """Receives the orders of rollouts, which the operator writes to the control topic."""
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Apply a change, if it is an order."""
+
+    def on_complete_read_of_orders(self, changes: list[Change], now_ms: float) -> None:
+        """Withdraw the orders that a complete read did not return."""
+
+
 class _StateSink:
     """Applies changes to the control plane state.
 
@@ -185,12 +201,28 @@
 
 
 class ControlSink(_StateSink):
-    """Applies the control topic, which operators write."""
+    """Applies the control topic, which operators write.
+
+    Args:
+        orders: Receives the orders of rollouts; None if there are none.
+    """
+
+    def __init__(self, state: ControlPlaneState, orders: OrderSink | None = None) -> None:
+        super().__init__(state)
+        self._orders = orders
+
+    def apply(self, change: Change, now_ms: float) -> None:
+        """Apply one change."""
+        super().apply(change, now_ms)
+        if self._orders is not None:
+            self._orders.apply(change, now_ms)
 
     def on_complete_read(self, changes: list[Change], now_ms: float) -> None:
         """Restore the zones that are no longer evacuated."""
         zones = [change for change in changes if isinstance(change, ZoneChanged)]
         self._state.retain_evacuated_zones({change.zone for change in zones if change.evacuated})
+        if self._orders is not None:
+            self._orders.on_complete_read_of_orders(changes, now_ms)
 
     def record_proof(self, proof_ms: float, now_ms: float) -> None:
         """Record that the configuration was current at *proof_ms*."""
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -34,6 +34,8 @@
 from cicadaledge.edge._peers import PeerKeeper
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
 from cicadaledge.edge._request_handler import RequestHandler
+from cicadaledge.edge._rollout_exchange import RolloutExchange
+from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import ChangeSource, StoreTopics
@@ -147,6 +149,7 @@
         )
         self._shutdown_schedule = ShutdownSchedule(settings)
         self._poison_guard = PoisonRequestGuard(self._metrics, self._load.is_selected_for)
+        self._rollouts = RolloutGuard(settings, self._control_state, self._metrics)
         self._suspect_news = SuspectNews(
             settings.router, self._poison_guard, topics.registry.suspects
         )
@@ -172,6 +175,7 @@
             self._shutdown_schedule,
             self._crash_detector,
             self._poison_guard,
+            self._rollouts,
             self._metrics,
         )
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
@@ -185,6 +189,16 @@
             self._control_state.directory,
             availability,
         )
+        self._rollout_exchange = RolloutExchange(
+            settings,
+            self._rollouts.keeper,
+            self._peers,
+            fleet,
+            self._load,
+            topics.statuses,
+            self._metrics,
+        )
+        self._peers.on_rollout_view = self._rollout_exchange.receive
         self._followers = self._create_followers(topics, availability)
         self._listener: Listener | None = None
         self._stopping = asyncio.Event()
@@ -237,6 +251,7 @@
             self._peers.keep_views,
             self._suspect_news.keep_published,
             self._suspect_news.keep_claims_written,
+            self._rollout_exchange.keep_decided,
             self._settle_removals,
             self._watch_loop,
             self._keep_up,
@@ -260,11 +275,13 @@
         )
         suspects = PollTiming(timing.suspect_wait_ms, _SUSPECT_PAUSE_MS, timing.suspect_silence_ms)
         followed: list[tuple[ChangeSource, TopicSink, PollTiming]] = [
-            (topics.control, ControlSink(self._control_state), control),
+            (topics.control, ControlSink(self._control_state, self._rollouts), control),
             (topics.servers, ServerSink(self._control_state), servers),
             (topics.members, self._peers, members),
             (topics.registry.suspects, self._suspect_news, suspects),
         ]
+        if topics.statuses is not None and self._settings.rollouts.is_enabled:
+            followed.append((topics.statuses, self._rollouts, control))
         return [TopicFollower(*item, relay, availability, self._metrics) for item in followed]
 
     async def _supervise(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -56,6 +56,11 @@
             "Failures of a part of the router, which was started again.",
             registry=registry,
         )
+        self._rollouts = aioprometheus.Counter(
+            "cicadaledge_rollout_events_total",
+            "Requests, bad answers and status writes of rollouts.",
+            registry=registry,
+        )
         self._gauges = aioprometheus.Gauge(
             "cicadaledge_state", "What the router believes.", registry=registry
         )
@@ -104,6 +109,10 @@
         """Count a failure of a background task."""
         self._part_failures.inc({"part": part})
 
+    def count_rollout(self, what: str) -> None:
+        """Count an event of a rollout."""
+        self._rollouts.inc({"what": what})
+
     def observe_first_byte(self, seconds: float) -> None:
         """Observe the time to the first byte of a server's answer."""
         self._first_byte_seconds.add({}, seconds)
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -5,12 +5,14 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 
 from attrs import define, evolve
 
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._load_shedder import LoadShedder
 from cicadaledge.edge._news import StoreRelay
+from cicadaledge.edge._rollout_exchange import FleetRoles
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import (
     Change,
@@ -24,7 +26,7 @@
 from cicadaledge.membership import rank
 from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker
 from cicadaledge.routing import ServerDirectory
-from cicadaledge.wire import DepartingServer, LoadView, PeerLinks, StoreNews, ViewScope
+from cicadaledge.wire import DepartingServer, LoadView, PeerLinks, RolloutView, StoreNews, ViewScope
 
 _FLEET_KEY = "cicadaledge-edge"
 # A failed write of this router's entry is retried after this delay. A slow retry is enough, as only
@@ -67,6 +69,7 @@
         store_relay: Relays store pages within the zone.
         leaving: Whether this router is shutting down.
         knows_list: Whether the list of routers is known to be complete.
+        on_rollout_view: Called with the counts of rollouts that peers send.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
     ) -> None:
         self.leaving = False
         self.knows_list = False
+        self.on_rollout_view: Callable[[str, RolloutView], None] | None = None
         self._settings = settings
         self._registry = registry
         self._fleet = fleet
@@ -296,6 +300,17 @@
             self.links.send(peer, view)
         return {*peers, *self._relays.values()}
 
+    def roles(self) -> FleetRoles:
+        """Return the roles in the exchange of counts of rollouts."""
+        settings = self._settings
+        return FleetRoles(
+            settings.router, self._self.started_ms, self._relays, settings.zone, self._zone_peers()
+        )
+
+    def send_rollout(self, peer: str, view: RolloutView) -> None:
+        """Send counts of a rollout to a linked router."""
+        self.links.send(peer, view)
+
     def _zone_peers(self) -> list[str]:
         zone = self._settings.zone
         linked = self.links.peers()
@@ -343,6 +358,8 @@
         self._last_received_ms[peer] = now_ms
         if isinstance(message, StoreNews):
             self.store_relay.receive(message)
+        if isinstance(message, RolloutView) and self.on_rollout_view is not None:
+            self.on_rollout_view(peer, message)
         if not isinstance(message, LoadView):
             return
         self.store_relay.record_timestamp(peer, now_ms, message.sent_ms)
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -31,6 +31,7 @@
 from cicadaledge.edge._request_log import RequestLog
 from cicadaledge.edge._request_placer import RequestPlacer
 from cicadaledge.edge._retry_budget import RetryBudget
+from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._server_words import ServerSignalHandler
 from cicadaledge.edge._settings import EdgeSettings
@@ -84,6 +85,7 @@
         shutdown: ShutdownSchedule,
         crash_detector: CrashDetector,
         poison_guard: PoisonRequestGuard,
+        rollouts: RolloutGuard,
         metrics: EdgeMetrics,
     ) -> None:
         self.is_terminating = False
@@ -101,6 +103,7 @@
         self._load_shedder = load_shedder
         self._crash_detector = crash_detector
         self._poison_guard = poison_guard
+        self._rollouts = rollouts
         self._metrics = metrics
         self._buffer_budget = BufferBudget()
         self._signal_handler = ServerSignalHandler(control_state.directory, metrics)
@@ -123,6 +126,7 @@
             shutdown,
             self._answer_times,
             self._request_log,
+            rollouts,
         )
 
     @property
@@ -288,6 +292,7 @@
                 request.tried_servers.add(server)
             request.last_failure = result.answer or request.last_failure
             resume_after = attempt.resume_after
+            request.side.is_resumed = writer.started
             if not self._may_retry(request, result, writer):
                 raise unanswered(result)
             if result.end is AttemptEnd.LOST:
@@ -315,6 +320,7 @@
                 self._load.record_first_token_wait(chosen.placement, elapsed_ms, clock_ms())
             if attempt.first_byte_ms is None and self._is_silent(request, chosen, elapsed_ms):
                 self._record_health(request, server, failed=True)
+                self._rollouts.record_silent(request, chosen.server, now_ms)
             raise
         finally:
             self._load.record_end(chosen.placement)
@@ -325,6 +331,7 @@
             self._answer_times.record(request.route.name, took_ms)
         elif result.end in (AttemptEnd.LOST, AttemptEnd.FAILED):
             request.longest_attempt_ms = max(request.longest_attempt_ms, took_ms)
+        self._rollouts.record_ended(request, chosen.server, attempt, result, now_ms)
         if result.is_full:
             self._placer.record_full(server, ended_ms)
         if result.end is AttemptEnd.LOST:
@@ -365,6 +372,8 @@
             return False
         if not control_state.directory.is_usable(chosen.server, now_ms):
             return False
+        if not self._rollouts.may_send(request, chosen.server):
+            return False
         if not self._request_placer.has_time(request, now_ms):
             return False
         return request.account is None or control_state.may_use_keys(now_ms)
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -16,6 +16,7 @@
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
 from cicadaledge.edge._refusals import no_capacity, useful_retry_after_ms
 from cicadaledge.edge._request_log import RequestLog
+from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.errors import RefusalError
 from cicadaledge.placing import (
@@ -68,6 +69,7 @@
         shutdown: ShutdownSchedule,
         answer_times: AnswerTimes,
         request_log: RequestLog,
+        rollouts: RolloutGuard,
     ) -> None:
         self._settings = settings
         self._control_state = control_state
@@ -79,6 +81,7 @@
         self._shutdown = shutdown
         self._answer_times = answer_times
         self._request_log = request_log
+        self._rollouts = rollouts
         self._queues: dict[str, WaitingQueue] = {}
         self._waiters: dict[WaitingRequest, _Waiter] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -145,20 +148,33 @@
         choice = self._choose(request, use, now_ms)
         if isinstance(choice, Chosen):
             self._placer.record_sent(request.call, choice, now_ms)
+            self._rollouts.record_sent(request, choice.server)
             if request.account is not None and request.service.engine is not None:
                 self._shares.record_admitted(request.account.name, request.call.cost_tokens, now_ms)
         return choice
 
     def _choose(self, request: ActiveRequest, use: ShareUse, now_ms: float) -> Chosen | Refused:
-        """Return a server; keep requests suspected of crashing servers apart where possible."""
-        excluded = self._excluded_servers(request)
+        """Return a server of the preferred version.
+
+        Requests suspected of crashing servers are kept apart where possible.
+        """
+        failed_servers = self._excluded_servers(request)
         suspect_servers = self._poison_guard.servers_to_avoid(request)
-        for avoided in (excluded | suspect_servers, excluded) if suspect_servers else (excluded,):
-            choice = self._placer.choose(
-                request.call, request.route, request.service, request.regions, avoided, use, now_ms
-            )
-            if isinstance(choice, Chosen):
-                break
+        for other_versions in self._rollouts.excluded_servers(request):
+            excluded = failed_servers | other_versions
+            tries = (excluded | suspect_servers, excluded) if suspect_servers else (excluded,)
+            for avoided in tries:
+                choice = self._placer.choose(
+                    request.call,
+                    request.route,
+                    request.service,
+                    request.regions,
+                    avoided,
+                    use,
+                    now_ms,
+                )
+                if isinstance(choice, Chosen):
+                    return choice
         return choice
 
     def _excluded_servers(self, request: ActiveRequest) -> set[str]:
@@ -175,10 +191,15 @@
     def _has_no_server_left(self, request: ActiveRequest) -> bool:
         """Return whether there are servers, but none that may still get the request."""
         usable = self._control_state.directory.usable_by_name(request.service.name)
-        return bool(usable) and not usable.keys() - self._excluded_servers(request)
+        other_versions = frozenset.intersection(*self._rollouts.excluded_servers(request))
+        left = usable.keys() - self._excluded_servers(request) - other_versions
+        return bool(usable) and not left
 
     def _group(self, request: ActiveRequest, use: ShareUse, now_ms: float) -> str:
-        engine = self._placer.bound_engine(request.call, request.service, request.regions, now_ms)
+        other_versions = self._rollouts.excluded_servers(request)[0]
+        engine = self._placer.bound_engine(
+            request.call, request.service, request.regions, now_ms, other_versions
+        )
         return waiting_group(engine, request.account_name or "", use)
 
     def _queue(self, service: str) -> WaitingQueue:
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -7,6 +7,7 @@
 
 from cicadaledge.edge._load_shedder import SheddingSettings
 from cicadaledge.placing import PlacingSettings, WaitingSettings
+from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.settings import Address
 
 # This many descriptors of the process are left for files, listening sockets and pipes. The others
@@ -131,6 +132,7 @@
     placing: PlacingSettings = field(factory=PlacingSettings)
     waiting: WaitingSettings = field(factory=WaitingSettings)
     shedding: SheddingSettings = field(factory=SheddingSettings)
+    rollouts: RolloutSettings = field(factory=RolloutSettings)
 
     @property
     def max_connections(self) -> int:
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/edge/_source.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from cicadaledge.errors import CicadaledgeError
+from cicadaledge.rollouts import RolloutOrder, RolloutStatus
 from cicadaledge.routing import RoutingTable, ServerEntry
 from cicadaledge.suspects import Evidence, PartEvidence, TrialClaim
 
@@ -108,6 +109,25 @@
     claim: TrialClaim
 
 
+@frozen
+class RolloutOrdered:
+    """The operator ordered a rollout, or withdrew the order.
+
+    Args:
+        order: None if the order was withdrawn.
+    """
+
+    service: str
+    order: RolloutOrder | None
+
+
+@frozen
+class RolloutStatusSeen:
+    """A router wrote the status of a rollout."""
+
+    status: RolloutStatus
+
+
 Change = (
     TableChanged
     | ZoneChanged
@@ -117,6 +137,8 @@
     | MemberSeen
     | EvidenceSeen
     | TrialClaimed
+    | RolloutOrdered
+    | RolloutStatusSeen
 )
 
 
@@ -189,6 +211,17 @@
         """
 
 
+class StatusTopic(ChangeSource, Protocol):
+    """The topic in which routers write the status of rollouts."""
+
+    async def write(self, status: RolloutStatus) -> None:
+        """Write the status of a rollout.
+
+        Raises:
+            StoreError: The store did not answer; the status may have been written.
+        """
+
+
 class MemberRegistry(Protocol):
     """Where router processes announce themselves and share evidence.
 
@@ -215,9 +248,11 @@
         servers: Heartbeats of backend servers.
         members: Router processes.
         registry: Where this process announces itself.
+        statuses: Status of rollouts; None where there are none.
     """
 
     control: ChangeSource
     servers: ChangeSource
     members: ChangeSource
     registry: MemberRegistry
+    statuses: StatusTopic | None = None
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -116,12 +116,21 @@
         self._full_until_ms[server] = now_ms + _FULL_MS
 
     def bound_engine(
-        self, call: Call, service: Service, regions: frozenset[str] | None, now_ms: float
+        self,
+        call: Call,
+        service: Service,
+        regions: frozenset[str] | None,
+        now_ms: float,
+        excluded: frozenset[str] = frozenset(),
     ) -> str:
-        """Return the engine that a request goes to while it has room there, or "" for any."""
+        """Return the engine that a request goes to while it has room there, or "" for any.
+
+        Args:
+            excluded: Servers of versions that it must not go to.
+        """
         if service.engine is None or not self._has_affinity(call):
             return ""
-        usable = self._candidates(service, self._allowed(service, regions, set()), now_ms)
+        usable = self._candidates(service, self._allowed(service, regions, set(excluded)), now_ms)
         ranked = self._ranking.ranked(call, service.name, usable)
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
--- a/src/cicadaledge/platform/__init__.py
+++ b/src/cicadaledge/platform/__init__.py
@@ -7,6 +7,7 @@
 from cicadaledge.platform._store import (
     ControlTopic,
     MemberTopic,
+    RolloutStatusTopic,
     ServerTopic,
     StoreClient,
 )
@@ -15,6 +16,7 @@
     "ControlTopic",
     "MemberTopic",
     "PlatformHeaderCodec",
+    "RolloutStatusTopic",
     "ServerTopic",
     "StoreClient",
     "decode_server",
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -6,6 +6,7 @@
 
 from cicadaledge.edge import CrashEvidence, FleetMember
 from cicadaledge.platform._fields import Fields, check_header_name
+from cicadaledge.rollouts import RolloutOrder, RolloutState, RolloutStatus
 from cicadaledge.routing import (
     Account,
     Engine,
@@ -17,6 +18,7 @@
     ServerState,
     Service,
     ServiceWeight,
+    Version,
 )
 from cicadaledge.suspects import MAX_TRIALS, Evidence, PartEvidence, TrialClaim
 
@@ -27,12 +29,15 @@
     "unsafe": RouteKind.UNSAFE,
     "streaming": RouteKind.STREAM,
 }
+_ROLLOUT_STATES = {state.value: state for state in RolloutState}
 _SERVER_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 # Heartbeats with more slots are rejected; this is thousands of times what a server runs at once.
 _MAX_SLOTS = 1_000_000
 # Heartbeats with a longer remaining cold time are rejected. This is a day; servers are cold for
 # seconds.
 _MAX_COLD_MS = 86_400_000.0
+# Orders with a longer duration are rejected. This is a week; rollouts take minutes.
+_MAX_ROLLOUT_S = 604_800.0
 
 
 def decode_table(data: bytes) -> RoutingTable:
@@ -75,9 +80,50 @@
         cold_left_ms=cold_left_ms,
         born_ms=fields.time_ms("born"),
         sequence=fields.integer("seqNo"),
+        version=_server_version(fields),
     )
 
 
+def decode_order(service: str, data: bytes) -> RolloutOrder:
+    """Decode the operator's order to move a service to another version.
+
+    Raises:
+        ValueError: The data is not a valid order for the service.
+    """
+    fields = Fields.parse(data)
+    if fields.text("service") != service:
+        raise ValueError("service: differs from the key of the record")
+    duration_s = fields.number("durationS")
+    if not 0 < duration_s <= _MAX_ROLLOUT_S:
+        raise ValueError(f"durationS: expected at most a week, found {duration_s}")
+    return RolloutOrder(service, fields.version("to"), duration_s * 1000)
+
+
+def decode_status(service: str, data: bytes) -> RolloutStatus:
+    """Decode the status of a rollout.
+
+    Raises:
+        ValueError: The data is not a valid status.
+    """
+    fields = Fields.parse(data)
+    former = fields.nested_list("former")
+    return RolloutStatus(
+        service,
+        fields.version("to"),
+        _choice(_ROLLOUT_STATES, fields.text("state")),
+        fields.time_ms("sinceMs") if fields.has("sinceMs") else 0,
+        tuple(one.version("version") for one in former),
+    )
+
+
+def _server_version(fields: Fields) -> Version:
+    """Return the version in a server's entry; an invalid one must not take the server out of use."""
+    try:
+        return fields.version("version")
+    except ValueError:
+        return ""
+
+
 def decode_member(router: str, data: bytes) -> FleetMember:
     """Decode the membership entry of a router process.
 
--- a/src/cicadaledge/platform/_fields.py
+++ b/src/cicadaledge/platform/_fields.py
@@ -87,6 +87,10 @@
             raise _unexpected(name, "true or false", value)
         return bool(value)
 
+    def version(self, name: str) -> str | int:
+        """Return the version of a server's software, which is a text or a whole number."""
+        return self.integer(name) if type(self._values.get(name)) is int else self.text(name)
+
     def time_ms(self, name: str) -> int:
         """Return a time in milliseconds since the epoch."""
         return self.integer(name, _MAX_TIME_MS)
--- a/src/cicadaledge/platform/_main.py
+++ b/src/cicadaledge/platform/_main.py
@@ -5,7 +5,13 @@
 from cicadaledge.edge import StoreTopics, run_edge_router
 from cicadaledge.platform._header_codec import PlatformHeaderCodec
 from cicadaledge.platform._settings_file import load_edge_settings
-from cicadaledge.platform._store import ControlTopic, MemberTopic, ServerTopic, StoreClient
+from cicadaledge.platform._store import (
+    ControlTopic,
+    MemberTopic,
+    RolloutStatusTopic,
+    ServerTopic,
+    StoreClient,
+)
 
 
 def main() -> None:
@@ -13,5 +19,6 @@
     settings = load_edge_settings()
     client = StoreClient(settings.store.host, settings.store.port)
     members = MemberTopic(client)
-    topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, registry=members)
+    statuses = RolloutStatusTopic(client)
+    topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, members, statuses)
     run_edge_router(settings, PlatformHeaderCodec(), topics)
--- a/src/cicadaledge/platform/_settings_file.py
+++ b/src/cicadaledge/platform/_settings_file.py
@@ -10,6 +10,7 @@
 from cicadaledge.edge import BoundSettings, EdgeSettings
 from cicadaledge.errors import SettingsError
 from cicadaledge.placing import PlacingSettings
+from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.settings import Address
 
 _FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
@@ -19,6 +20,10 @@
 _DEFAULT_COLD_SLACK = 0.0
 # If the file states no limit, the process is assumed to have this common limit of open files.
 _DEFAULT_DESCRIPTORS = 4_096
+_ROLLOUT_CONTRACT = "rollout"
+_DEFAULT_EXPOSE_SHARE = 0.1
+_DEFAULT_EXPOSE_SLACK = 50.0
+_DEFAULT_ROLLBACK_MS = 5_000.0
 _DEFAULT_FILE = "/etc/cicadaledge/node.toml"
 
 
@@ -65,9 +70,21 @@
             cold_overage=float(bounds.get("coldOverage", _DEFAULT_COLD_OVERAGE)),
             cold_slack=float(bounds.get("coldSlack", _DEFAULT_COLD_SLACK)),
         ),
+        rollouts=RolloutSettings(
+            is_enabled=_ROLLOUT_CONTRACT in _contracts(document),
+            expose_share=float(bounds.get("exposeShare", _DEFAULT_EXPOSE_SHARE)),
+            expose_slack=float(bounds.get("exposeSlack", _DEFAULT_EXPOSE_SLACK)),
+            rollback_ms=float(bounds.get("rollbackMs", _DEFAULT_ROLLBACK_MS)),
+        ),
     )
 
 
+def _contracts(document: dict[str, Any]) -> list[str]:
+    """Return the names of the features that the deployment asks for."""
+    contracts = document["bounds"].get("contracts", document.get("contracts", ()))
+    return contracts.split(",") if isinstance(contracts, str) else [str(one) for one in contracts]
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/src/cicadaledge/platform/_store.py
+++ b/src/cicadaledge/platform/_store.py
@@ -20,6 +20,8 @@
     HistoryLostError,
     HttpConnection,
     MemberSeen,
+    RolloutOrdered,
+    RolloutStatusSeen,
     ServerChanged,
     ServerRemoved,
     StoreError,
@@ -35,10 +37,13 @@
 from cicadaledge.platform._decode import (
     decode_evidence,
     decode_member,
+    decode_order,
     decode_server,
+    decode_status,
     decode_table,
     decode_trial_claim,
 )
+from cicadaledge.rollouts import RolloutStatus
 from cicadaledge.suspects import TrialClaim
 
 _OK = 200
@@ -66,6 +71,7 @@
 _CLAIM_DIGEST_BYTES = 8
 _TABLE_KEY = "config"
 _EVACUATION_PREFIX = "evacuate/"
+_ROLLOUT_PREFIX = "rollout/"
 _PATH = "/cicadaledge/"
 
 
@@ -269,7 +275,7 @@
 
 
 class ControlTopic(_KeyedTopic):
-    """Records of the operator: the configuration and evacuated zones."""
+    """Records of the operator: the configuration, evacuated zones and orders of rollouts."""
 
     name = "control"
     topic = "keyed.op"
@@ -280,9 +286,43 @@
         if record.key.startswith(_EVACUATION_PREFIX):
             zone = record.key.removeprefix(_EVACUATION_PREFIX)
             return ZoneChanged(zone, bool(record.value))
+        if record.key.startswith(_ROLLOUT_PREFIX):
+            service = record.key.removeprefix(_ROLLOUT_PREFIX)
+            order = decode_order(service, record.value) if record.value else None
+            return RolloutOrdered(service, order)
         return None
 
 
+def encode_status(status: RolloutStatus) -> bytes:
+    """Return the record of the status of a rollout."""
+    payload = {
+        "service": status.service,
+        "to": status.to,
+        "state": status.state.value,
+        "sinceMs": status.since_ms,
+        "former": [{"version": version} for version in status.former],
+    }
+    return json.dumps(payload, separators=(",", ":")).encode()
+
+
+class RolloutStatusTopic(_KeyedTopic):
+    """Status of rollouts, keyed by service."""
+
+    name = "rollouts"
+    topic = "keyed.status"
+
+    async def write(self, status: RolloutStatus) -> None:
+        """Replace the status of the rollout of a service."""
+        key = _ROLLOUT_PREFIX + status.service
+        await self._client.append(self.topic, key, encode_status(status))
+
+    def _to_change(self, record: _KeyedRecord) -> Change | None:
+        if not record.value or not record.key.startswith(_ROLLOUT_PREFIX):
+            return None
+        service = record.key.removeprefix(_ROLLOUT_PREFIX)
+        return RolloutStatusSeen(decode_status(service, record.value))
+
+
 class ServerTopic(_KeyedTopic):
     """Heartbeats of backend servers."""
 
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -149,6 +149,7 @@
     _messages.AccountCost,
     _messages.Crash,
     _messages.DepartingServer,
+    _messages.RolloutCell,
 )
 _MESSAGE_TYPES: tuple[type, ...] = (
     _messages.Hello,
@@ -173,6 +174,7 @@
     _messages.Witness,
     _messages.LoadView,
     _messages.StoreNews,
+    _messages.RolloutView,
 )
 
 for _type in _NESTED_TYPES + _MESSAGE_TYPES:
--- a/src/cicadaledge/wire/_messages.py
+++ b/src/cicadaledge/wire/_messages.py
@@ -442,3 +442,50 @@
     records: bytes
     echo_ms: int
     after_outage: bool
+
+
+@frozen
+class RolloutCell:
+    """Counts of one route's requests on one side of a rollout.
+
+    Args:
+        is_new: Whether they were sent to the new version, or to the former ones.
+        sent: Requests placed on a server.
+        answered: Answers, complete or failed.
+        failed: Answers that were failures.
+        judged: Answers whose duration could be compared.
+        slow: How many of these were slow.
+        timed: Answers whose durations are summed up.
+        log_sum: Sum of the logarithms of these durations, in 64ths of a factor of two.
+    """
+
+    route: str = field(metadata=INTERNED)
+    is_new: bool
+    sent: int = 0
+    answered: int = 0
+    failed: int = 0
+    judged: int = 0
+    slow: int = 0
+    timed: int = 0
+    log_sum: int = 0
+
+
+@frozen
+class RolloutView:
+    """Counts of a rollout since its order.
+
+    Args:
+        scope: Whose counts they are, a `ViewScope`; the fleet's sum includes the receiver's.
+        to: Version that the order names, as text.
+        zone: Zone of the sender.
+        incarnation: Incarnation of the sender, whose counts start at zero.
+        age_ms: Time since the order; -1 if the sender does not know it.
+    """
+
+    scope: int
+    service: str = field(metadata=INTERNED)
+    to: str = field(metadata=INTERNED)
+    zone: str = field(metadata=INTERNED)
+    incarnation: int
+    age_ms: int
+    cells: list[RolloutCell] = field(factory=list)
--- a/src/cicadaledge/wire/control.capnp
+++ b/src/cicadaledge/wire/control.capnp
@@ -247,6 +247,28 @@
   bornMs @1 :Int64;          # start of its incarnation
 }
 
+struct RolloutCell {
+  route @0 :Name;
+  isNew @1 :Bool;            # counts of the new version, or of the former ones
+  sent @2 :UInt32;
+  answered @3 :UInt32;
+  failed @4 :UInt32;
+  judged @5 :UInt32;         # answers whose duration could be compared
+  slow @6 :UInt32;
+  timed @7 :UInt32;
+  logSum @8 :UInt64;         # sum of the logarithms of durations, in 64ths of a factor of two
+}
+
+struct RolloutView {
+  scope @0 :UInt8;           # ViewScope
+  service @1 :Name;
+  to @2 :Name;               # version that the order names
+  zone @3 :Name;
+  incarnation @4 :UInt64;
+  ageMs @5 :Int64;           # time since the order, -1 if unknown
+  cells @6 :List(RolloutCell);
+}
+
 struct StoreNews {
   topic @0 :Text;
   firstOffset @1 :Int64;
@@ -281,5 +303,6 @@
     adopt @19 :Adopt;
     loadView @21 :LoadView;
     storeNews @22 :StoreNews;
+    rolloutView @23 :RolloutView;
   }
 }
