--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -115,6 +115,7 @@
         events: Number of events per stream.
         gap_s: Time before each event of a stream, and duration of a plain request.
         line_end: Line end in events.
+        version: Version of its software.
 
     Attributes:
         crash_marker: A target that contains this crashes the server; None for no target.
@@ -133,6 +134,7 @@
         events: int = 4,
         gap_s: float = 0.0,
         line_end: bytes = b"\n",
+        version: str | int = "v1",
     ) -> None:
         super().__init__()
         self.instance = instance
@@ -141,6 +143,7 @@
         self.events = events
         self.gap_s = gap_s
         self.line_end = line_end
+        self.version = version
         self.faults = BackendFaults()
         self.runs: list[Run] = []
         self.refused = 0
@@ -161,7 +164,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": cold_ms,
--- a/src/cicadaledge/standins/_platform_files.py
+++ b/src/cicadaledge/standins/_platform_files.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from cicadaledge.edge import BoundSettings, Headers, ResponseHead
+from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.settings import Address
 
 NODE_FILE_VARIABLE = "CICADALEDGE_NODE_FILE"
@@ -21,6 +22,7 @@
     Args:
         peers: Address for connections of other routers; metrics are served at the next port.
         cold_overage: Multiple of a cold server's capacity that no server may exceed.
+        rollouts: Limits on rollouts, and whether the contracts contain them.
     """
 
     router: str
@@ -32,6 +34,7 @@
     store: Address
     bounds: BoundSettings = BoundSettings()
     cold_overage: float = 1.0
+    rollouts: RolloutSettings = RolloutSettings()
 
     def text(self) -> str:
         """Return the text of the file."""
@@ -56,11 +59,22 @@
             f"budgetWindowS = {self.bounds.retry_window_ms / 1000}",
             f"coldOverage = {self.cold_overage}",
             f"quotaWindowS = {self.bounds.share_window_ms / 1000}",
+            *self._rollout_lines(),
             "[platform]",
             f'address = "{self.store.host}:{self.store.port}"',
         ]
         return "\n".join(lines) + "\n"
 
+    def _rollout_lines(self) -> list[str]:
+        if not self.rollouts.is_enabled:
+            return []
+        return [
+            'contracts = ["rollout"]',
+            f"exposeShare = {self.rollouts.expose_share}",
+            f"exposeSlack = {self.rollouts.expose_slack}",
+            f"rollbackMs = {self.rollouts.rollback_ms}",
+        ]
+
 
 @frozen
 class CallerRequest:
--- a/src/cicadaledge/standins/_platform_store.py
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -22,6 +22,7 @@
 _SERVER_TOPIC = "keyed.servers"
 ROUTER_TOPIC = "keyed.routers"
 CRASH_TOPIC = "keyed.crashes"
+STATUS_TOPIC = "keyed.status"
 
 
 @define
@@ -62,6 +63,18 @@
         """Evacuate an availability zone, or restore it."""
         self.put(_OPERATOR_TOPIC, f"evacuate/{zone}", {} if evacuated else None)
 
+    def put_order(self, service: str, to: str | int | None, duration_s: float = 60.0) -> None:
+        """Order a rollout, as the operator does, or withdraw the order."""
+        order = {"service": service, "to": to, "durationS": duration_s}
+        self.put(_OPERATOR_TOPIC, f"rollout/{service}", None if to is None else order)
+
+    def rollout_statuses(self, service: str) -> list[dict[str, Any]]:
+        """Return the status records of a service's rollouts, oldest first."""
+        name = f"rollout/{service}".encode()
+        key = bytes([len(name)]) + name
+        records = self._topic(STATUS_TOPIC).records
+        return [json.loads(one[len(key) :]) for one in records if one.startswith(key)]
+
     def put_server(self, name: str, entry: dict[str, Any] | None) -> None:
         """Write a server's entry, or remove it."""
         self.put(_SERVER_TOPIC, name, entry)
@@ -82,7 +95,7 @@
 
     def delete_all_history(self) -> None:
         """Delete the records of the topics; the latest value of each key is kept."""
-        for topic in (_OPERATOR_TOPIC, _SERVER_TOPIC, ROUTER_TOPIC):
+        for topic in (_OPERATOR_TOPIC, _SERVER_TOPIC, ROUTER_TOPIC, STATUS_TOPIC):
             self.delete_history(topic)
 
     def delete_history(self, topic: str) -> None:
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -28,9 +28,11 @@
     ControlTopic,
     MemberTopic,
     PlatformHeaderCodec,
+    RolloutStatusTopic,
     ServerTopic,
     StoreClient,
 )
+from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.routing import ServerEntry, ServerState
 from cicadaledge.settings import Address
 from cicadaledge.standins import (
@@ -168,6 +170,7 @@
         shedding: SheddingSettings | None = None,
         cut_topics: frozenset[str] = frozenset(),
         wait_for_list: bool = True,
+        rollouts: RolloutSettings | None = None,
     ) -> EdgeRouter:
         """Start a router and wait until it is ready.
 
@@ -189,12 +192,14 @@
             bounds=bounds or BoundSettings(grace_ms=3_000),
             timing=timing,
             shedding=shedding or SheddingSettings(),
+            rollouts=rollouts or RolloutSettings(),
         )
         client = _DisconnectableClient(HOST, self.store.port)
         client.cut_topics = cut_topics
         self._clients.append(client)
         members = MemberTopic(client)
-        topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, registry=members)
+        statuses = RolloutStatusTopic(client)
+        topics = StoreTopics(ControlTopic(client), ServerTopic(client), members, members, statuses)
         router = EdgeRouter(settings, PlatformHeaderCodec(), topics)
         self.routers.append(router)
         self.settings.append(settings)
