--- a/src/cicadaledge/rollouts/_plan.py
+++ b/src/cicadaledge/rollouts/_plan.py
@@ -30,6 +30,9 @@
 # A change of the counts takes effect everywhere after this time: two exchanges between routers and
 # one decision.
 _LAG_S = 2.0
+# The new version serves all requests for this time before its rollout is completed, if the deadline
+# allows it: slow answers must last for 1.2 s to count, and are known everywhere 2 s later.
+_OBSERVED_FULL_MS = 3_500.0
 # A suspect version gets this fraction, or one request a second if that is more.
 _SUSPECT_FRACTION = 0.02
 _SUSPECT_PER_S = 1.0
@@ -41,7 +44,7 @@
 # Without this many answers, nothing is known of a version, and the canary goes on.
 _MIN_ANSWERS = 10
 # Parts of the rollout's duration that its phases may take, for short ones.
-_START_PART, _MARGIN_PART, _DRAIN_PART, _RAMP_PART = 0.1, 0.15, 0.2, 0.15
+_START_PART, _MARGIN_PART, _DRAIN_PART, _RAMP_PART = 0.1, 0.15, 0.2, 0.2
 # In long rollouts, the phase in which requests end on the former servers takes up to this part.
 _LONG_DRAIN_PART = 0.1
 
@@ -161,7 +164,7 @@
             return RolloutState.ROLLED_BACK if is_silent else RolloutState.COMPLETED
         is_moved = (
             self.stage(progress) is Stage.FULL
-            and progress.age_ms >= self.full_ms + _LAG_S * 1000
+            and progress.age_ms >= self.full_ms + _OBSERVED_FULL_MS
             and not progress.former_running
         )
         return RolloutState.COMPLETED if is_moved else RolloutState.RUNNING
--- a/src/cicadaledge/rollouts/_settings.py
+++ b/src/cicadaledge/rollouts/_settings.py
@@ -27,8 +27,8 @@
             seconds at a time.
         drain_ms: Shortest time for which requests end on the former servers after all new ones go
             to the others.
-        ramp_ms: Time in which the fraction grows from the canary's to all requests, in steps that
-            are each longer than the age of a view.
+        ramp_ms: Time in which the fraction grows from the canary's to all requests, in three
+            steps, each of which lasts until all routers know the answers of the step before.
         deputy_ms: Time after which another relay writes a status that the decider has not written.
     """
 
@@ -42,7 +42,7 @@
     start_ms: float = field(default=1_500.0, validator=ge(0))
     store_margin_ms: float = field(default=3_000.0, validator=ge(0))
     drain_ms: float = field(default=4_000.0, validator=ge(0))
-    ramp_ms: float = field(default=4_500.0, validator=gt(0))
+    ramp_ms: float = field(default=7_500.0, validator=gt(0))
     deputy_ms: float = field(default=1_500.0, validator=ge(0))
 
     @property
