--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -111,7 +111,9 @@
         self._random = random.Random()
         self._request_log = RequestLog(control_state, load, shares)
         self._answer_times = AnswerTimes()
-        capacity = EngineCapacity(settings.placing, control_state.directory, load, health)
+        capacity = EngineCapacity(
+            settings.placing, control_state.directory, load, health, rollouts.unused_servers
+        )
         self._admission = Admission(
             settings, control_state, shares, capacity, shutdown, self._request_log
         )
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -87,6 +87,10 @@
         usable = frozenset(self._control_state.directory.usable_by_name(service))
         return [usable - group for group in allowed] or [usable]
 
+    def unused_servers(self, service: str) -> frozenset[str]:
+        """Return the servers of a service whose version gets no requests now."""
+        return self.keeper.unused_servers(service) if self._is_enabled else _NOTHING
+
     def may_send(self, request: ActiveRequest, server: ServerEntry) -> bool:
         """Return whether a server that was chosen earlier may still get a request."""
         rollout = self.keeper.rollout(request.service.name) if self._is_enabled else None
--- a/src/cicadaledge/placing/_capacity.py
+++ b/src/cicadaledge/placing/_capacity.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from statistics import fmean
 
 from cicadaledge.placing._health import ServerHealth
@@ -27,6 +27,7 @@
         directory: The servers.
         load: Their load, and the rate of answers that they begin.
         health: Servers that are ejected.
+        unused: Returns the servers of a service whose version gets no requests now.
     """
 
     def __init__(
@@ -35,11 +36,13 @@
         directory: ServerDirectory,
         load: LoadTracker,
         health: ServerHealth,
+        unused: Callable[[str], frozenset[str]] = lambda service: frozenset(),
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._load = load
         self._health = health
+        self._unused = unused
         self._growth = 1.0
         self._begun_per_s = 0.0
         self._updated_ms = -math.inf
@@ -74,7 +77,8 @@
             if service.engine is None:
                 continue
             slots = max(1, service.engine.slots)
-            for name in self._directory.usable_by_name(service.name).keys() - doubtful:
+            excluded = doubtful | self._unused(service.name)
+            for name in self._directory.usable_by_name(service.name).keys() - excluded:
                 totals = self._load.totals(name, now_ms)
                 used = max(totals.running / slots, totals.unread_tokens / max_unread_tokens)
                 is_cold = self._directory.cold_until_ms(name) > now_ms
--- a/src/cicadaledge/rollouts/_evidence.py
+++ b/src/cicadaledge/rollouts/_evidence.py
@@ -141,8 +141,14 @@
             self.reason = f"too many {kind} answers {where}: {bad} of {count}"
 
     def _check_total(self, new: OutcomeCounts, former: OutcomeCounts) -> None:
-        if self.reason or new.bad < _MANY_BAD or not new.answered:
-            return
-        former_rate = (former.bad + 1.0) / (former.answered + 20.0)
-        if new.bad / new.answered > former_rate * _MANY_FACTOR + _MANY_EXTRA:
-            self.reason = f"{new.bad} of {new.answered} answers are failures or slow"
+        kinds = {
+            "failures": (new.failed, former.failed),
+            "slow": (new.slow, former.slow),
+            "failures or slow": (new.bad, former.bad),
+        }
+        for kind, (bad, former_bad) in kinds.items():
+            if self.reason or bad < _MANY_BAD:
+                continue
+            former_rate = (former_bad + 1.0) / (former.answered + 20.0)
+            if bad > new.answered * (former_rate * _MANY_FACTOR + _MANY_EXTRA):
+                self.reason = f"{bad} of {new.answered} answers are {kind}"
--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -191,6 +191,20 @@
             known.rollout, route, side, known.groups, usable, tried, known.sampler
         )
 
+    def unused_servers(self, service: str) -> frozenset[str]:
+        """Return the usable servers to which no new request is sent now."""
+        known = self._services.get(service)
+        if known is None or known.rollout is None:
+            return known.held if known else _NOTHING
+        rollout = known.rollout
+        if rollout.fraction >= 1.0:
+            return known.groups.former
+        usable = self._directory.usable_by_name(service)
+        new = {name for name, entry in usable.items() if entry.version == rollout.order.to}
+        return frozenset(new) - (
+            known.groups.canaries(rollout.fraction) if rollout.fraction > 0.0 else _NOTHING
+        )
+
     def refresh(self, now_ms: float) -> None:
         """Group the servers of all services anew."""
         directory = self._directory
--- /dev/null
+++ b/tests/rollouts/test_plan.py
@@ -0,0 +1,86 @@
+"""Fractions, stages and outcomes of a rollout's plan."""
+
+import pytest
+from attrs import evolve
+
+from cicadaledge.rollouts import (
+    RolloutPlan,
+    RolloutProgress,
+    RolloutSettings,
+    RolloutState,
+    Stage,
+)
+
+SETTINGS = RolloutSettings(is_enabled=True)
+PLAN = RolloutPlan(60_000.0, SETTINGS, longest_ms=12_000.0)
+GOOD = RolloutProgress(
+    20_000.0, 200.0, 4_000, 150, answered_new=150, new_slots=36, former_slots=36, former_running=9
+)
+
+
+def test_nothing_is_sent_until_all_routers_know_the_order_and_a_server_is_ready():
+    assert PLAN.fraction(evolve(GOOD, age_ms=500.0)) == 0.0
+    assert PLAN.fraction(evolve(GOOD, new_slots=0)) == 0.0
+
+
+def test_the_canary_grows_with_the_answers_and_never_uses_up_the_exposure():
+    fractions = [
+        PLAN.fraction(evolve(GOOD, sent_new=count, answered_new=count)) for count in (0, 10, 30)
+    ]
+    assert fractions == sorted(set(fractions))
+    assert fractions[-1] <= SETTINGS.expose_share / 2
+    assert PLAN.fraction(evolve(GOOD, sent_new=250)) == 0.0
+
+
+@pytest.mark.parametrize("rate", [0.0, 1.0, 30.0, 700.0])
+def test_what_is_sent_before_the_counts_are_known_stays_within_the_slack(rate):
+    progress = RolloutProgress(5_000.0, rate, new_slots=36, former_slots=36)
+    assert PLAN.fraction(progress) * rate * 2.0 <= SETTINGS.expose_slack
+
+
+def test_a_rarely_used_route_gets_a_larger_fraction():
+    fraction = PLAN.fraction(GOOD)
+    assert PLAN.route_fraction(fraction, 2.0, GOOD) > 3 * fraction
+    assert PLAN.route_fraction(fraction, 100.0, GOOD) == fraction
+    assert PLAN.route_fraction(0.0, 2.0, GOOD) == 0.0
+
+
+def test_all_requests_move_before_the_deadline_only_with_evidence():
+    late = evolve(GOOD, age_ms=PLAN.full_ms, sent=10_000)
+    assert PLAN.fraction(late) == 1.0
+    assert PLAN.stage(evolve(late, answered_new=3)) is Stage.CANARY
+    assert PLAN.fraction(evolve(late, answered_new=3)) <= SETTINGS.expose_share
+
+
+def test_a_suspect_version_gets_only_as_much_as_is_needed_to_decide():
+    suspect = evolve(GOOD, age_ms=PLAN.full_ms, is_suspect=True)
+    assert PLAN.fraction(suspect) == pytest.approx(0.02)
+    assert PLAN.fraction(evolve(suspect, is_bad=True)) == 0.0
+
+
+def test_the_ramp_does_not_overload_a_smaller_number_of_new_servers():
+    ramp = evolve(GOOD, age_ms=PLAN.full_ms - 100.0)
+    assert PLAN.fraction(ramp) == 0.5
+    assert PLAN.fraction(evolve(ramp, new_slots=6)) < 0.2
+
+
+def test_a_rollout_is_completed_once_the_former_servers_are_idle_or_the_deadline_is_near():
+    full = evolve(GOOD, age_ms=PLAN.full_ms + 4_000.0)
+    assert PLAN.outcome(full) is RolloutState.RUNNING
+    assert PLAN.outcome(evolve(full, former_running=0)) is RolloutState.COMPLETED
+    assert PLAN.outcome(evolve(full, age_ms=PLAN.complete_ms)) is RolloutState.COMPLETED
+
+
+@pytest.mark.parametrize("change", [{"is_suspect": True}, {"new_slots": 0}])
+def test_a_doubtful_version_is_rolled_back_when_the_deadline_is_near(change):
+    doubtful = evolve(GOOD, **change)
+    assert PLAN.outcome(doubtful) is RolloutState.RUNNING
+    due = evolve(doubtful, age_ms=PLAN.complete_ms)
+    assert PLAN.outcome(due) is RolloutState.ROLLED_BACK
+
+
+@pytest.mark.parametrize("duration_s", [2.0, 10.0, 30.0, 600.0])
+def test_the_phases_follow_each_other_and_leave_time_for_the_store(duration_s):
+    plan = RolloutPlan(duration_s * 1000, SETTINGS, longest_ms=12_000.0)
+    assert 0 < plan.start_ms < plan.ramp_ms < plan.full_ms < plan.complete_ms
+    assert duration_s * 1000 - plan.complete_ms >= min(3_000.0, 150.0 * duration_s) - 1.0
