--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+from collections.abc import Callable
 from typing import Protocol
 
 from attrs import define, field, frozen
@@ -105,6 +106,7 @@
         load: LoadTracker,
         topic: StatusTopic | None,
         metrics: EdgeMetrics,
+        now_ms: Callable[[], float] = clock_ms,
     ) -> None:
         self._settings = settings.rollouts
         self._keeper = keeper
@@ -114,6 +116,7 @@
         self._is_enabled = settings.rollouts.is_enabled
         self._topic = topic
         self._metrics = metrics
+        self._now_ms = now_ms
         self._writings: dict[str, _Writing] = {}
         self._synced_ms = 0.0
 
@@ -121,7 +124,7 @@
         """Decide on all rollouts and exchange counts, forever."""
         while True:
             if self._is_enabled:
-                self.step(clock_ms())
+                self.step(self._now_ms())
             await asyncio.sleep(self._settings.tick_ms / 1000)
 
     def step(self, now_ms: float) -> None:
@@ -156,7 +159,7 @@
         rollout = self._keeper.rollout(view.service)
         if rollout is None or str(rollout.order.to) != view.to:
             return
-        now_ms = clock_ms()
+        now_ms = self._now_ms()
         if view.age_ms != _UNKNOWN_AGE:
             rollout.learn_age(view.age_ms, now_ms)
         counts = _decode_cells(view.cells)
@@ -255,7 +258,7 @@
             )
             return
         self._metrics.count_rollout("status written")
-        rollout.record_written(status, clock_ms())
+        rollout.record_written(status, self._now_ms())
         _log.info(
             "Status of the rollout is written.",
             service=status.service,
