--- a/src/cicadaledge/platform/__init__.py
+++ b/src/cicadaledge/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter that translates the platform's data formats into the types of this package."""
 
-from cicadaledge.platform._decode import decode_server, decode_table
+from cicadaledge.platform._decode import decode_order, decode_server, decode_status, decode_table
 from cicadaledge.platform._header_codec import PlatformHeaderCodec
 from cicadaledge.platform._main import main
 from cicadaledge.platform._settings_file import load_edge_settings
@@ -19,7 +19,9 @@
     "RolloutStatusTopic",
     "ServerTopic",
     "StoreClient",
+    "decode_order",
     "decode_server",
+    "decode_status",
     "decode_table",
     "load_edge_settings",
     "main",
--- a/src/cicadaledge/platform/_settings_file.py
+++ b/src/cicadaledge/platform/_settings_file.py
@@ -21,6 +21,7 @@
 # If the file states no limit, the process is assumed to have this common limit of open files.
 _DEFAULT_DESCRIPTORS = 4_096
 _ROLLOUT_CONTRACT = "rollout"
+# Limits of a deployment that has rollouts and does not state them: those that the requirements name.
 _DEFAULT_EXPOSE_SHARE = 0.1
 _DEFAULT_EXPOSE_SLACK = 50.0
 _DEFAULT_ROLLBACK_MS = 5_000.0
@@ -70,19 +71,28 @@
             cold_overage=float(bounds.get("coldOverage", _DEFAULT_COLD_OVERAGE)),
             cold_slack=float(bounds.get("coldSlack", _DEFAULT_COLD_SLACK)),
         ),
-        rollouts=RolloutSettings(
-            is_enabled=_ROLLOUT_CONTRACT in _contracts(document),
-            expose_share=float(bounds.get("exposeShare", _DEFAULT_EXPOSE_SHARE)),
-            expose_slack=float(bounds.get("exposeSlack", _DEFAULT_EXPOSE_SLACK)),
-            rollback_ms=float(bounds.get("rollbackMs", _DEFAULT_ROLLBACK_MS)),
-        ),
+        rollouts=_rollouts(document),
+    )
+
+
+def _rollouts(document: dict[str, Any]) -> RolloutSettings:
+    """Return the settings of rollouts; their limits matter only where the contracts contain them."""
+    if _ROLLOUT_CONTRACT not in _contracts(document):
+        return RolloutSettings()
+    bounds = document["bounds"]
+    return RolloutSettings(
+        is_enabled=True,
+        expose_share=float(bounds.get("exposeShare", _DEFAULT_EXPOSE_SHARE)),
+        expose_slack=float(bounds.get("exposeSlack", _DEFAULT_EXPOSE_SLACK)),
+        rollback_ms=float(bounds.get("rollbackMs", _DEFAULT_ROLLBACK_MS)),
     )
 
 
 def _contracts(document: dict[str, Any]) -> list[str]:
     """Return the names of the features that the deployment asks for."""
     contracts = document["bounds"].get("contracts", document.get("contracts", ()))
-    return contracts.split(",") if isinstance(contracts, str) else [str(one) for one in contracts]
+    names = contracts.split(",") if isinstance(contracts, str) else contracts
+    return [str(name).strip() for name in names]
 
 
 def _address(text: str) -> Address:
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -18,6 +18,8 @@
     LoadView,
     NameTable,
     PeerLinks,
+    RolloutCell,
+    RolloutView,
     ServerUse,
     ViewScope,
     decode_message,
@@ -170,3 +172,12 @@
 def test_columns_of_the_wrong_length_are_rejected(figures):
     with pytest.raises(ValueError):
         from_columns(ServerUse, ["desk-0"], figures)
+
+
+def test_counts_of_rollouts_survive_with_their_names_sent_once():
+    cells = [RolloutCell("look", True, 5, 4, 3, 2, 1, 7, 2**40), RolloutCell("look", False)]
+    view = RolloutView(int(ViewScope.ZONE), "desk", "v2", "zone-a", 2**50, -1, cells)
+    sender, receiver = NameTable(), NameTable()
+    first = encode_message(view, sender)
+    assert decode_message(first, receiver) == view
+    assert len(encode_message(view, sender)) < len(first)
