--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -129,7 +129,7 @@
 
     def step(self, now_ms: float) -> None:
         """Decide on all rollouts once."""
-        self._keeper.refresh(now_ms)
+        self._keeper.refresh_due(now_ms)
         rollouts = self._keeper.rollouts()
         if not rollouts:
             return
@@ -152,7 +152,8 @@
         if now_ms - self._synced_ms >= self._settings.exchange_ms:
             self._synced_ms = now_ms
             for rollout in rollouts:
-                self._send_counts(rollout, roles, now_ms)
+                if not rollout.is_over:
+                    self._send_counts(rollout, roles, now_ms)
 
     def receive(self, peer: str, view: RolloutView) -> None:
         """Take over the counts of another router, of a zone or of the fleet."""
@@ -216,7 +217,8 @@
         if status is None or self._topic is None:
             self._writings.pop(service, None)
             return
-        if not is_informed and status.state is not RolloutState.ROLLED_BACK:
+        is_decision = status != rollout.status  # and not a known status that the store has lost
+        if is_decision and not is_informed and status.state is not RolloutState.ROLLED_BACK:
             return
         writing = self._writings.get(service)
         if writing is None or (writing.status.to, writing.status.state) != (
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -18,6 +18,8 @@
 # Cost of an answer that does not depend on its length, in tokens.
 _BASE_TOKENS = 500
 _ANSWER_ENDS = (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
+# A few groups are in use at a time; others have been left by a change of the fraction.
+_MAX_COMPLEMENTS = 64
 _NOTHING: frozenset[str] = frozenset()
 
 
@@ -37,6 +39,8 @@
         self._control_state = control_state
         self._metrics = metrics
         self._is_enabled = settings.rollouts.is_enabled
+        self._generation = -1
+        self._complements: dict[frozenset[str], frozenset[str]] = {}
         self.keeper = RolloutKeeper(
             settings.rollouts,
             control_state.directory,
@@ -84,8 +88,22 @@
         )
         if allowed is None:
             return [_NOTHING]
-        usable = frozenset(self._control_state.directory.usable_by_name(service))
-        return [usable - group for group in allowed] or [usable]
+        usable = self._control_state.directory.usable_by_name(service)
+        if not allowed:
+            return [frozenset(usable)]
+        return [self._complement(group, usable) for group in allowed]
+
+    def _complement(self, group: frozenset[str], usable: dict[str, ServerEntry]) -> frozenset[str]:
+        """Return the usable servers outside a group; waiting requests ask for it often."""
+        generation = self._control_state.directory.generation
+        if generation != self._generation:
+            self._generation = generation
+            self._complements.clear()
+        if group not in self._complements:
+            if len(self._complements) >= _MAX_COMPLEMENTS:
+                self._complements.clear()
+            self._complements[group] = frozenset(usable) - group
+        return self._complements[group]
 
     def unused_servers(self, service: str) -> frozenset[str]:
         """Return the servers of a service whose version gets no requests now."""
--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -64,9 +64,7 @@
         self._orders_known_ms = orders_known_ms
         self._services: dict[str, _Service] = {}
         self._statuses: dict[str, RolloutStatus] = {}
-        self._outcomes = OutcomeRecorder(
-            lambda name: (directory.cold_until_ms(name), directory.first_seen_ms(name))
-        )
+        self._outcomes = OutcomeRecorder(directory)
         self._generation = -1
         self._has_read_orders = False
 
@@ -89,6 +87,7 @@
     def apply_order(self, order: RolloutOrder, now_ms: float, wall_ms: int) -> None:
         """Start a rollout, unless the same order is already known."""
         known = self._services.setdefault(order.service, _Service())
+        self.refresh(now_ms)
         previous = known.rollout
         if previous is not None and previous.order.to == order.to and not previous.is_withdrawn:
             previous.order = order  # the operator has written it again, perhaps with more time
@@ -117,12 +116,14 @@
     ) -> frozenset[Version]:
         """Return the versions in use before an order, or nothing if they are not known."""
         previous = known.rollout
-        if previous is not None and previous.order.to != order.to:
-            if previous.state is RolloutState.COMPLETED:
-                return frozenset({previous.order.to})
-            return previous.former - {order.to}
         if previous is not None:
-            return previous.former
+            usable = self._directory.usable_by_name(order.service)
+            groups = known.groups
+            if previous.state is RolloutState.COMPLETED:
+                in_use = (groups.all_new | groups.others) - groups.former
+                return frozenset(usable[name].version for name in in_use) - {order.to}
+            present = frozenset(usable[name].version for name in groups.others)
+            return (previous.former or present) - {order.to}
         if not self._has_read_orders:
             return frozenset()
         self._refresh_gate(known, order.service, now_ms)
@@ -184,12 +185,10 @@
         known = self._services.setdefault(service, _Service())
         if self._directory.generation != self._generation:
             self.refresh(now_ms)
-        usable: Mapping[str, ServerEntry] = self._directory.usable_by_name(service)
         if known.rollout is None:
+            usable = self._directory.usable_by_name(service)
             return [frozenset(usable) - known.held] if known.held else None
-        return allowed_servers(
-            known.rollout, route, side, known.groups, usable, tried, known.sampler
-        )
+        return allowed_servers(known.rollout, route, side, known.groups, tried, known.sampler)
 
     def unused_servers(self, service: str) -> frozenset[str]:
         """Return the usable servers to which no new request is sent now."""
@@ -199,11 +198,8 @@
         rollout = known.rollout
         if rollout.fraction >= 1.0:
             return known.groups.former
-        usable = self._directory.usable_by_name(service)
-        new = {name for name, entry in usable.items() if entry.version == rollout.order.to}
-        return frozenset(new) - (
-            known.groups.canaries(rollout.fraction) if rollout.fraction > 0.0 else _NOTHING
-        )
+        canaries = known.groups.canaries(rollout.fraction) if rollout.fraction > 0.0 else _NOTHING
+        return known.groups.all_new - canaries
 
     def refresh(self, now_ms: float) -> None:
         """Group the servers of all services anew."""
@@ -215,22 +211,28 @@
                 self._refresh_gate(known, service, now_ms)
                 continue
             entries = list(directory.usable(service))
+            replacements = _NOTHING
             if rollout.state is RolloutState.COMPLETED and rollout.finished_ms is not None:
                 latest_ms = rollout.finished_ms + REPLACEMENT_MS
-                entries = [
-                    entry
+                replacements = frozenset(
+                    entry.server
                     for entry in entries
-                    if entry.version == rollout.order.to
-                    or directory.first_seen_ms(entry.server) <= latest_ms
-                ]
+                    if directory.first_seen_ms(entry.server) > latest_ms
+                )
             known.groups = group_servers(
                 entries,
                 rollout.order.to,
                 rollout.former,
                 lambda name: directory.cold_until_ms(name) > now_ms,
                 self._region_of,
+                replacements,
             )
 
+    def refresh_due(self, now_ms: float) -> None:
+        """Group the servers anew where the groups also change with time."""
+        if any(one.held or one.rollout is not None for one in self._services.values()):
+            self.refresh(now_ms)
+
     def _refresh_gate(self, known: _Service, service: str, now_ms: float) -> None:
         known.held = known.gate.held(
             list(self._directory.usable(service)),
@@ -255,8 +257,9 @@
         Args:
             former_running: Requests that the fleet runs on the former servers.
         """
-        if rollout.is_withdrawn:
-            return RolloutState.ROLLED_BACK
+        if rollout.is_over:
+            return rollout.state
+        self._outcomes.settle_lost(rollout, now_ms)
         counts = rollout.tally.fleet_sum(is_relay=is_relay)
         groups = self.groups(rollout.order.service)
         before = rollout.stage, rollout.state, rollout.fraction
@@ -283,7 +286,7 @@
     def counted_rollout(self, service: str) -> Rollout | None:
         """Return the rollout for which a service's requests are counted, or None."""
         rollout = self.rollout(service)
-        return rollout if rollout is not None and not rollout.is_withdrawn else None
+        return rollout if rollout is not None and not rollout.is_over else None
 
     def record_sent(self, service: str, route: str, server: ServerEntry, *, is_first: bool) -> None:
         """Count a request that is about to be sent.
--- a/src/cicadaledge/rollouts/_outcomes.py
+++ b/src/cicadaledge/rollouts/_outcomes.py
@@ -6,13 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from attrs import evolve, frozen
 
 from cicadaledge.rollouts._counts import OutcomeCounts
 from cicadaledge.rollouts._rollout import Rollout
-from cicadaledge.routing import ServerEntry
+from cicadaledge.routing import ServerDirectory, ServerEntry
 
 # An answer is slow if it takes this multiple of the former versions' typical time and this time in
 # addition, in which an event loop may be late.
@@ -26,8 +24,12 @@
 _MAX_FORMER_TIMES = 256
 # A server that has just started is slow for some seconds, also if it does not say so.
 _WARM_UP_MS = 3_000.0
-# A crash loses all requests on a server at once, and counts as one failure in this time.
-_CRASH_MS = 1_000.0
+# A request that was lost with its connection counts as a failed answer once its server has written
+# this many heartbeats since. A server that crashes writes at most one, which was on its way, and
+# loses all its requests at once, which says little of its version.
+_LIVE_HEARTBEATS = 2
+# Heartbeats come every 1.2 s. A server that has written none for this time has ended.
+_LOST_LIFE_MS = 6_000.0
 
 
 @frozen
@@ -51,18 +53,30 @@
     took_ms: float | None = None
 
 
+@frozen
+class _LostRequest:
+    """A request whose server may have crashed.
+
+    Args:
+        sequence: Sequence of the server's newest heartbeat then.
+    """
+
+    outcome: AnswerOutcome
+    at_ms: float
+    sequence: int
+
+
 class OutcomeRecorder:
     """Counts the outcomes at one router.
 
     Args:
-        warm_from_ms: Returns the time from which a server is warm by its own account and the
-            time at which it was first seen.
+        directory: The servers.
     """
 
-    def __init__(self, warm_from_ms: Callable[[str], tuple[float, float]]) -> None:
-        self._warm_from_ms = warm_from_ms
+    def __init__(self, directory: ServerDirectory) -> None:
+        self._directory = directory
         self._former_times: dict[tuple[str, str], OutcomeCounts] = {}
-        self._lost_ms: dict[str, float] = {}
+        self._lost: list[_LostRequest] = []
 
     def seed(self, rollout: Rollout) -> None:
         """Use the typical times from before an order for its rollout."""
@@ -87,7 +101,9 @@
             cell.judged += 1
             cell.slow += 1
             return is_new
-        if outcome.is_lost and self._is_known_crash(outcome.server.server, now_ms):
+        if outcome.is_lost:
+            sequence = self._directory.newest_sequence(outcome.server)
+            self._lost.append(_LostRequest(outcome, now_ms, sequence))
             return False
         cell.answered += 1
         cell.failed += outcome.failed
@@ -119,13 +135,26 @@
             self._former_times[key] = times
         times.record_time(took_ms)
 
-    def _is_known_crash(self, server: str, now_ms: float) -> bool:
-        """Return whether a lost request belongs to a crash that has been counted."""
-        if now_ms - self._lost_ms.get(server, -_CRASH_MS) < _CRASH_MS:
-            return True
-        self._lost_ms[server] = now_ms
-        return False
+    def settle_lost(self, rollout: Rollout, now_ms: float) -> None:
+        """Count the lost requests whose servers are alive; forget those of servers that ended."""
+        waiting = []
+        for lost in self._lost:
+            server = lost.outcome.server
+            if lost.outcome.service != rollout.order.service:
+                waiting.append(lost)
+                continue
+            newest = self._directory.newest_sequence(server)
+            if newest >= lost.sequence + _LIVE_HEARTBEATS:
+                is_new = server.version == rollout.order.to
+                cell = rollout.tally.own.cell(lost.outcome.route, is_new=is_new)
+                cell.answered += 1
+                cell.failed += 1
+            elif now_ms - lost.at_ms < _LOST_LIFE_MS:
+                waiting.append(lost)
+        self._lost = waiting
 
     def _is_warm(self, outcome: AnswerOutcome) -> bool:
-        announced_ms, first_seen_ms = self._warm_from_ms(outcome.server.server)
-        return outcome.started_ms >= max(announced_ms, first_seen_ms + _WARM_UP_MS)
+        name = outcome.server.server
+        first_seen_ms = self._directory.first_seen_ms(name)
+        warm_from_ms = max(self._directory.cold_until_ms(name), first_seen_ms + _WARM_UP_MS)
+        return outcome.started_ms >= warm_from_ms
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -81,6 +81,11 @@
         """Whether this router knows that the new version must get nothing more."""
         return self.is_withdrawn or self.evidence.is_bad
 
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing can change its state any more, so that nothing needs to be counted."""
+        return self.is_withdrawn or (self.status is not None and self.status.is_final)
+
     @property
     def _is_ended(self) -> bool:
         return self.state is not RolloutState.RUNNING
--- a/src/cicadaledge/rollouts/_sides.py
+++ b/src/cicadaledge/rollouts/_sides.py
@@ -7,14 +7,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
 
 from attrs import define, field
 
 from cicadaledge.rollouts._records import RolloutState
 from cicadaledge.rollouts._rollout import Rollout
 from cicadaledge.rollouts._versions import VersionGroups
-from cicadaledge.routing import ServerEntry
 
 _NOTHING: frozenset[str] = frozenset()
 
@@ -61,18 +59,15 @@
     route: str,
     side: RequestSide,
     groups: VersionGroups,
-    usable: Mapping[str, ServerEntry],
     tried: set[str],
     sampler: FractionSampler,
 ) -> list[frozenset[str]]:
     """Return the groups of servers that a request may go to, the preferred one first.
 
     Args:
-        usable: All usable servers of the service.
         tried: Servers that it is not sent to again.
     """
-    all_new = frozenset(name for name, entry in usable.items() if entry.version == rollout.order.to)
-    others = frozenset(usable) - all_new
+    all_new, others = groups.all_new, groups.others
     if rollout.state is RolloutState.COMPLETED:
         return _present(all_new | (others - groups.former) if all_new else others)
     if rollout.state is RolloutState.ROLLED_BACK:
--- a/src/cicadaledge/rollouts/_versions.py
+++ b/src/cicadaledge/rollouts/_versions.py
@@ -29,6 +29,8 @@
     Args:
         new: Servers of the new version that may get requests, in the order of their use.
         former: Servers of the versions in use before.
+        all_new: All usable servers of the new version.
+        others: All usable servers of other versions.
         regions: Number of regions with new servers.
         new_slots: Requests that the servers in `new` can run.
         former_slots: The same for `former`.
@@ -39,13 +41,18 @@
     regions: int = 0
     new_slots: int = 0
     former_slots: int = 0
+    all_new: frozenset[str] = frozenset()
+    others: frozenset[str] = frozenset()
+    _canaries: dict[int, frozenset[str]] = field(factory=dict, eq=False, repr=False)
 
     def canaries(self, fraction: float) -> frozenset[str]:
         """Return the new servers that share a fraction of the requests."""
-        if fraction >= 1.0:
-            return frozenset(self.new)
-        count = RolloutPlan.canary_servers(fraction, len(self.former), self.regions)
-        return frozenset(self.new[:count])
+        count = len(self.new)
+        if fraction < 1.0:
+            count = RolloutPlan.canary_servers(fraction, len(self.former), self.regions)
+        if count not in self._canaries:
+            self._canaries[count] = frozenset(self.new[:count])
+        return self._canaries[count]
 
 
 def group_servers(
@@ -54,20 +61,25 @@
     former: frozenset[Version],
     cold: Callable[[str], bool],
     region_of: Callable[[str], str],
+    replacements: frozenset[str] = frozenset(),
 ) -> VersionGroups:
     """Group the usable servers of a service.
 
     Args:
+        replacements: Servers of former versions that are ordinary replacements.
         former: Versions in use before; empty if unknown, which allows all but `to`.
         cold: Returns whether a server is cold; cold ones are not used for the new version unless
             all are.
     """
-    new, old = [], []
+    new: list[ServerEntry] = []
+    others: list[ServerEntry] = []
     for entry in entries:
-        if entry.version == to:
-            new.append(entry)
-        elif not former or entry.version in former:
-            old.append(entry)
+        (new if entry.version == to else others).append(entry)
+    old = [
+        entry
+        for entry in others
+        if (not former or entry.version in former) and entry.server not in replacements
+    ]
     warm = [entry for entry in new if not cold(entry.server)] or new
     ordered, regions = _across_regions(warm, region_of)
     return VersionGroups(
@@ -76,6 +88,8 @@
         regions,
         sum(max(entry.slots, 1) for entry in ordered),
         sum(max(entry.slots, 1) for entry in old),
+        frozenset(entry.server for entry in new),
+        frozenset(entry.server for entry in others),
     )
 
 
