--- a/src/cicadaledge/rollouts/_evidence.py
+++ b/src/cicadaledge/rollouts/_evidence.py
@@ -17,8 +17,6 @@
 # Some 20 sums run for a rollout. Each exceeds this limit by chance once in e^11, or 60,000, answers
 # at most; a version that fails half of its requests exceeds it after about 12 answers.
 _ALARM = 11.0
-# From this value on, the new version gets only as many requests as are needed to decide.
-_SUSPICION = 5.0
 # Bad answers must occur over this time, as a single incident looks the same while it lasts: a spell
 # in which a shared machine is slow takes 600 ms.
 _MIN_SPAN_MS = {"failed": 400.0, "slow": 1_200.0}
@@ -86,9 +84,9 @@
         return bool(self.reason)
 
     @property
-    def is_suspect(self) -> bool:
-        """Whether the version may be bad."""
-        return any(one.value >= _SUSPICION for one in self._sums.values())
+    def strength(self) -> float:
+        """Strength of the evidence, a log likelihood ratio; 0 speaks for a good version."""
+        return max((one.value for one in self._sums.values()), default=0.0)
 
     def update(self, counts: RolloutCounts, now_ms: float) -> None:
         """Add what the fleet's counts contain in addition to the last ones."""
--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 from attrs import define, field
@@ -49,6 +50,7 @@
     Args:
         region_of: Returns the region of an availability zone.
         orders_known_ms: Returns when the operator's records were last known to be current.
+        random_source: Draws the first requests for the new version.
     """
 
     def __init__(
@@ -57,11 +59,13 @@
         directory: ServerDirectory,
         region_of: Callable[[str], str],
         orders_known_ms: Callable[[], float],
+        random_source: random.Random | None = None,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._region_of = region_of
         self._orders_known_ms = orders_known_ms
+        self._random = random_source or random.Random()
         self._services: dict[str, _Service] = {}
         self._statuses: dict[str, RolloutStatus] = {}
         self._outcomes = OutcomeRecorder(directory)
@@ -97,7 +101,7 @@
         rollout = Rollout(order, self._settings, now_ms, is_observed, wall_ms, former)
         self._outcomes.seed(rollout)
         known.rollout = rollout
-        known.sampler = FractionSampler()
+        known.sampler = FractionSampler(self._random)
         status = self._statuses.get(order.service)
         if status is not None and (previous is None or not previous.is_withdrawn):
             rollout.apply_status(status, now_ms)
@@ -272,7 +276,7 @@
                 stage=rollout.stage.value,
                 fraction=round(rollout.fraction, 4),
                 is_informed=is_informed,
-                suspect=rollout.evidence.is_suspect,
+                evidence=round(rollout.evidence.strength, 1),
                 reason=rollout.evidence.reason,
                 new_sent=new.sent,
                 new_answered=new.answered,
--- a/src/cicadaledge/rollouts/_plan.py
+++ b/src/cicadaledge/rollouts/_plan.py
@@ -33,6 +33,10 @@
 # The new version serves all requests for this time before its rollout is completed, if the deadline
 # allows it: slow answers must last for 1.2 s to count, and are known everywhere 2 s later.
 _OBSERVED_FULL_MS = 3_500.0
+# From this strength of the evidence on, a version is suspect. While all requests move, and when the
+# rollout ends, more is needed: the weaker limit is exceeded by chance once in some hundred answers.
+_SUSPECT_STRENGTH = 5.0
+_LATE_SUSPECT_STRENGTH = 8.0
 # A suspect version gets this fraction, or one request a second if that is more.
 _SUSPECT_FRACTION = 0.02
 _SUSPECT_PER_S = 1.0
@@ -71,7 +75,7 @@
         new_slots: Requests that the ready servers of the new version can run.
         former_slots: The same for the former versions.
         former_running: Requests that run on servers of the former versions.
-        is_suspect: Whether the new version may be bad.
+        strength: Strength of the evidence that the new version is bad.
         is_bad: Whether it is known to be bad.
     """
 
@@ -83,7 +87,7 @@
     new_slots: int = 0
     former_slots: int = 0
     former_running: int = 0
-    is_suspect: bool = False
+    strength: float = 0.0
     is_bad: bool = False
 
 
@@ -115,6 +119,11 @@
             return Stage.CANARY
         return Stage.RAMP if progress.age_ms < self.full_ms else Stage.FULL
 
+    def is_suspect(self, progress: RolloutProgress) -> bool:
+        """Return whether the new version may be bad."""
+        is_late = progress.age_ms >= self.full_ms
+        return progress.strength >= (_LATE_SUSPECT_STRENGTH if is_late else _SUSPECT_STRENGTH)
+
     def fraction(self, progress: RolloutProgress) -> float:
         """Return the fraction of the requests that go to the new version."""
         if progress.is_bad:
@@ -128,7 +137,7 @@
                 fraction = self._ramp(progress)
             case Stage.FULL:
                 fraction = 1.0
-        if progress.is_suspect:
+        if self.is_suspect(progress):
             rate = max(progress.requests_per_s, 1.0)
             fraction = min(fraction, max(_SUSPECT_FRACTION, _SUSPECT_PER_S / rate))
         return fraction
@@ -142,7 +151,7 @@
             fraction: The fraction of all requests.
             route_per_s: Requests of the route.
         """
-        if progress.is_suspect or not 0.0 < fraction < 1.0 or route_per_s <= 0.0:
+        if self.is_suspect(progress) or not 0.0 < fraction < 1.0 or route_per_s <= 0.0:
             return fraction
         wanted_s = self._duration_ms / 1000 * _WANTED_BY
         boosted = min(
@@ -157,7 +166,7 @@
         if progress.is_bad:
             return RolloutState.ROLLED_BACK
         is_due = progress.age_ms >= self.complete_ms
-        if not progress.new_slots or progress.is_suspect:
+        if not progress.new_slots or self.is_suspect(progress):
             return RolloutState.ROLLED_BACK if is_due else RolloutState.RUNNING
         if is_due:
             is_silent = progress.sent_new >= _MIN_ANSWERS and not progress.answered_new
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -168,7 +168,7 @@
             groups.new_slots,
             groups.former_slots,
             former_running,
-            self.evidence.is_suspect,
+            self.evidence.strength,
         )
         plan = RolloutPlan(self.order.duration_ms, self.settings, self.longest_ms)
         self.stage = plan.stage(progress)
