--- a/src/cicadaledge/rollouts/_plan.py
+++ b/src/cicadaledge/rollouts/_plan.py
@@ -37,6 +37,13 @@
 # rollout ends, more is needed: the weaker limit is exceeded by chance once in some hundred answers.
 _SUSPECT_STRENGTH = 5.0
 _LATE_SUSPECT_STRENGTH = 8.0
+# With so few answers, the evidence hardly reaches that strength. Then this many bad answers, this
+# part of all and this multiple of the former versions' rate are enough; a healthy version gives four
+# bad answers out of ten to thirteen once in some hundred rollouts at most.
+_FEW_ANSWERS = 60
+_FEW_BAD = 4
+_FEW_BAD_RATE = 0.3
+_FEW_BAD_FACTOR = 3.0
 # A suspect version gets this fraction, or one request a second if that is more.
 _SUSPECT_FRACTION = 0.02
 _SUSPECT_PER_S = 1.0
@@ -75,6 +82,8 @@
         new_slots: Requests that the ready servers of the new version can run.
         former_slots: The same for the former versions.
         former_running: Requests that run on servers of the former versions.
+        bad_new: How many of them were bad.
+        former_bad_rate: Fraction of the former versions' answers that were bad.
         strength: Strength of the evidence that the new version is bad.
         is_bad: Whether it is known to be bad.
     """
@@ -87,6 +96,8 @@
     new_slots: int = 0
     former_slots: int = 0
     former_running: int = 0
+    bad_new: int = 0
+    former_bad_rate: float = 0.0
     strength: float = 0.0
     is_bad: bool = False
 
@@ -121,8 +132,12 @@
 
     def is_suspect(self, progress: RolloutProgress) -> bool:
         """Return whether the new version may be bad."""
-        is_late = progress.age_ms >= self.full_ms
-        return progress.strength >= (_LATE_SUSPECT_STRENGTH if is_late else _SUSPECT_STRENGTH)
+        if progress.age_ms < self.full_ms:
+            return progress.strength >= _SUSPECT_STRENGTH
+        least = max(_FEW_BAD_RATE, progress.former_bad_rate * _FEW_BAD_FACTOR)
+        few = progress.answered_new <= _FEW_ANSWERS and progress.bad_new >= _FEW_BAD
+        is_mostly_bad = few and progress.bad_new >= least * progress.answered_new
+        return is_mostly_bad or progress.strength >= _LATE_SUSPECT_STRENGTH
 
     def fraction(self, progress: RolloutProgress) -> float:
         """Return the fraction of the requests that go to the new version."""
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -168,6 +168,8 @@
             groups.new_slots,
             groups.former_slots,
             former_running,
+            new.bad,
+            former.bad / max(1, former.answered),
             self.evidence.strength,
         )
         plan = RolloutPlan(self.order.duration_ms, self.settings, self.longest_ms)
--- a/tests/rollouts/test_load_of_requests.py
+++ b/tests/rollouts/test_load_of_requests.py
@@ -61,6 +61,7 @@
         {"answer": bad_version(fails=0.5, route="rare"), "routes": RARE, "duration_s": 60.0},
         {"answer": bad_version(slow=0.9, route="rare"), "routes": RARE, "duration_s": 60.0},
         {"answer": bad_version(fails=0.5), "per_s": 3.0, "duration_s": 60.0},
+        {"answer": bad_version(fails=0.6), "per_s": 0.6, "duration_s": 60.0},
         {"answer": bad_version(fails=0.5), "per_s": 200.0, "routers": 385},
         {"answer": bad_version(fails=0.5), "duration_s": 12.0},
         {"answer": bad_under_load(22), "duration_s": 60.0},
--- a/tests/rollouts/test_plan.py
+++ b/tests/rollouts/test_plan.py
@@ -91,3 +91,11 @@
     weak = evolve(GOOD, strength=6.0)
     assert PLAN.fraction(weak) < PLAN.fraction(GOOD)
     assert PLAN.outcome(evolve(weak, age_ms=PLAN.complete_ms)) is RolloutState.COMPLETED
+
+
+def test_a_few_answers_that_are_mostly_bad_are_enough_at_the_end():
+    # A service with a request every two seconds gives too few answers for strong evidence.
+    few = evolve(GOOD, age_ms=PLAN.complete_ms, answered_new=14, sent_new=14, bad_new=5)
+    assert PLAN.outcome(few) is RolloutState.ROLLED_BACK
+    assert PLAN.outcome(evolve(few, bad_new=2)) is RolloutState.COMPLETED
+    assert PLAN.outcome(evolve(few, former_bad_rate=0.2)) is RolloutState.COMPLETED
