--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -23,6 +23,9 @@
 _RATE_WINDOW_MS = 2_000.0
 # Over a shorter time, a few requests look like a high rate.
 _MIN_RATE_MS = 500.0
+# The clocks of two VMs differ by at most twice `maxSkewMs`. Two routers' statuses of one order differ
+# by no more in the time of the order.
+_MAX_CLOCK_DIFFERENCE_MS = 16_000
 # A router that has restarted waits this long to hear the age of the order from another one. Then
 # it follows the time in the status, or counts from the time at which it read the order.
 _AGE_WAIT_MS = 3_000.0
@@ -117,6 +120,8 @@
         if status.to != self.order.to:
             return False
         self.stored = status
+        if self._is_of_later_order(status):
+            self._start_again(now_ms)
         if status.former and not self.is_observed and not self.former:
             self.former = frozenset(status.former)
         if not status.supersedes(self.status):
@@ -126,6 +131,24 @@
             self.finished_ms = now_ms
         return True
 
+    def _is_of_later_order(self, status: RolloutStatus) -> bool:
+        """Return whether a status belongs to the same order given again after this one ended."""
+        known = self.status
+        if known is None or not known.is_final or status.is_final or not known.since_ms:
+            return False
+        return status.since_ms - known.since_ms > _MAX_CLOCK_DIFFERENCE_MS
+
+    def _start_again(self, now_ms: float) -> None:
+        self.status = None
+        self.finished_ms = None
+        self.tally = RolloutTally()
+        self.evidence = VersionEvidence()
+        self.fraction = 0.0
+        self.seen_ms = now_ms
+        self.is_observed = False
+        self._started_ms = None
+        self._rates = {}
+
     def record_written(self, status: RolloutStatus, now_ms: float) -> None:
         """Record that this router has written a status."""
         self.stored = status
--- a/tests/rollouts/test_keeper.py
+++ b/tests/rollouts/test_keeper.py
@@ -202,3 +202,15 @@
     assert site.keeper.unused_servers("desk") == frozenset()
     site.status(COMPLETED)
     assert site.keeper.unused_servers("desk") == {"v1-0"}
+
+
+def test_a_router_that_missed_a_withdrawal_follows_the_order_given_again():
+    # It would otherwise write the final status of the first order again, and end the second one.
+    site = Site(has_read_orders=False)
+    site.status(ROLLED_BACK, since_ms=WALL_MS)
+    rollout = site.order()
+    site.status(RUNNING, since_ms=WALL_MS + 5_000)  # a late write of the same order
+    assert rollout.state is ROLLED_BACK
+    site.status(RUNNING, since_ms=WALL_MS + 60_000)
+    assert rollout.state is RUNNING
+    assert site.due(site.decide(5_000.0)) is None
