--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -191,7 +191,7 @@
         )
         self._rollout_exchange = RolloutExchange(
             settings,
-            self._rollouts.keeper,
+            self._rollouts,
             self._peers,
             fleet,
             self._load,
@@ -251,7 +251,7 @@
             self._peers.keep_views,
             self._suspect_news.keep_published,
             self._suspect_news.keep_claims_written,
-            self._rollout_exchange.keep_decided,
+            *self._rollout_exchange.tasks(),
             self._settle_removals,
             self._watch_loop,
             self._keep_up,
--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from attrs import define, field, frozen
 
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import StatusTopic, StoreError
 from cicadaledge.edge._wall_clock import wall_ms
@@ -25,7 +26,6 @@
     OutcomeCounts,
     Rollout,
     RolloutCounts,
-    RolloutKeeper,
     RolloutState,
     RolloutStatus,
 )
@@ -100,7 +100,7 @@
     def __init__(
         self,
         settings: EdgeSettings,
-        keeper: RolloutKeeper,
+        guard: RolloutGuard,
         peers: FleetPeers,
         fleet: FleetLoad,
         load: LoadTracker,
@@ -109,7 +109,8 @@
         now_ms: Callable[[], float] = clock_ms,
     ) -> None:
         self._settings = settings.rollouts
-        self._keeper = keeper
+        self._guard = guard
+        self._keeper = guard.keeper
         self._peers = peers
         self._fleet = fleet
         self._load = load
@@ -120,11 +121,14 @@
         self._writings: dict[str, _Writing] = {}
         self._synced_ms = 0.0
 
+    def tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the background tasks; there are none where the settings do not ask for rollouts."""
+        return [self.keep_decided] if self._is_enabled else []
+
     async def keep_decided(self) -> None:
         """Decide on all rollouts and exchange counts, forever."""
         while True:
-            if self._is_enabled:
-                self.step(self._now_ms())
+            self.step(self._now_ms())
             await asyncio.sleep(self._settings.tick_ms / 1000)
 
     def step(self, now_ms: float) -> None:
@@ -139,6 +143,7 @@
             rollout.settle_age(now_ms, round(wall_ms()))
             is_heard = now_ms - rollout.tally.heard_ms <= self._settings.view_age_ms
             is_informed = self._fleet.is_current(now_ms) and (is_alone or is_heard)
+            rollout.longest_ms = self._guard.longest_ms(rollout.order.service)
             former = self._keeper.groups(rollout.order.service).former
             wanted = self._keeper.decide(
                 rollout,
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -76,6 +76,16 @@
     def on_store_recovered(self, outage_ms: float, now_ms: float) -> None:
         """Do nothing: a status does not expire during an outage."""
 
+    def longest_ms(self, service: str) -> float:
+        """Return the longest time that a request of a service may take."""
+        table = self._control_state.table
+        timeouts_ms = [
+            route.timeout_ms
+            for route in (table.routes if table is not None else ())
+            if any(weight.service == service for weight in route.split)
+        ]
+        return max(timeouts_ms, default=0.0)
+
     def excluded_servers(self, request: ActiveRequest) -> list[frozenset[str]]:
         """Return the sets of servers that a request must not go to, the preferred set first."""
         if not self._is_enabled:
--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -266,9 +266,8 @@
         self._outcomes.settle_lost(rollout, now_ms)
         counts = rollout.tally.fleet_sum(is_relay=is_relay)
         groups = self.groups(rollout.order.service)
-        before = rollout.stage, rollout.state, rollout.fraction
         wanted = rollout.update(counts, groups, former_running, now_ms, is_informed=is_informed)
-        if before != (rollout.stage, rollout.state, rollout.fraction):
+        if rollout.has_news(now_ms):
             new = counts.side(is_new=True)
             _log.info(
                 "Fraction for the new version has changed.",
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -23,6 +23,10 @@
 _RATE_WINDOW_MS = 2_000.0
 # Over a shorter time, a few requests look like a high rate.
 _MIN_RATE_MS = 500.0
+# The fraction changes with each decision. It is logged when it has changed by this factor, and at
+# this interval.
+_LOGGED_FACTOR = 2.0
+_LOG_INTERVAL_MS = 1_000.0
 # The clocks of two VMs differ by at most twice `maxSkewMs`. Two routers' statuses of one order differ
 # by no more in the time of the order.
 _MAX_CLOCK_DIFFERENCE_MS = 16_000
@@ -66,6 +70,12 @@
     longest_ms: float = 0.0
     finished_ms: float | None = None
     _started_ms: float | None = None
+    _logged: tuple[Stage, RolloutState, float, float] = (
+        Stage.WAITING,
+        RolloutState.RUNNING,
+        0.0,
+        0.0,
+    )
     _rates: dict[str, deque[tuple[float, int]]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -97,6 +107,16 @@
         """Return the fraction of a route's requests that may go to the new version now."""
         return self.route_fractions.get(route, self.fraction) if self.fraction > 0 else 0.0
 
+    def has_news(self, now_ms: float) -> bool:
+        """Return whether the fraction has changed so much since the last call that it is logged."""
+        stage, state, fraction, at_ms = self._logged
+        is_other = (stage, state) != (self.stage, self.state)
+        low, high = sorted((fraction, self.fraction))
+        is_far = high > low * _LOGGED_FACTOR and now_ms - at_ms >= _LOG_INTERVAL_MS
+        if is_other or is_far:
+            self._logged = self.stage, self.state, self.fraction, now_ms
+        return is_other or is_far
+
     def age_ms(self, now_ms: float) -> float | None:
         """Return the time since the order, or None while it is unknown."""
         return None if self._started_ms is None else now_ms - self._started_ms
--- a/tests/edge/test_rollout_exchange.py
+++ b/tests/edge/test_rollout_exchange.py
@@ -4,18 +4,17 @@
 
 from edge_world import SETTINGS, evolve
 
-from cicadaledge.edge import StoreError
+from cicadaledge.edge import ControlPlaneState, StoreError
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._rollout_exchange import FleetRoles, RolloutExchange
+from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.placing import FleetLoad, LoadTracker
 from cicadaledge.rollouts import (
-    RolloutKeeper,
     RolloutOrder,
     RolloutSettings,
     RolloutState,
     RolloutStatus,
 )
-from cicadaledge.routing import ServerDirectory
 from cicadaledge.wire import LoadView, NameTable, ViewScope, decode_message, encode_message
 
 ROLLOUTS = RolloutSettings(is_enabled=True)
@@ -53,12 +52,13 @@
         )
         self.load = load
         settings = evolve(SETTINGS, router=name, zone=zone, rollouts=ROLLOUTS)
-        self.keeper = RolloutKeeper(ROLLOUTS, ServerDirectory(), lambda zone: "", lambda: 0.0)
+        guard = RolloutGuard(settings, ControlPlaneState(settings), EdgeMetrics())
+        self.keeper = guard.keeper
         self.keeper.retain_orders(set(), 0.0)
         self.keeper.apply_order(ORDER, 0.0, 0)
         self.exchange = RolloutExchange(
             settings,
-            self.keeper,
+            guard,
             self,
             load,
             LoadTracker(load),
