--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -17,6 +17,7 @@
 _FIRST_ERROR = 500
 # Cost of an answer that does not depend on its length, in tokens.
 _BASE_TOKENS = 500
+_FAR_SUFFIX = " (other region)"
 _ANSWER_ENDS = (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
 # A few groups are in use at a time; others have been left by a change of the fraction.
 _MAX_COMPLEMENTS = 64
@@ -153,10 +154,10 @@
             return
         took_ms = None
         if result.end is AttemptEnd.ANSWERED and result.status == _OK:
-            took_ms = self._took_ms(request, server, attempt, started_ms)
+            took_ms = self._took_ms(request, attempt, started_ms)
         outcome = AnswerOutcome(
             request.service.name,
-            request.route.name,
+            self._outcome_route(request, server),
             server,
             started_ms,
             failed=result.failed or (result.status or 0) >= _FIRST_ERROR,
@@ -168,7 +169,7 @@
     def record_silent(self, request: ActiveRequest, server: ServerEntry, started_ms: float) -> None:
         """Count a request that a server did not answer within its caller's time."""
         if self._is_enabled:
-            route = request.route.name
+            route = self._outcome_route(request, server)
             self._record(
                 AnswerOutcome(request.service.name, route, server, started_ms, is_silent=True)
             )
@@ -177,22 +178,26 @@
         if self.keeper.record_outcome(outcome, clock_ms()):
             self._metrics.count_rollout("bad answer of new")
 
-    def _took_ms(
-        self, request: ActiveRequest, server: ServerEntry, attempt: Attempt, started_ms: float
-    ) -> float | None:
+    def _outcome_route(self, request: ActiveRequest, server: ServerEntry) -> str:
+        """Return the name under which outcomes are compared.
+
+        The way to another region takes longer than many answers, so that those from there are
+        compared only with each other.
+        """
+        is_near = self._settings.region_of(server.zone) == self._settings.region
+        return request.route.name if is_near else request.route.name + _FAR_SUFFIX
+
+    @staticmethod
+    def _took_ms(request: ActiveRequest, attempt: Attempt, started_ms: float) -> float | None:
         """Return the time that an answer took, or None if it cannot be compared.
 
-        Neither the caller's slowness nor the way to another region counts. For engines, the time is
-        given for 1,000 tokens.
+        The caller's slowness does not count. For engines, the time is given for 1,000 tokens.
         """
         is_whole = not request.side.is_resumed and not request.call.resume_after
         if attempt.first_byte_ms is None or not is_whole:
             return None
         took_ms = (attempt.last_byte_ms or attempt.first_byte_ms) - started_ms
-        took_ms -= attempt.caller_wait_ms
-        if self._settings.region_of(server.zone) != self._settings.region:
-            took_ms -= self._settings.placing.region_crossing_ms
-        took_ms = max(took_ms, 1.0)
+        took_ms = max(took_ms - attempt.caller_wait_ms, 1.0)
         if request.service.engine is None:
             return took_ms
         return took_ms * 1000 / (request.call.cost_tokens + _BASE_TOKENS)
--- a/src/cicadaledge/rollouts/_plan.py
+++ b/src/cicadaledge/rollouts/_plan.py
@@ -27,14 +27,18 @@
 # before a change of the counts is known, and for the steps to all requests.
 _CANARY_SHARE_PART = 0.5
 _CANARY_SLACK_PART = 0.6
+# Until it has answered that often, a version gets this many requests and one more each second. One
+# that never answers, or whose answers are lost, is noticed late and must not get more meanwhile.
+_UNANSWERED = 12
+_ANSWERED = 10
 # A change of the counts takes effect everywhere after this time: two exchanges between routers and
 # one decision.
 _LAG_S = 2.0
 # The new version serves all requests for this time before its rollout is completed, if the deadline
 # allows it: slow answers must last for 1.2 s to count, and are known everywhere 2 s later.
 _OBSERVED_FULL_MS = 3_500.0
-# From this strength of the evidence on, a version is suspect. While all requests move, and when the
-# rollout ends, more is needed: the weaker limit is exceeded by chance once in some hundred answers.
+# From this strength of the evidence on, a version is suspect. Shortly before the rollout ends, more is
+# needed: the weaker limit is exceeded by chance once in some hundred answers.
 _SUSPECT_STRENGTH = 5.0
 _LATE_SUSPECT_STRENGTH = 8.0
 # With so few answers, the evidence hardly reaches that strength. Then this many bad answers, this
@@ -134,10 +138,12 @@
         """Return whether the new version may be bad."""
         if progress.age_ms < self.full_ms:
             return progress.strength >= _SUSPECT_STRENGTH
+        is_late = progress.age_ms >= (self.full_ms + self.complete_ms) / 2
         least = max(_FEW_BAD_RATE, progress.former_bad_rate * _FEW_BAD_FACTOR)
         few = progress.answered_new <= _FEW_ANSWERS and progress.bad_new >= _FEW_BAD
         is_mostly_bad = few and progress.bad_new >= least * progress.answered_new
-        return is_mostly_bad or progress.strength >= _LATE_SUSPECT_STRENGTH
+        limit = _LATE_SUSPECT_STRENGTH if is_late else _SUSPECT_STRENGTH
+        return is_mostly_bad or progress.strength >= limit
 
     def fraction(self, progress: RolloutProgress) -> float:
         """Return the fraction of the requests that go to the new version."""
@@ -211,6 +217,9 @@
             + _CANARY_SLACK_PART * settings.expose_slack
             - progress.sent_new
         )
+        if progress.answered_new < _ANSWERED:
+            first = _UNANSWERED + (progress.age_ms - self.start_ms) / 1000
+            left = min(left, first - progress.sent_new)
         return max(0.0, min(fraction, _MAX_CANARY, left / (rate * _LAG_S)))
 
     def _ramp(self, progress: RolloutProgress) -> float:
