Test crowds of clients that do not behave, and half answers

The crowds and bounds are fixed before the product has limits of its own. A router process of 100 MB gets one crowd at a time; it must stay alive and within its memory and descriptors, and answer one ordinary request. tests/run.py runs tests/alone without workers after the others.

Measured on the code as it stands (load 18): a router without callers takes 47 to 53 MB. Bodies in one piece, one byte short, on a route, with a key nobody holds, without a route, on the readiness path and address and on the metrics address: 172 MB each. In small pieces: 149 MB. In chunks of 100 bytes: 137 MB. In chunks of one byte: no answer to the ordinary request in 20 s. Declared over the limit: 172 MB. Chunks without end: 213 MB. Heads of 4,000 fields: 136 MB, and no answer in 20 s if they are sent without end. Slow and silent connections at the probe and metrics addresses: 500 of 500 descriptors. Own interface: a partial head or nothing takes all threads.

--- a/src/cicadaledge/standins/_platform_files.py
+++ b/src/cicadaledge/standins/_platform_files.py
@@ -21,6 +21,8 @@
     Args:
         peers: Address for connections of other routers; metrics are served at the next port.
         cold_overage: Multiple of a cold server's capacity that no server may exceed.
+        memory_mb: Memory of the VM, in MiB; None leaves the limit out.
+        descriptors: Descriptors of the process; None leaves the limit out.
     """
 
     router: str
@@ -32,6 +34,8 @@
     store: Address
     bounds: BoundSettings = BoundSettings()
     cold_overage: float = 1.0
+    memory_mb: int | None = None
+    descriptors: int | None = None
 
     def text(self) -> str:
         """Return the text of the file."""
@@ -59,6 +63,10 @@
             "[platform]",
             f'address = "{self.store.host}:{self.store.port}"',
         ]
+        limits = {"memoryMb": self.memory_mb, "maxFds": self.descriptors}
+        stated = [f"{name} = {value}" for name, value in limits.items() if value is not None]
+        if stated:
+            lines += ["[limits]", *stated]
         return "\n".join(lines) + "\n"
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -8,6 +8,9 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
+# These tests measure the memory of a process while it is flooded. They run one at a time, after the
+# others, as load on the machine changes how much of a crowd a router has read.
+ALONE = ROOT / "tests" / "alone"
 
 
 def read_known_red() -> dict[str, str]:
@@ -51,8 +54,16 @@
 
 def main() -> int:
     """Run pytest and return the exit status, 0 if only listed tests have failed."""
+    arguments = sys.argv[1:]
+    status = run_tests("-n", "3", f"--ignore={ALONE}", *arguments)
+    # Arguments can name tests or files; they then select what is run of the others alone.
+    return status or (0 if arguments else run_tests(str(ALONE)))
+
+
+def run_tests(*arguments: str) -> int:
+    """Run pytest once and return the exit status, 0 if only listed tests have failed."""
     plugin = KnownRed(read_known_red())
-    status = pytest.main(["-q", "-n", "3", "--rootdir", str(ROOT), *sys.argv[1:]], plugins=[plugin])
+    status = pytest.main(["-q", "--rootdir", str(ROOT), *arguments], plugins=[plugin])
     return plugin.exit_status(int(status))
 
 
