Do not pass on half answers and statuses that no answer has

Cause: an answer without length or chunks counted as complete at an orderly end of its connection, even if the request was still being written; any three digits counted as a status, at the own interface also 1xx. Such an answer now fails the attempt, which may have run, if written bytes are not sent when its head is read, or not acknowledged by the server's kernel when the connection ends. An early answer with a length or in chunks stays valid; its connection is closed.

Ruled out: looking for a reset after the end, as the event loop closes the socket at the end of the stream and does not see it.

--- a/src/cicadaledge/backends/_backend.py
+++ b/src/cicadaledge/backends/_backend.py
@@ -25,6 +25,8 @@
 _MAX_SMALL_ANSWER_BYTES = 65_536
 _MAX_IDLE_PER_BOOT = 32
 _OK = 200
+# Final answers have these statuses. The HTTP library takes others, also interim ones, for answers.
+_FIRST_FINAL_STATUS, _LAST_FINAL_STATUS = 200, 599
 _ERRORS = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -112,7 +114,10 @@
             self._http.request(
                 method, path, body=body, headers=dict(headers), preload_content=False
             )
-            return self._http.getresponse()
+            answer = self._http.getresponse()
+            if not _FIRST_FINAL_STATUS <= answer.status <= _LAST_FINAL_STATUS:
+                raise ValueError(f"status {answer.status}, which no answer has")
+            return answer
         except _ERRORS as error:
             self.close()
             raise BackendError(f"{self.server} failed: {error}", sent=True) from error
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -11,7 +11,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import cast
 
-from cicadaledge.wire import is_readable
+from cicadaledge.wire import is_readable, unacknowledged_bytes
 
 # These sizes bound the memory of a connection to about 64 KB, so that hundreds of peers that send
 # faster than their data is processed, or read more slowly, fit into the smallest process.
@@ -71,6 +71,8 @@
         on_lost: Called when the connection is lost.
         is_lost: Whether the connection is lost.
         was_reset: Whether the connection ended without an orderly close by the peer.
+        was_unwritten_at_end: Whether the peer closed its sending side before its kernel had all
+            written bytes.
     """
 
     def __init__(self, on_open: Callable[[Channel], None] | None = None) -> None:
@@ -78,6 +80,7 @@
         self.on_lost: Callable[[], None] | None = None
         self.is_lost = False
         self.was_reset = False
+        self.was_unwritten_at_end = False
         self._on_open = on_open
         self._buffer = bytearray()
         self._ended = False
@@ -140,6 +143,12 @@
             self.transport.resume_reading()
         return data
 
+    def interrupt_read(self, error: Exception) -> None:
+        """Make a `read` that waits raise an error; drop what was received."""
+        self._buffer.clear()
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_exception(error)
+
     async def _wait_for_reading(self, end_s: float | None) -> None:
         """Wait until something was read, or until a time of the loop's clock."""
         loop = asyncio.get_running_loop()
@@ -223,6 +232,10 @@
     def eof_received(self) -> bool:
         """Close the connection, unless half-open is allowed, after the peer stopped sending."""
         self._ended = True
+        sock = self.transport.get_extra_info("socket")
+        self.was_unwritten_at_end = bool(
+            self.unsent_bytes or unacknowledged_bytes(sock.fileno() if sock is not None else -1)
+        )
         self._wake_reader()
         return self.allow_half_open
 
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -18,6 +18,9 @@
 
 _EVENT_STREAM = "text/event-stream"
 _MAX_HEAD_BYTES = 65_536
+# Final answers have these statuses. h11 takes any three digits.
+_FIRST_FINAL_STATUS, _LAST_FINAL_STATUS = 200, 599
+_BODILESS_STATUSES = (204, 304)
 # After more 1xx responses than this, the exchange fails. Common servers send one or two of them
 # before the final response.
 _MAX_INTERIM_RESPONSES = 8
@@ -86,6 +89,7 @@
         self._closing = False
         self._events = 0
         self._request: h11.Request | None = None
+        self._ends_with_connection = False
 
     @classmethod
     async def open(cls, host: str, port: int, peer: str, timeout_ms: float) -> HttpConnection:
@@ -126,8 +130,14 @@
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
+                if not _FIRST_FINAL_STATUS <= event.status_code <= _LAST_FINAL_STATUS:
+                    raise self._error(f"has status {event.status_code}, which no answer has")
                 self._read_connection_headers(event)
-                return ResponseHead(event.status_code, event.headers.raw_items())
+                head = ResponseHead(event.status_code, event.headers.raw_items())
+                self._ends_with_connection = self._is_ended_by_connection(head)
+                if self._ends_with_connection:
+                    self._check_written()
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("ended without an answer")
         raise self._error(f"came behind over {_MAX_INTERIM_RESPONSES} interim ones")
@@ -142,6 +152,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self._ends_with_connection:
+                self._check_written()
             return None
         raise self._error("ended within an answer")
 
@@ -216,6 +228,22 @@
             raise self._error(f"is not HTTP: {error}") from error
         return event
 
+    def _is_ended_by_connection(self, head: ResponseHead) -> bool:
+        """Return whether the end of the connection is the end of an answer."""
+        if head.is_framed or head.status in _BODILESS_STATUSES:
+            return False
+        return self._request is None or self._request.method != b"HEAD"
+
+    def _check_written(self) -> None:
+        """Check that the server has the whole request, before the connection's end counts.
+
+        A server in trouble may answer at once, end its sending in an orderly way and reset the
+        connection while the request is still being written.
+        """
+        channel = self.channel
+        if channel.was_unwritten_at_end or (not channel.is_lost and channel.unsent_bytes):
+            raise self._error("has no length and came before the request was written in full")
+
     def _bare_request(self) -> h11.Request:
         """Return the request without its body, to bring a new h11 state past sending it."""
         assert self._request is not None
--- a/src/cicadaledge/wire/__init__.py
+++ b/src/cicadaledge/wire/__init__.py
@@ -41,7 +41,7 @@
     Witness,
 )
 from cicadaledge.wire._newcomers import PendingConnections
-from cicadaledge.wire._socket_state import is_readable, is_writable
+from cicadaledge.wire._socket_state import is_readable, is_writable, unacknowledged_bytes
 
 __all__ = [
     "FRAME_LIMIT_BYTES",
@@ -89,5 +89,6 @@
     "decode_message",
     "encode_message",
     "is_readable",
+    "unacknowledged_bytes",
     "is_writable",
 ]
--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -159,6 +159,8 @@
         for _ in range(self._backlog + 1):
             if not self._accept_one():
                 break
+            if len(self._pending) > self._backlog:
+                self._reject_surplus()  # at once, as each of them has a descriptor
         self._schedule_admit()
 
     def _accept_one(self) -> bool:
@@ -185,8 +187,7 @@
     def _admit(self) -> None:
         """Set up some of the waiting connections and reject those that have waited too long."""
         self._is_admit_scheduled = False
-        for sock in self._pending.shed(_now_ms()):
-            self._admission.reject(sock)
+        self._reject_surplus()
         for _ in range(min(_SETUPS_PER_TURN, len(self._pending))):
             sock = self._pending.pop()
             if self._admission.has_room():
@@ -195,6 +196,11 @@
                 self._admission.reject(sock)
         self._schedule_admit()
 
+    def _reject_surplus(self) -> None:
+        """Reject those that have waited too long, and the oldest if too many wait."""
+        for sock in self._pending.shed(_now_ms()):
+            self._admission.reject(sock)
+
     def _set_up(self, sock: socket.socket) -> None:
         task = asyncio.get_running_loop().create_task(self._connect(sock))
         self._tasks.add(task)
