Hold what callers send within one memory budget

Cause: bodies were held in lists of small pieces before a request's path and key were checked, and nothing bounded them; a body in tiny chunks kept the event loop for its whole turn; the probe and metrics addresses took any number of connections; slow connections kept their descriptors.

src/cicadaledge/ingress holds the budget (a fifth of memoryMb), the order in which requests give way (stalled, slow, then larger ones), the framing of bodies into one buffer, and turns for costly heads and chunks. Bodies whose head is refused, and those of probes, are read and discarded. At the connection limit silent and slow connections give way, at the probe addresses as well. Waiting connections above the queue's length are rejected at once, as each has a descriptor.

--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -51,6 +51,24 @@
             RefusalError: The router is not ready or is shutting down, or the configuration, the key
                 or the share of the account does not allow the request.
         """
+        table, route, account = self.check(call)
+        service = table.services[route.choose_service(self._random)]
+        regions = _allowed_regions(route, account)
+        request = ActiveRequest(
+            call, route, service, table, account, regions, route.expires_ms(call)
+        )
+        if account is not None and service.engine is not None:
+            self._shares.record_asked(account.name, call.cost_tokens, call.started_ms)
+            self._refuse_over_share(request)
+        return request
+
+    def check(self, call: Call) -> tuple[RoutingTable, Route, Account | None]:
+        """Check what the head of a request alone decides.
+
+        Raises:
+            RefusalError: The router is not ready or is shutting down, or the configuration or the
+                key does not allow the request.
+        """
         if not self._shutdown.accepts(clock_ms()):
             raise RefusalError(Code.LEAVING, retry_after_ms=int(LEAVING_RETRY_MS))
         table = self._control_state.table
@@ -62,16 +80,7 @@
             if not keys_are_fresh:
                 raise RefusalError(Code.KEYS_STALE, retry_after_ms=int(_STALE_RETRY_MS))
             raise RefusalError(Code.NOT_FOUND, f"no route for {call.host}{call.path}")
-        account = self._authenticate(call, route, table, keys_are_fresh)
-        service = table.services[route.choose_service(self._random)]
-        regions = _allowed_regions(route, account)
-        request = ActiveRequest(
-            call, route, service, table, account, regions, route.expires_ms(call)
-        )
-        if account is not None and service.engine is not None:
-            self._shares.record_asked(account.name, call.cost_tokens, call.started_ms)
-            self._refuse_over_share(request)
-        return request
+        return table, route, self._authenticate(call, route, table, keys_are_fresh)
 
     def _refuse_over_share(self, request: ActiveRequest) -> None:
         """Refuse part of the requests of an account that exceeds its share.
--- a/src/cicadaledge/edge/_caller_connection.py
+++ b/src/cicadaledge/edge/_caller_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import h11
@@ -14,6 +15,16 @@
 from cicadaledge.codes import Code
 from cicadaledge.edge._channel import Channel, clock_ms
 from cicadaledge.edge._http_client import Headers
+from cicadaledge.ingress import (
+    BodyError,
+    BodyReader,
+    BodyTooLargeError,
+    EvictedError,
+    Holding,
+    IngressSettings,
+    Intake,
+    NoMemoryError,
+)
 from cicadaledge.logs import PartLog
 from cicadaledge.routing import Limits
 
@@ -26,6 +37,10 @@
 # A connection is closed this long after the refusal of a malformed request. Unread bytes turn the
 # close into a reset, which discards the refusal if the caller has not read it by then.
 _LINGER_S = 1.0
+# A body that has arrived with its head is read at once, unless it has more chunks than this.
+_CHUNKS_AT_ONCE = 64
+# Stand-in servers have no budget of their own; this is more memory than any machine has.
+_UNLIMITED = IngressSettings(memory_mb=1_000_000_000)
 _log = PartLog("caller")
 
 
@@ -86,6 +101,12 @@
         self._connection.channel.abort()
 
 
+# Answers a request whose body was not kept.
+EarlyAnswer = Callable[[ResponseWriter], Awaitable[None]]
+# Returns how to answer a request without its body, or None if the body must be kept.
+HeadCheck = Callable[[RequestHead], EarlyAnswer | None]
+
+
 class CallerService(Protocol):
     """Answers the requests of callers."""
 
@@ -109,28 +130,57 @@
 class _RequestError(Exception):
     """The caller sent a malformed request."""
 
-    def __init__(self, status: int, detail: str) -> None:
+    def __init__(
+        self, status: int, detail: str, code: Code = Code.BAD_REQUEST, *, lingers: bool = True
+    ) -> None:
         self.status = status
+        self.code = code
+        self.lingers = lingers
         super().__init__(detail)
 
 
+_Received = tuple[RequestHead, bytes, EarlyAnswer | None]
+
+
 class CallerConnection:
     """Serves one connection until either side closes it.
 
     Args:
         channel: The connected channel.
         service: Answers the requests.
+        intake: Memory for requests that arrive in parts; unlimited by default.
+        check_head: Tells which bodies need not be kept, because the request is refused anyway.
+
+    Attributes:
+        idle_since_ms: Since when no request is being read or handled.
+        reading_since_ms: Since when a request is being read, or None.
     """
 
-    def __init__(self, channel: Channel, service: CallerService) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        service: CallerService,
+        intake: Intake | None = None,
+        check_head: HeadCheck | None = None,
+    ) -> None:
         self.channel = channel
         self.idle_since_ms = clock_ms()
+        self.reading_since_ms: float | None = None
         self._idle = True
         self._is_new = True
         self._service = service
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=service.limits.header_bytes
-        )
+        self._intake = intake or Intake(_UNLIMITED, clock_ms)
+        self._check_head = check_head
+        self._holding: Holding | None = None
+        self._reader: BodyReader | None = None
+        self._ahead = b""  # received bytes that no request has taken yet
+        self._gave_way = False
+        self._start_cycle()
+
+    def _start_cycle(self) -> None:
+        """Prepare for a request."""
+        limit_bytes = self._service.limits.header_bytes
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limit_bytes)
 
     def is_idle(self, now_ms: float) -> bool:
         """Return whether no request is being read or handled and none is expected immediately."""
@@ -138,6 +188,21 @@
             return False
         return not self._is_new or now_ms - self.idle_since_ms > _FIRST_REQUEST_MS
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing was received since the connection was accepted."""
+        return self._is_new and self._idle and not self.channel.has_unread
+
+    def give_way(self) -> None:
+        """End the connection, whose request has not been read completely, in favour of others."""
+        self._gave_way = True
+        if self._reader is not None:
+            self._reader.discard()
+        if self.reading_since_ms is None:
+            self.channel.close()
+        else:
+            self.channel.interrupt_read(EvictedError())  # the task sends a refusal
+
     async def run(self) -> None:
         """Answer requests until the connection is closed."""
         task = asyncio.current_task()
@@ -160,6 +225,15 @@
     async def _serve_one(self) -> bool:
         """Answer one request; return whether the connection can carry another."""
         self.channel.allow_half_open = True
+        try:
+            return await self._read_and_answer()
+        finally:
+            self.reading_since_ms = None
+            if self._holding is not None:
+                self._intake.close(self._holding)
+                self._holding = None
+
+    async def _read_and_answer(self) -> bool:
         try:
             received = await self._read_request()
         except _RequestError as error:
@@ -167,46 +241,57 @@
             return False
         if received is None:
             return False
+        self.reading_since_ms = None
         # Gives the event loop a turn to notice that the caller closed its side after the request.
         await asyncio.sleep(0)
-        head, body = received
+        head, body, early_answer = received
         if self.channel.peer_closed:
             self._service.record_disconnect(head)
             await self._refuse(Code.QUEUE_TIMEOUT, "the caller has left before", 503)
             return False
         self.channel.allow_half_open = False  # from here on, a disconnect cancels the request
         writer = ResponseWriter(self)
-        await self._service.answer(head, body, writer)
+        if early_answer is not None:
+            await early_answer(writer)
+        else:
+            await self._service.answer(head, body, writer)
         if self.channel.is_lost or self._h11.our_state is not h11.DONE:
             return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
+        self._start_cycle()
         return True
 
-    async def _read_request(self) -> tuple[RequestHead, bytes] | None:
+    async def _read_request(self) -> _Received | None:
         limits = self._service.limits
         self._idle = True
         self.idle_since_ms = clock_ms()
-        request = await self._await_request_start(limits.idle_timeout_ms + _IDLE_MARGIN_MS)
-        if request is None:
+        if not self._ahead:
+            # Nothing else refers to received bytes, as they would stay in memory while others wait.
+            self._ahead = await self._await_request_start(limits.idle_timeout_ms + _IDLE_MARGIN_MS)
+        if not self._ahead:
             return None
         self._idle = self._is_new = False
-        started_ms = clock_ms()
+        started_ms = self.reading_since_ms = clock_ms()
         try:
-            return await self._read_rest(request, started_ms, limits)
+            return await self._read_rest(started_ms, limits)
         except TimeoutError:
             raise _RequestError(408, "the request did not arrive in time") from None
+        except EvictedError:
+            detail = "the request arrived too slowly while the router had no room"
+            raise _RequestError(408, detail, lingers=False) from None
+        except NoMemoryError:
+            detail = "the router has no memory for the request"
+            raise _RequestError(503, detail, Code.ROUTER_BUSY) from None
+        except BodyTooLargeError as error:
+            raise _RequestError(413, str(error)) from None
+        except BodyError as error:
+            raise _RequestError(400, str(error)) from None
+        finally:
+            self._reader = None
 
-    async def _await_request_start(self, idle_timeout_ms: float) -> h11.Request | bytes | None:
-        """Wait for the start of a request; return None if the connection closes or stays idle."""
-        event = self._next_event()
-        if event is not h11.NEED_DATA:
-            return event  # type: ignore[return-value]
-        if self._h11.trailing_data[0]:
-            return b""
+    async def _await_request_start(self, idle_timeout_ms: float) -> bytes:
+        """Return the first bytes of a request; none if the connection closes or stays idle."""
         try:
-            data = await self.channel.read(idle_timeout_ms)
+            return await self.channel.read(idle_timeout_ms)
         except TimeoutError:
             idle_ms = clock_ms() - self.idle_since_ms
             late_ms = idle_ms - idle_timeout_ms
@@ -215,54 +300,95 @@
                 idle_ms=round(idle_ms),
                 late_ms=round(late_ms),
             )
-            return None
-        if not data:
-            return None
-        self._h11.receive_data(data)
-        return b""
+            return b""
 
-    async def _read_rest(
-        self, first: h11.Request | bytes, started_ms: float, limits: Limits
-    ) -> tuple[RequestHead, bytes] | None:
+    async def _read_rest(self, started_ms: float, limits: Limits) -> _Received | None:
         deadline_ms = started_ms + limits.header_timeout_ms
-        request = first if isinstance(first, h11.Request) else await self._await_event(deadline_ms)
+        request = await self._await_head(deadline_ms)
         if not isinstance(request, h11.Request):
             return None
-        self._check_framing(request)
+        length = self._check_framing(request)
+        self._reader = reader = BodyReader(length, limits.body_bytes)
         if self._h11.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        chunks: list[bytes] = []
-        size = 0
-        while isinstance(event := await self._await_event(deadline_ms), h11.Data):
-            size += len(event.data)
-            if size > limits.body_bytes:
-                raise _RequestError(413, f"the body is over {limits.body_bytes} bytes")
-            chunks.append(bytes(event.data))
-        if not isinstance(event, h11.EndOfMessage):
-            return None
-        return RequestHead(request, started_ms), b"".join(chunks)
-
-    def _check_framing(self, request: h11.Request) -> None:
+        head = RequestHead(request, started_ms)
+        ahead, ended = self._h11.trailing_data
+        rest = ahead if reader.is_done else reader.feed(ahead, _CHUNKS_AT_ONCE)
+        del ahead
+        if rest is not None:
+            self._ahead = rest
+            if self._holding is not None:
+                self._holding.is_complete = True
+            return head, reader.take_body(), None
+        if ended:
+            raise BodyError("the connection ended within the body")
+        # Only bodies that have not arrived with their head are held while others are read.
+        early_answer = self._check_head(head) if self._check_head is not None else None
+        size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+        fields = len(head.headers)
+        if early_answer is not None:
+            reader.discard()
+            head.headers = []
+        del request
+        holding = self._hold()
+
+        async def read() -> bytes:
+            data = await self._read_in_time(deadline_ms)
+            if not data:
+                raise BodyError("the connection ended within the body")
+            return data
+
+        self._ahead = await self._intake.read_body(reader, holding, (size, fields), read)
+        return head, reader.take_body(), early_answer
+
+    def _hold(self) -> Holding:
+        """Return what the request that is being read counts as in the memory budget."""
+        if self._holding is None:
+            self._holding = self._intake.open(self.give_way)
+        return self._holding
+
+    def _check_framing(self, request: h11.Request) -> int | None:
+        """Return the length of the body, or None if it comes in chunks."""
         names = [name for name, _ in request.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
+        has_length = b"content-length" in names
+        is_chunked = b"transfer-encoding" in names
+        if is_chunked and has_length:
             raise _RequestError(400, "both Content-Length and Transfer-Encoding were sent")
         if names.count(b"host") != 1:
             raise _RequestError(400, "expected exactly one Host header")
-
-    async def _await_event(self, deadline_ms: float) -> object:
+        if has_length:
+            return int(request.headers[names.index(b"content-length")][1])
+        return None if is_chunked else 0
+
+    async def _await_head(self, deadline_ms: float) -> object:
+        """Return the head of a request that has begun to arrive."""
+        if self._intake.is_costly(self._ahead):
+            await self._intake.hold_head(self._hold(), self._ahead)
+        self._h11.receive_data(self._ahead)
+        size_bytes, self._ahead = len(self._ahead), b""
         while (event := self._next_event()) is h11.NEED_DATA:
-            left_ms = deadline_ms - clock_ms()
-            # If the event loop is late, bytes received before the deadline are still read. While
-            # more bytes keep arriving, reading ends one header timeout after the deadline.
-            if left_ms < -self._service.limits.header_timeout_ms:
-                raise TimeoutError
-            data = await self.channel.read(max(0.0, left_ms))
+            holding = self._hold()
+            if not holding.size_bytes:
+                await self._intake.hold_bytes(holding, size_bytes)
+            data = await self._read_in_time(deadline_ms)
+            await self._intake.hold_head(holding, data)
             try:
                 self._h11.receive_data(data)
             except RuntimeError as error:
                 raise _RequestError(400, str(error)) from error
+            del data
         return event
 
+    async def _read_in_time(self, deadline_ms: float) -> bytes:
+        left_ms = deadline_ms - clock_ms()
+        # If the event loop is late, bytes received before the deadline are still read. While
+        # more bytes keep arriving, reading ends one header timeout after the deadline.
+        if left_ms < -self._service.limits.header_timeout_ms:
+            raise TimeoutError
+        if self._gave_way:
+            raise EvictedError
+        return await self.channel.read(max(0.0, left_ms))
+
     def _next_event(self) -> object:
         try:
             return self._h11.next_event()
@@ -273,8 +399,11 @@
         if self.channel.is_lost or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.channel.abort()
             return
-        await self._refuse(Code.BAD_REQUEST, str(error), error.status)
-        await asyncio.sleep(_LINGER_S)
+        await self._refuse(error.code, str(error), error.status)
+        if error.lingers:
+            await asyncio.sleep(_LINGER_S)
+        elif self.channel.unsent_bytes:
+            self.channel.abort()
 
     async def _refuse(self, code: Code, detail: str, status: int) -> None:
         headers, body = self._service.refuse(code, detail, status)
--- a/src/cicadaledge/edge/_connection_gate.py
+++ b/src/cicadaledge/edge/_connection_gate.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 import socket
 
 from cicadaledge.codes import Code, code_info
@@ -12,6 +13,7 @@
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.errors import RefusalError, refusal_body
 from cicadaledge.logs import PartLog
+from cicadaledge.settings import Address
 
 # A refused caller is asked to retry after this time. The retry reaches another router, which may
 # have room.
@@ -66,7 +68,8 @@
                 self._unread += 1
 
     def report(self) -> None:
-        """Log how many callers were refused since the last report."""
+        """Log how many callers were refused, or gave way, since the last report."""
+        _report_gave_way(self._callers, "callers", self._metrics)
         count = self._answered + self._unread + self._disconnected
         if not count:
             return
@@ -83,6 +86,61 @@
         self._answered = self._unread = self._disconnected = 0
 
 
+class ProbeGate:
+    """Bounds the connections at an address for probes, where silent and slow ones give way.
+
+    Args:
+        connections: The accepted connections.
+        address: The address, for log lines.
+    """
+
+    # Load balancers have their own time-outs.
+    max_wait_ms = math.inf
+
+    def __init__(
+        self, connections: CallerConnections, address: Address, metrics: EdgeMetrics
+    ) -> None:
+        self._connections = connections
+        self._place = f"{address.host}:{address.port}"
+        self._metrics = metrics
+        self._rejected = 0
+
+    def has_room(self) -> bool:
+        """Return whether one more connection may be set up."""
+        return self._connections.has_room()
+
+    def reject(self, sock: socket.socket) -> None:
+        """Close a connection. A refusal would tell a load balancer that the router is not ready."""
+        sock.close()
+        self._rejected += 1
+
+    def report(self) -> None:
+        """Log how many connections were closed or gave way since the last report."""
+        _report_gave_way(self._connections, self._place, self._metrics)
+        if self._rejected:
+            self._metrics.count_ingress("probe connections, refused", self._rejected)
+            _log.warning(
+                "New connections for probes were closed: connections were at the limit.",
+                address=self._place,
+                closed=self._rejected,
+                limit=self._connections.limit,
+            )
+            self._rejected = 0
+
+
+def _report_gave_way(connections: CallerConnections, place: str, metrics: EdgeMetrics) -> None:
+    count = connections.gave_way
+    if count:
+        connections.gave_way = 0
+        metrics.count_ingress("connections, gave way", count)
+        _log.warning(
+            "Connections were at the limit; silent ones and those with slow requests gave way.",
+            place=place,
+            closed=count,
+            limit=connections.limit,
+        )
+
+
 def _has_request(sock: socket.socket) -> bool:
     """Read the received bytes; return whether they hold the complete head of a request."""
     received = b""
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 import uvloop
@@ -16,12 +17,14 @@
 from cicadaledge.edge._caller_connection import (
     CallerConnection,
     CallerService,
+    EarlyAnswer,
+    HeadCheck,
     RequestHead,
     ResponseWriter,
 )
 from cicadaledge.edge._caller_connections import CallerConnections
 from cicadaledge.edge._channel import Channel, clock_ms
-from cicadaledge.edge._connection_gate import ConnectionGate
+from cicadaledge.edge._connection_gate import ConnectionGate, ProbeGate
 from cicadaledge.edge._control_state import ControlPlaneState, ControlSink, ServerSink
 from cicadaledge.edge._crash_watch import CrashDetector
 from cicadaledge.edge._departure import ShutdownSchedule
@@ -38,6 +41,7 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._source import ChangeSource, StoreTopics
 from cicadaledge.edge._store_reach import StoreAvailability
+from cicadaledge.ingress import Intake
 from cicadaledge.logs import LineWriter, PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker, Placer, ServerHealth
 from cicadaledge.routing import Limits
@@ -102,6 +106,10 @@
         else:
             await writer.send_response(_NOT_FOUND, [], b"")
 
+    def check_head(self, head: RequestHead) -> EarlyAnswer:
+        """Return how to answer a request; no body is kept."""
+        return partial(self.answer, head, b"")
+
     def ends_connection(self) -> bool:
         """Return False: probes keep their connections."""
         return False
@@ -127,6 +135,7 @@
         self._settings = settings
         self._control_state = ControlPlaneState(settings)
         self._metrics = EdgeMetrics()
+        self._intake = Intake(settings.ingress, clock_ms)
         self._callers = CallerConnections(settings)
         self._gate = ConnectionGate(self._callers, dialect, self._metrics)
         fleet = FleetLoad(settings.router)
@@ -186,6 +195,7 @@
             availability,
         )
         self._followers = self._create_followers(topics, availability)
+        self._probe_gates: list[ProbeGate] = []
         self._listener: Listener | None = None
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -292,20 +302,32 @@
         )
 
     def _listen(self, address: Address, service: CallerService) -> Listener:
+        gate: ConnectionGate | ProbeGate = self._gate
+        callers = self._callers
+        check_head: HeadCheck = self._request_handler.check_head
+        if service is not self._request_handler:
+            callers = CallerConnections(self._settings, self._settings.ingress.probe_connections)
+            gate = ProbeGate(callers, address, self._metrics)
+            check_head = self._probes.check_head
+            self._probe_gates.append(gate)
+
         def accept() -> Channel:
-            return Channel(lambda channel: self._start_connection(channel, service))
+            return Channel(lambda channel: start(channel))
+
+        def start(channel: Channel) -> None:
+            connection = CallerConnection(channel, service, self._intake, check_head)
+            self._start_connection(channel, connection, callers)
 
-        gate = self._gate if service is self._request_handler else None
         listener = Listener(accept, backlog=_BACKLOG, admission=gate)
         listener.start(address.host, address.port)
         return listener
 
-    def _start_connection(self, channel: Channel, service: CallerService) -> None:
-        connection = CallerConnection(channel, service)
+    def _start_connection(
+        self, channel: Channel, connection: CallerConnection, callers: CallerConnections
+    ) -> None:
         task = asyncio.get_running_loop().create_task(connection.run())
         self._tasks.add(task)
-        if service is self._request_handler:
-            self._callers.add(connection)
+        callers.add(connection)
 
         def done(ended: asyncio.Task[None]) -> None:
             self._tasks.discard(ended)
@@ -315,7 +337,7 @@
                     error=repr(ended.exception()),
                 )
                 channel.abort()
-            channel.call_when_lost(lambda: self._callers.discard(connection))
+            channel.call_when_lost(lambda: callers.discard(connection))
 
         task.add_done_callback(done)
 
@@ -331,6 +353,12 @@
             self._pool.close_idle()
             self._placer.retain_servers(self._control_state.directory.server_names())
             self._gate.report()
+            for gate in self._probe_gates:
+                gate.report()
+            evicted, refused = self._intake.report()
+            self._metrics.count_ingress("memory, gave way", evicted)
+            self._metrics.count_ingress("memory, refused", refused)
+            self._metrics.set_gauge("ingress_bytes", self._intake.budget.used_bytes)
             self._poison_guard.expire()
             self._metrics.set_gauge("callers", len(self._callers))
             self._metrics.set_gauge("server_connections", len(self._pool))
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -41,6 +41,11 @@
             "New callers that were turned away before their request was taken.",
             registry=registry,
         )
+        self._ingress = aioprometheus.Counter(
+            "cicadaledge_ingress_bounds_total",
+            "Requests and connections that met a bound on what callers send, by bound.",
+            registry=registry,
+        )
         self._disconnects = aioprometheus.Counter(
             "cicadaledge_callers_left_total",
             "Requests whose caller left before the answer.",
@@ -96,6 +101,11 @@
         """Count new callers that were rejected."""
         self._rejected_callers.add({}, count)
 
+    def count_ingress(self, bound: str, count: int) -> None:
+        """Count what met a bound on what callers send."""
+        if count:
+            self._ingress.add({"bound": bound}, count)
+
     def count_skipped_entries(self, topic: str, why: str, count: int = 1) -> None:
         """Count entries of a topic that were skipped."""
         self._skipped_entries.add({"topic": topic, "why": why}, count)
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -14,7 +14,7 @@
 from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._answer_times import AnswerTimes
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
-from cicadaledge.edge._caller_connection import RequestHead, ResponseWriter
+from cicadaledge.edge._caller_connection import EarlyAnswer, RequestHead, ResponseWriter
 from cicadaledge.edge._caller_connections import CallerConnections
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
@@ -144,6 +144,18 @@
         finally:
             self.active -= 1
 
+    def check_head(self, head: RequestHead) -> EarlyAnswer | None:
+        """Return how to refuse a request whose head is refused, so that its body is not kept."""
+        call = None
+        try:
+            call = self._parse(head, b"")
+            self._admission.check(call)
+        except RefusalError as refusal:
+            if call is not None:
+                call.headers.clear()
+            return partial(self._send_refusal, with_true_run_state(refusal, None), call)
+        return None
+
     def ends_connection(self) -> bool:
         """Return whether to close the connection after the response that starts now."""
         return self._shutdown.has_begun or self._load_shedder.should_close(
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -6,6 +6,7 @@
 from attrs.validators import ge, gt
 
 from cicadaledge.edge._load_shedder import SheddingSettings
+from cicadaledge.ingress import IngressSettings
 from cicadaledge.placing import PlacingSettings, WaitingSettings
 from cicadaledge.settings import Address
 
@@ -131,6 +132,7 @@
     placing: PlacingSettings = field(factory=PlacingSettings)
     waiting: WaitingSettings = field(factory=WaitingSettings)
     shedding: SheddingSettings = field(factory=SheddingSettings)
+    ingress: IngressSettings = field(factory=IngressSettings)
 
     @property
     def max_connections(self) -> int:
--- a/src/cicadaledge/platform/_settings_file.py
+++ b/src/cicadaledge/platform/_settings_file.py
@@ -9,6 +9,7 @@
 
 from cicadaledge.edge import BoundSettings, EdgeSettings
 from cicadaledge.errors import SettingsError
+from cicadaledge.ingress import SMALLEST_MEMORY_MB, IngressSettings
 from cicadaledge.placing import PlacingSettings
 from cicadaledge.settings import Address
 
@@ -41,6 +42,7 @@
 
 def _settings(document: dict[str, Any]) -> EdgeSettings:
     bounds = document["bounds"]
+    limits = document.get("limits", {})
     return EdgeSettings(
         router=document["nodeName"],
         zone=document["zone"],
@@ -51,7 +53,8 @@
         peers=Address(document["ip"], int(document["internalPortRange"][0])),
         metrics=Address(document["ip"], int(document["internalPortRange"][1])),
         store=_address(document["platform"]["address"]),
-        descriptors=int(document.get("limits", {}).get("maxFds", _DEFAULT_DESCRIPTORS)),
+        descriptors=int(limits.get("maxFds", _DEFAULT_DESCRIPTORS)),
+        ingress=IngressSettings(memory_mb=int(limits.get("memoryMb", SMALLEST_MEMORY_MB))),
         bounds=BoundSettings(
             grace_ms=float(bounds["graceS"]) * 1000,
             revoke_ms=float(bounds["revokeMs"]),
--- a/tests/alone/limited_router.py
+++ b/tests/alone/limited_router.py
@@ -125,9 +125,9 @@
     """Run a router process, a store and a server; yield the router when it is ready."""
     async with small_world(pools=0, routers=0) as world:
         world.configure(limits={"maxBodyBytes": BODY_BYTES, "tokensPerS": 225_000, **limits})
-        peers = free_port()
-        while peers + 1 == (following := free_port()):
-            peers = following
+        peers, following = free_port(), free_port()
+        while following != peers + 1:  # metrics are served at the next port
+            peers, following = following, free_port()
         addresses = [Address(HOST, free_port()) for _ in range(2)]
         node = NodeFile(
             "router-9",
