Give threads of the own interface only to callers that send

Cause: each new connection got a thread, which then waited 30 s for the first byte; 96 silent ones, or ones that stopped within the head, left no thread for others, and nothing bounded connections. New connections now wait without a thread until they have sent something; a caller that stalls, or takes over 3 s for a request, gives way if others wait for a thread; a request must arrive within limits.request_timeout_ms, and connections are bounded by limits.connections.

Bodies held before: threads x body_bytes bounds them, kept as a guard.

--- a/src/cicadaledge/router/_daemon.py
+++ b/src/cicadaledge/router/_daemon.py
@@ -8,13 +8,12 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any
 
-from cheroot import wsgi
-
 from cicadaledge.backends import BackendConnectionPool
 from cicadaledge.codes import Code
 from cicadaledge.errors import RefusalError
 from cicadaledge.log import HttpLogClient
 from cicadaledge.logs import PartLog
+from cicadaledge.router._caller_server import CallerServer
 from cicadaledge.router._callers import CallerInterface
 from cicadaledge.router._claim_manager import ClaimManager
 from cicadaledge.router._context import RouterContext, SwitchableLog, monotonic_ms
@@ -27,7 +26,6 @@
 from cicadaledge.router._http import (
     HttpAnswer,
     HttpRequest,
-    SocketGateway,
     StartResponse,
     refusal_answer,
 )
@@ -41,9 +39,6 @@
 _GAUGE_PERIOD_S = 1.0
 _DRAIN_CHECK_S = 0.05
 _LEAVE_RETRY_S = 0.5
-_REQUEST_QUEUE = 256
-_SOCKET_TIMEOUT_S = 30
-_SERVER_NAME = "cicadaledge"
 _log = PartLog("router")
 
 
@@ -79,7 +74,7 @@
         self._in_flight = 0
         self._in_flight_lock = threading.Lock()
         self._stopping = asyncio.Event()
-        self._http = self._make_http_server()
+        self._http = CallerServer(settings.listen, settings.limits, self._application, self.metrics)
 
     async def run(self) -> int:
         """Run until SIGTERM or SIGINT; return the number of requests that were aborted."""
@@ -191,25 +186,9 @@
             self.metrics.set_gauge("requests_active", self.entry_queue.active)
             self.metrics.set_gauge("home_rights", int(self.context.has_home_rights()))
             self.metrics.update_process_gauges()
+            self._http.report()
             await asyncio.sleep(_GAUGE_PERIOD_S)
 
-    def _make_http_server(self) -> wsgi.Server:
-        limits = self.settings.limits
-        listen = self.settings.listen
-        server = wsgi.Server(
-            (listen.host, listen.caller_port),
-            self._application,
-            numthreads=limits.threads,
-            server_name=_SERVER_NAME,
-            max=limits.threads,
-            request_queue_size=_REQUEST_QUEUE,
-            timeout=_SOCKET_TIMEOUT_S,
-            shutdown_timeout=1,
-        )
-        server.gateway = SocketGateway
-        server.max_request_header_size = limits.header_bytes
-        return server
-
     def _application(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/src/cicadaledge/router/_metrics.py
+++ b/src/cicadaledge/router/_metrics.py
@@ -27,6 +27,12 @@
         self._refusals = self._add(
             aioprometheus.Counter("cicadaledge_refusals_total", "Refusals by code.")
         )
+        self._bounds = self._add(
+            aioprometheus.Counter(
+                "cicadaledge_ingress_bounds_total",
+                "Requests and connections that met a bound on what callers send, by bound.",
+            )
+        )
         self._cost = self._add(
             aioprometheus.Counter("cicadaledge_cost_total", "Cost served by account.")
         )
@@ -57,6 +63,11 @@
             self._requests.inc({"account": account})
             self._cost.add({"account": account}, cost)
 
+    def count_bound(self, bound: str, count: int) -> None:
+        """Count what met a bound on what callers send."""
+        with self._lock:
+            self._bounds.add({"bound": bound}, count)
+
     def refused(self, code: int) -> None:
         """Count a refused request."""
         with self._lock:
--- a/src/cicadaledge/settings/_settings.py
+++ b/src/cicadaledge/settings/_settings.py
@@ -85,6 +85,9 @@
         answer_bytes: Size of an answer that is held whole.
         answer_memory_bytes: Memory for all such answers together.
         stream_bytes: Size of a stream; an engine that never ends one is given up.
+        request_timeout_ms: Time within which a request must arrive.
+        connections: Connections of callers and operators; half of the descriptors of the smallest
+            VM.
     """
 
     body_bytes: int = field(default=1_048_576, validator=ge(1))
@@ -100,6 +103,8 @@
     stream_bytes: int = field(default=67_108_864, validator=ge(1))
     attempts: int = field(default=4, validator=ge(1))
     threads: int = field(default=96, validator=ge(4))
+    request_timeout_ms: int = field(default=30_000, validator=ge(1))
+    connections: int = field(default=800, validator=ge(4))
 
 
 @frozen
