--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -10,6 +10,7 @@
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     SERVER_SIGNAL_KINDS,
+    UNTRUSTED_CLIENT_KINDS,
     PlannedFault,
     draw_faults,
 )
@@ -25,6 +26,7 @@
     "MISLEADING_ANSWER_KINDS",
     "PARTIAL_OUTAGE_KINDS",
     "SERVER_SIGNAL_KINDS",
+    "UNTRUSTED_CLIENT_KINDS",
     "Restriction",
     "Callers",
     "ColdSpell",
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -16,6 +16,7 @@
 from cicadaledge.soak._deployment import RouterProcess, SoakServer, SoakWorld
 from cicadaledge.soak._observations import Restriction
 from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._untrusted_clients import send_incomplete_requests
 from cicadaledge.standins import CRASH_TOPIC, EXTRA_ANSWER, ROUTER_TOPIC, BackendFaults
 
 _FAULT_COUNTS = (2, 9)
@@ -24,6 +25,7 @@
 _INVALID_ENTRY_COUNTS = (0, 3)
 _MISLEADING_ANSWER_COUNTS = (0, 3)
 _PARTIAL_OUTAGE_COUNTS = (0, 2)
+_UNTRUSTED_CLIENT_COUNTS = (0, 2)
 _PAUSES_S = (0.3, 1.5, 4.0, 10.0)
 # Killed processes are started again after this time, as their platform does.
 _RESTART_S = 0.2
@@ -75,6 +77,7 @@
     invalid_entries: bool = False,
     misleading_answers: bool = False,
     partial_outages: bool = False,
+    untrusted_clients: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a seed, ordered by time.
 
@@ -87,6 +90,7 @@
         invalid_entries: Add some of `INVALID_ENTRY_KINDS` in the same way.
         misleading_answers: Add some of `MISLEADING_ANSWER_KINDS` in the same way.
         partial_outages: Add some of `PARTIAL_OUTAGE_KINDS` in the same way.
+        untrusted_clients: Add some of `UNTRUSTED_CLIENT_KINDS` in the same way.
     """
     rng = random.Random(seed)
     if count is None:
@@ -98,6 +102,7 @@
         (invalid_entries, "entries", _INVALID_ENTRY_COUNTS, INVALID_ENTRY_KINDS),
         (misleading_answers, "answers", _MISLEADING_ANSWER_COUNTS, MISLEADING_ANSWER_KINDS),
         (partial_outages, "outages", _PARTIAL_OUTAGE_COUNTS, PARTIAL_OUTAGE_KINDS),
+        (untrusted_clients, "clients", _UNTRUSTED_CLIENT_COUNTS, UNTRUSTED_CLIENT_KINDS),
     )
     for is_drawn, name, counts, kinds in more:
         if is_drawn:
@@ -227,6 +232,11 @@
         """Shut a router down gracefully and restart it."""
         await self._stop(fault)
 
+    async def incomplete(self, fault: PlannedFault) -> None:
+        """Send a router many requests that stay incomplete, which must disturb no other."""
+        router = self._router(fault)
+        await send_incomplete_requests(router.callers, fault.duration_s, fault.random_number)
+
     async def busy_stop(self, fault: PlannedFault) -> None:
         """Shut a router down gracefully while its loop is busy and bursts of callers connect."""
         await self._stop(fault, busy_s=_BUSY_STOP_S)
@@ -550,6 +560,9 @@
 PARTIAL_OUTAGE_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
     "lose-list": FaultInjector.lose_list,
 }
+UNTRUSTED_CLIENT_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
+    "incomplete": FaultInjector.incomplete,
+}
 _ALL_KINDS = (
     FAULT_KINDS
     | BUSY_LOOP_KINDS
@@ -557,4 +570,5 @@
     | INVALID_ENTRY_KINDS
     | MISLEADING_ANSWER_KINDS
     | PARTIAL_OUTAGE_KINDS
+    | UNTRUSTED_CLIENT_KINDS
 )
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -46,6 +46,7 @@
             send without end.
         partial_outages: Whether all routers restart beside cold servers while topics of the store
             are down.
+        untrusted_clients: Whether small crowds send requests that stay incomplete.
         size: Size of the deployment.
     """
 
@@ -59,6 +60,7 @@
     invalid_entries: bool = True
     misleading_answers: bool = True
     partial_outages: bool = True
+    untrusted_clients: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -94,6 +96,7 @@
         invalid_entries=plan.invalid_entries,
         misleading_answers=plan.misleading_answers,
         partial_outages=plan.partial_outages,
+        untrusted_clients=plan.untrusted_clients,
     )
     world = SoakWorld(plan.size, directory)
     if plan.partial_outages:
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -9,6 +9,7 @@
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     SERVER_SIGNAL_KINDS,
+    UNTRUSTED_CLIENT_KINDS,
     SoakPlan,
     SoakSize,
     draw_faults,
@@ -68,6 +69,7 @@
         "invalid_entries": False,
         "misleading_answers": False,
         "partial_outages": False,
+        "untrusted_clients": False,
     }
     return SoakPlan(seed, **{"size": size, **usual, **changes})
 
@@ -128,6 +130,23 @@
         assert [fault for fault in more if fault.kind not in PARTIAL_OUTAGE_KINDS] == plain
 
 
+def test_untrusted_clients_do_not_change_the_other_faults_of_a_seed():
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, server_signals=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, server_signals=True, untrusted_clients=True)
+        assert [fault for fault in more if fault.kind not in UNTRUSTED_CLIENT_KINDS] == plain
+
+
+# Guards against a crowd of incomplete requests that takes a router away from other callers.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [2, 3])
+def test_crowds_with_incomplete_requests_disturb_no_other(seed, tmp_path):
+    result = run_round(plan(seed, faults=0, busy=False, untrusted_clients=True), tmp_path)
+    assert "incomplete" in {fault.kind for fault in result.faults}
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 # Guards against routers that each use the whole rate of a cold server.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize("seed", [5, 7])
@@ -214,6 +233,7 @@
             invalid_entries=False,
             misleading_answers=False,
             partial_outages=False,
+            untrusted_clients=False,
         ),
         tmp_path,
     )
@@ -231,6 +251,7 @@
             invalid_entries=False,
             misleading_answers=False,
             partial_outages=False,
+            untrusted_clients=False,
         ),
         tmp_path,
     )
@@ -242,6 +263,13 @@
 def test_past_failures_with_invalid_entries_do_not_recur(seed, tmp_path):
     size = SoakSize(first_port=FIRST_PORT)
     result = run_round(
-        SoakPlan(seed, size=size, misleading_answers=False, partial_outages=False), tmp_path
+        SoakPlan(
+            seed,
+            size=size,
+            misleading_answers=False,
+            partial_outages=False,
+            untrusted_clients=False,
+        ),
+        tmp_path,
     )
     assert result.broken == []
