--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -6,6 +6,7 @@
 from attrs.validators import ge, gt
 
 from cicadaledge.edge._load_shedder import SheddingSettings
+from cicadaledge.ingress import IngressSettings
 from cicadaledge.placing import PlacingSettings, WaitingSettings
 from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.settings import Address
@@ -143,6 +144,7 @@
     waiting: WaitingSettings = field(factory=WaitingSettings)
     shedding: SheddingSettings = field(factory=SheddingSettings)
     rollouts: RolloutSettings = field(factory=RolloutSettings)
+    ingress: IngressSettings = field(factory=IngressSettings)
 
     @property
     def max_connections(self) -> int:
--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -11,6 +11,7 @@
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
     SERVER_SIGNAL_KINDS,
+    UNTRUSTED_CLIENT_KINDS,
     PlannedFault,
     draw_faults,
 )
@@ -27,6 +28,7 @@
     "PARTIAL_OUTAGE_KINDS",
     "RESTORE_KINDS",
     "SERVER_SIGNAL_KINDS",
+    "UNTRUSTED_CLIENT_KINDS",
     "Restriction",
     "Callers",
     "ColdSpell",
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -47,6 +47,7 @@
         partial_outages: Whether all routers restart beside cold servers while topics of the store
             are down.
         restores: Whether the store has epochs and is restored from an older copy.
+        untrusted_clients: Whether small crowds send requests that stay incomplete.
         size: Size of the deployment.
     """
 
@@ -61,6 +62,7 @@
     misleading_answers: bool = True
     partial_outages: bool = True
     restores: bool = True
+    untrusted_clients: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -97,6 +99,7 @@
         misleading_answers=plan.misleading_answers,
         partial_outages=plan.partial_outages,
         restores=plan.restores,
+        untrusted_clients=plan.untrusted_clients,
     )
     world = SoakWorld(plan.size, directory)
     if plan.partial_outages:
--- a/src/cicadaledge/standins/_platform_files.py
+++ b/src/cicadaledge/standins/_platform_files.py
@@ -23,6 +23,8 @@
         peers: Address for connections of other routers; metrics are served at the next port.
         cold_overage: Multiple of a cold server's capacity that no server may exceed.
         rollouts: Limits on rollouts, and whether the contracts contain them.
+        memory_mb: Memory of the VM, in MiB; None leaves the limit out.
+        descriptors: Descriptors of the process; None leaves the limit out.
     """
 
     router: str
@@ -35,6 +37,8 @@
     bounds: BoundSettings = BoundSettings()
     cold_overage: float = 1.0
     rollouts: RolloutSettings = RolloutSettings()
+    memory_mb: int | None = None
+    descriptors: int | None = None
 
     def text(self) -> str:
         """Return the text of the file."""
@@ -63,6 +67,10 @@
             "[platform]",
             f'address = "{self.store.host}:{self.store.port}"',
         ]
+        limits = {"memoryMb": self.memory_mb, "maxFds": self.descriptors}
+        stated = [f"{name} = {value}" for name, value in limits.items() if value is not None]
+        if stated:
+            lines += ["[limits]", *stated]
         return "\n".join(lines) + "\n"
 
     def _rollout_lines(self) -> list[str]:
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -10,6 +10,7 @@
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
     SERVER_SIGNAL_KINDS,
+    UNTRUSTED_CLIENT_KINDS,
     SoakPlan,
     SoakSize,
     draw_faults,
@@ -70,6 +71,7 @@
         "misleading_answers": False,
         "partial_outages": False,
         "restores": False,
+        "untrusted_clients": False,
     }
     return SoakPlan(seed, **{"size": size, **usual, **changes})
 
@@ -146,6 +148,22 @@
     result = run_round(plan(seed, faults=4, busy=False, restores=True), tmp_path)
     assert "restore-store" in {fault.kind for fault in result.faults}
     assert result.broken == []
+
+
+def test_untrusted_clients_do_not_change_the_other_faults_of_a_seed():
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, server_signals=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, server_signals=True, untrusted_clients=True)
+        assert [fault for fault in more if fault.kind not in UNTRUSTED_CLIENT_KINDS] == plain
+
+
+# Guards against a crowd of incomplete requests that takes a router away from other callers.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [2, 3])
+def test_crowds_with_incomplete_requests_disturb_no_other(seed, tmp_path):
+    result = run_round(plan(seed, faults=0, busy=False, untrusted_clients=True), tmp_path)
+    assert "incomplete" in {fault.kind for fault in result.faults}
+    assert result.broken == []
     assert result.statuses["200"] > 50
 
 
@@ -236,6 +254,7 @@
             misleading_answers=False,
             partial_outages=False,
             restores=False,
+            untrusted_clients=False,
         ),
         tmp_path,
     )
@@ -254,6 +273,7 @@
             misleading_answers=False,
             partial_outages=False,
             restores=False,
+            untrusted_clients=False,
         ),
         tmp_path,
     )
@@ -265,7 +285,14 @@
 def test_past_failures_with_invalid_entries_do_not_recur(seed, tmp_path):
     size = SoakSize(first_port=FIRST_PORT)
     result = run_round(
-        SoakPlan(seed, size=size, misleading_answers=False, partial_outages=False, restores=False),
+        SoakPlan(
+            seed,
+            size=size,
+            misleading_answers=False,
+            partial_outages=False,
+            restores=False,
+            untrusted_clients=False,
+        ),
         tmp_path,
     )
     assert result.broken == []
