Keep engine memory free for what other routers place unseen

Each router checked the limit on running requests against views that are up to four intervals old. A burst through all routers within that time put 2.1 million tokens (63 routers, five long prompts each) to 12.8 million (385 routers) on an engine of 0.47 million, which crashes it.

A router now keeps room for three times what the others sent within the age of the views. On a new engine, or once it has itself placed a request that others do not know of, it assumes that each other router does the same, and waits for its turn if that does not fit.

A request larger than what running requests may take up waited until its caller's time was nearly over; it is refused at once with code 2010.

--- a/src/cicadaledge/codes.py
+++ b/src/cicadaledge/codes.py
@@ -37,6 +37,7 @@
     NO_CAPACITY = 2006
     KEYS_STALE = 2007
     ROUTER_BUSY = 2008
+    TOO_LARGE_FOR_ENGINES = 2010
     BACKEND_LOST = 3001
     BACKEND_UNREACHABLE = 3002
     STREAM_CUT = 3003
@@ -98,6 +99,9 @@
         503, _NOT_RUN, "This router cannot tell whether the key is still valid."
     ),
     Code.ROUTER_BUSY: CodeInfo(503, _NOT_RUN, "This router has too many callers."),
+    Code.TOO_LARGE_FOR_ENGINES: CodeInfo(
+        503, _NOT_RUN, "The request needs more memory than requests may take up in an engine."
+    ),
     Code.BACKEND_LOST: CodeInfo(
         502, _MAY_HAVE_RUN, "The backend server was lost after the request was sent."
     ),
--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -64,6 +64,8 @@
             raise RefusalError(Code.NOT_FOUND, f"no route for {call.host}{call.path}")
         account = self._authenticate(call, route, table, keys_are_fresh)
         service = table.services[route.choose_service(self._random)]
+        if self._settings.placing.engine.never_fits(call, service):
+            raise RefusalError(Code.TOO_LARGE_FOR_ENGINES)
         regions = _allowed_regions(route, account)
         request = ActiveRequest(
             call, route, service, table, account, regions, route.expires_ms(call)
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -133,6 +133,8 @@
                 ends.
         """
         self._check_whether_allowed(request, now_ms)
+        if self._settings.placing.engine.never_fits(request.call, request.service):
+            raise RefusalError(Code.TOO_LARGE_FOR_ENGINES)
         self._poison_guard.check(request)
         return self._admission.share_use(request, now_ms)
 
--- a/src/cicadaledge/placing/_engine_model.py
+++ b/src/cicadaledge/placing/_engine_model.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from cicadaledge.placing._server_stats import ServerTotals
-from cicadaledge.routing import PromptPart
+from cicadaledge.routing import Call, Engine, PromptPart, Service
 
 # Bounds the parts that are recorded as cached by one engine; at 512 tokens each, this is more than
 # its memory holds.
@@ -31,6 +31,16 @@
     first_step_ms: float = 25.0
     running_memory_fraction: float = 0.5
 
+    def running_tokens(self, engine: Engine) -> float:
+        """Return how many tokens running requests may take up in an engine."""
+        return engine.memory_tokens * self.running_memory_fraction
+
+    def never_fits(self, call: Call, service: Service) -> bool:
+        """Return whether a request exceeds what running requests may take up in any engine."""
+        if service.engine is None:
+            return False
+        return call.prompt_tokens + call.output_tokens > self.running_tokens(service.engine)
+
 
 class EngineModel:
     """Estimates which prompt parts an engine has cached, and how long a prompt takes.
--- a/src/cicadaledge/placing/_load_tracker.py
+++ b/src/cicadaledge/placing/_load_tracker.py
@@ -201,6 +201,10 @@
         """Return whether this router is among about *count* routers selected for a server."""
         return self._others.is_selected_for(server, count)
 
+    def own_sent_last_s(self, server: str, now_ms: float) -> int:
+        """Return how many requests this router sent to a server within the last second."""
+        return self._own_totals(server, now_ms).sent_last_s
+
     def own_begun_per_s(self, now_ms: float) -> float:
         """Return the rate, in tokens per second, of this router's requests that engines begin."""
         return self._begun.per_s(now_ms)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -11,6 +11,7 @@
 from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker, Placement
+from cicadaledge.placing._memory_room import MemoryRoom
 from cicadaledge.placing._ranking import EngineRanking
 from cicadaledge.placing._server_stats import ServerTotals
 from cicadaledge.placing._settings import PlacingSettings
@@ -76,6 +77,7 @@
         self._ranking = EngineRanking(directory, load.speed_reports)
         self._speeds = EngineSpeeds(settings.speeds, load)
         self._failing = FailingServers(load)
+        self._memory_room = MemoryRoom(settings.memory, load)
         self._rotation = 0
         self._full_until_ms: dict[str, float] = {}
 
@@ -110,6 +112,7 @@
         self._health.record_sent(chosen.server.server, now_ms)
         if call.prompt_tokens:
             self._engine(chosen.server.server).record_parts(call.shared_parts)
+            self._memory_room.record_sent(chosen.server.server, call, now_ms)
 
     def record_full(self, server: str, now_ms: float) -> None:
         """Record that a server turned a request away because it was full."""
@@ -335,6 +338,11 @@
             return Limit.TIME
         if not self._rate_allows_request(entry, service, now_ms, allowed_fractions.requests):
             return Limit.RATE
+        memory_tokens = service.engine.memory_tokens
+        if not self._memory_room.has_room(
+            entry.server, call, memory_tokens, totals, now_ms, is_settled=is_settled
+        ):
+            return Limit.MEMORY
         context = call.prompt_tokens + call.output_tokens
         # If much is assumed to be cached, a late first token may only show that it was not.
         measures_speed = unread >= call.prompt_tokens * _MIN_UNREAD_FRACTION
@@ -356,9 +364,10 @@
         allowed_slots = service.engine.slots * allowed_fractions.requests
         if totals.running >= max(1.0, allowed_slots):
             return Limit.PLACES
-        memory = service.engine.memory_tokens * self._settings.engine.running_memory_fraction
         context = totals.context_tokens + call.prompt_tokens + call.output_tokens
-        return Limit.MEMORY if context > memory else None
+        return (
+            Limit.MEMORY if context > self._settings.engine.running_tokens(service.engine) else None
+        )
 
     def _rate_allows_request(
         self,
@@ -425,6 +434,7 @@
         for server in self._engines.keys() - kept:
             del self._engines[server]
         self._load.speed_reports.retain_servers(kept)
+        self._memory_room.retain_servers(kept)
 
     def _engine(self, server: str) -> EngineModel:
         engine = self._engines.get(server)
--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from cicadaledge.placing._engine_model import EngineSettings
+from cicadaledge.placing._memory_room import MemorySettings
 from cicadaledge.placing._speeds import SpeedSettings
 
 
@@ -15,6 +16,7 @@
     Args:
         engine: Speed of the engines, before learned corrections.
         speeds: Thresholds for correcting it.
+        memory: Memory kept free for requests of other routers.
         min_backlog_ms: Time for which the prompts that wait at one engine may keep it busy, unless
             load views are older. An engine with less work runs idle until routers learn that it is
             free; with more, requests wait where neither rank nor share decides who is next.
@@ -51,6 +53,7 @@
 
     engine: EngineSettings = field(factory=EngineSettings)
     speeds: SpeedSettings = field(factory=SpeedSettings)
+    memory: MemorySettings = field(factory=MemorySettings)
     min_backlog_ms: float = 200.0
     bound_backlog_multiple: float = 2.0
     affinity_min_tokens: int = 1_000
