--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -53,6 +53,8 @@
         """
         table, route, account = self.check(call)
         service = table.services[route.choose_service(self._random)]
+        if self._settings.placing.engine.never_fits(call, service):
+            raise RefusalError(Code.TOO_LARGE_FOR_ENGINES)
         regions = _allowed_regions(route, account)
         request = ActiveRequest(
             call, route, service, table, account, regions, route.expires_ms(call)
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -148,6 +148,7 @@
     result = run_round(plan(seed, faults=4, busy=False, restores=True), tmp_path)
     assert "restore-store" in {fault.kind for fault in result.faults}
     assert result.broken == []
+    assert result.statuses["200"] > 50
 
 
 def test_untrusted_clients_do_not_change_the_other_faults_of_a_seed():
