Play an overload that shares hold below what engines can begin

The replay now also states the work begun per second and the fraction of requests whose callers left before an engine began.

--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -44,7 +44,7 @@
     Service,
     ServiceWeight,
 )
-from cicadaledge.standins import EngineEmulator, EngineParameters, EngineRun
+from cicadaledge.standins import EngineEmulator, EngineRun
 
 _SERVICE = "pool"
 _MAX_SIZE_FACTOR = 4.0
@@ -94,7 +94,7 @@
         self._sequence = itertools.count()
         self._request_numbers = itertools.count()
         self._requests: list[ReplayRequest] = []
-        figures = EngineParameters(slots=day.slots)
+        figures = evolve(day.engine, slots=day.slots)
         self._figures = figures
         self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
         self._down: set[str] = set()
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -5,6 +5,7 @@
 from attrs import evolve, field, frozen
 
 from cicadaledge.placing import PlacingSettings
+from cicadaledge.standins import EngineParameters
 
 _AFFINITY_OFF_TOKENS = 100_000
 
@@ -63,6 +64,7 @@
         router_weights: Relative request rates of the routers; callers connect unevenly.
         tokens_per_s: Token capacity of the engines that accounts share.
         slots: Concurrent requests of an engine.
+        engine: Other figures of an engine.
         rates_every_views: Interval, in views, at which a view includes the rates of accounts.
         view_interval_ms: Interval of load views between routers.
         view_delay_ms: Latency of a load view between routers, without relays.
@@ -90,6 +92,7 @@
     router_weights: tuple[float, ...] = (3.0, 1.0, 1.0, 2.0, 0.5, 0.5, 1.0, 0.3, 0.7)
     tokens_per_s: float = 225_000.0
     slots: int = 64
+    engine: EngineParameters = EngineParameters()
     rates_every_views: int = 3
     view_interval_ms: float = 50.0
     view_delay_ms: float = 80.0
@@ -179,6 +182,42 @@
     crashes=(),
 )
 
+# Two fifths of a deployment of 63 routers, 45 engines and 30 accounts, with the request kinds of its
+# callers. All send two to three times what the engines can begin, half of it in one zone of three,
+# and a quarter of the engines is lost for two seconds.
+THROTTLED_DAY = scaled(
+    ReplayDay(
+        (
+            RequestClass("long", 60.4, 1000, 12_000, 3.7, 1.1, 5382, 120, 6610, 1.0, 378),
+            RequestClass("question", 86.0, 1200, 10_000, 1.5, 0.45, 198, 120, 628, 0.8, 288),
+            RequestClass("summary", 91.2, 2000, 3_000, 0.47, 0.14, 568, 120, 1800, 1.0, 27),
+        ),
+        seconds=12.0,
+        routers=24,
+        engines=18,
+        accounts=12,
+        skew=1.6,
+        hot_accounts=3,
+        hot_factor=2.5,
+        router_weights=(2.0, 1.0, 1.0) * 8,
+        tokens_per_s=414_000.0,
+        slots=32,
+        engine=EngineParameters(
+            memory_tokens=473_994,
+            step_ms=2.89,
+            prefill_tokens_per_ms=55.0,
+            tokens_per_event=9,
+            chunk_tokens=2_048,
+        ),
+        view_interval_ms=83.0,
+        zones=3,
+        rates_every_views=1,
+        crashes=(EngineCrash(6_000.0, 5, 2_000.0),),
+        cold_per_s=8.9,
+    ),
+    2.0,
+)
+
 
 @frozen
 class Mode:
--- a/src/cicadaledge/loadtool/_replay_result.py
+++ b/src/cicadaledge/loadtool/_replay_result.py
@@ -106,6 +106,9 @@
             largest requests of the account are excluded.
         by_class: Worth earned over the worth of all requests, by request class; not limited
             to shares.
+        begun_per_s: Cost in tokens of the requests whose answers engines began, per second.
+        abandoned: Fraction of the requests sent to engines whose callers left before the answer
+            began.
     """
 
     mode: str
@@ -117,17 +120,20 @@
     read_again: float
     evenness: float
     by_class: dict[str, float]
+    begun_per_s: float
+    abandoned: float
 
     def row(self) -> str:
         """Return a line of the table."""
         classes = " ".join(f"{name} {value:.2f}" for name, value in self.by_class.items())
         return (
             f"{self.mode:14} {self.worth:6.3f} {self.worst_tenth:8.3f} {self.within_target:7.3f} "
-            f"{self.late:6.3f} {self.refused:8.3f} {self.read_again:11.3f} {self.evenness:8.2f}  {classes}"
+            f"{self.late:6.3f} {self.refused:8.3f} {self.read_again:11.3f} {self.evenness:8.2f} "
+            f"{self.begun_per_s:9.0f} {self.abandoned:9.3f}  {classes}"
         )
 
 
-REPLAY_HEADER = f"{'mode':14} {'worth':>6} {'accounts':>8} {'in aim':>7} {'late':>6} {'refused':>8} {'read again':>11} {'evenness':>8}"
+REPLAY_HEADER = f"{'mode':14} {'worth':>6} {'accounts':>8} {'in aim':>7} {'late':>6} {'refused':>8} {'read again':>11} {'evenness':>8} {'begun/s':>9} {'abandoned':>9}"
 
 
 def measure(
@@ -145,6 +151,7 @@
     tenth = max(2, len(worst) // 10)
     count = len(requests)
     answered = [one for one in requests if one.met_deadline]
+    admitted = [one for one in requests if one.admitted_ms is not None]
     used = list(engines)
     return ReplayResult(
         mode=mode.name,
@@ -158,6 +165,8 @@
         / max(1, sum(one.prefilled_tokens for one in used)),
         evenness=_evenness(day, requests),
         by_class={name: one.ratio for name, one in by_class.items()},
+        begun_per_s=sum(one.call.cost_tokens for one in requests if one.started) / day.seconds,
+        abandoned=sum(not one.started for one in admitted) / max(1, len(admitted)),
     )
 
 
