--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -50,8 +50,8 @@
 _MAX_SIZE_FACTOR = 4.0
 # Interval at which a router looks for engines that can take its waiting requests.
 _LOOK_INTERVAL_MS = 50.0
-# Callers retry a refused request once, unless they are asked to wait for more than this fraction of
-# the time that is left until the deadline.
+# Callers repeat a refused request unless they are asked to wait for more than this fraction of the
+# time that is left until the deadline.
 _MAX_RETRY_FRACTION = 1 / 3
 _ENGINE_LATENCY_MS = 1.0  # A request takes this long from a router to an engine.
 _MAX_EVENT_GAP_MS = 500.0  # An answer with a longer gap between events misses the latency target.
@@ -97,6 +97,10 @@
         figures = evolve(day.engine, slots=day.slots)
         self._figures = figures
         self._engines = {f"engine-{n}": EngineEmulator(figures) for n in range(day.engines)}
+        self._slowness = {
+            name: day.slowness[n % len(day.slowness)] for n, name in enumerate(self._engines)
+        }
+        self._spell_seed = self._random.random() if day.slow_spells else 0.0
         self._down: set[str] = set()
         self._active_engines: set[str] = set()
         self._loss_actions: dict[EngineRun, Callable[[float], None]] = {}
@@ -162,7 +166,9 @@
         def arrive(now_ms: float) -> None:
             if now_ms > self._day.seconds * 1000:
                 return
-            self._schedule(now_ms + self._random.expovariate(kind.per_s) * 1000, arrive)
+            bursts = self._day.bursts
+            per_s = kind.per_s * (bursts.rate_factor(now_ms) if bursts else 1.0)
+            self._schedule(now_ms + self._random.expovariate(per_s) * 1000, arrive)
             request = self._draw_request(kind, now_ms)
             self._requests.append(request)
             self._attempt(request, now_ms)
@@ -287,7 +293,10 @@
 
     def _refuse(self, request: ReplayRequest, retry_after_ms: float, now_ms: float) -> None:
         left_ms = request.arrived_ms + request.kind.deadline_ms - now_ms
-        if request.attempts == 1 and retry_after_ms <= left_ms * _MAX_RETRY_FRACTION:
+        if (
+            request.attempts <= self._day.repeats
+            and retry_after_ms <= left_ms * _MAX_RETRY_FRACTION
+        ):
             self._schedule(now_ms + retry_after_ms, lambda at: self._attempt(request, at))
 
     def _send(
@@ -302,6 +311,7 @@
             if not request.started:
                 request.began_ms = at_ms
                 router.load.record_begun(request.call.cost_tokens, at_ms)
+                router.load.record_first_token_wait(chosen.placement, at_ms - now_ms, at_ms)
                 router.health.record_reached(name)
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
@@ -363,9 +373,19 @@
         if engine.is_idle or name in self._down:
             self._active_engines.discard(name)
             return
+        engine.slowness = self._slowness_at(name, now_ms)
         end_ms = engine.step(now_ms)
         self._schedule(end_ms, lambda at: self._run_step(name, engine, at))
 
+    def _slowness_at(self, engine: str, now_ms: float) -> float:
+        slowness = self._slowness.get(engine, 1.0)
+        spells = self._day.slow_spells
+        if spells is None:
+            return slowness
+        spell = int(now_ms // spells.length_ms)
+        drawn = random.Random(f"{self._spell_seed}/{engine}/{spell}").random()
+        return slowness * spells.factor if drawn < spells.fraction else slowness
+
 
 def _route(request: ReplayRequest) -> Route:
     kind = request.kind
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -52,6 +52,40 @@
     down_ms: float
 
 
+@frozen
+class SlowSpells:
+    """Spells in which shared machines are slower, drawn independently for each engine.
+
+    Args:
+        fraction: Fraction of the time.
+        length_ms: Length of a spell.
+        factor: Factor by which everything takes longer.
+    """
+
+    fraction: float
+    length_ms: float
+    factor: float
+
+
+@frozen
+class Bursts:
+    """Repeated bursts of all requests.
+
+    Args:
+        every_ms: Time from the start of a burst to that of the next.
+        length_ms: Length of a burst; each starts at the end of its interval.
+        factor: Factor of the request rate.
+    """
+
+    every_ms: float
+    length_ms: float
+    factor: float
+
+    def rate_factor(self, now_ms: float) -> float:
+        """Return the factor at a time."""
+        return self.factor if now_ms % self.every_ms >= self.every_ms - self.length_ms else 1.0
+
+
 @frozen
 class ReplayDay:
     """A load and the deployment that serves it.
@@ -65,6 +99,10 @@
         tokens_per_s: Token capacity of the engines that accounts share.
         slots: Concurrent requests of an engine.
         engine: Other figures of an engine.
+        slowness: Factors by which engines are slower, repeated over them.
+        repeats: How often callers repeat a request that is refused.
+        slow_spells: Spells in which the machine of an engine is slower.
+        bursts: Repeated bursts of all requests.
         rates_every_views: Interval, in views, at which a view includes the rates of accounts.
         view_interval_ms: Interval of load views between routers.
         view_delay_ms: Latency of a load view between routers, without relays.
@@ -93,6 +131,10 @@
     tokens_per_s: float = 225_000.0
     slots: int = 64
     engine: EngineParameters = EngineParameters()
+    slowness: tuple[float, ...] = (1.0,)
+    slow_spells: SlowSpells | None = None
+    bursts: Bursts | None = None
+    repeats: int = 1
     rates_every_views: int = 3
     view_interval_ms: float = 50.0
     view_delay_ms: float = 80.0
@@ -183,8 +225,9 @@
 )
 
 # Two fifths of a deployment of 63 routers, 45 engines and 30 accounts, with the request kinds of its
-# callers. All send two to three times what the engines can begin, half of it in one zone of three,
-# and a quarter of the engines is lost for two seconds.
+# callers, who repeat what is refused. They ask for over twice what the engines can begin, engines
+# differ in speed, and a quarter of them is lost for two seconds. The configured capacity is a tenth
+# of the real one, so that the estimate decides.
 THROTTLED_DAY = scaled(
     ReplayDay(
         (
@@ -199,8 +242,12 @@
         skew=1.6,
         hot_accounts=3,
         hot_factor=2.5,
-        router_weights=(2.0, 1.0, 1.0) * 8,
-        tokens_per_s=414_000.0,
+        tokens_per_s=100_000.0,
+        clients=30,
+        single_client_accounts=5,
+        repeats=20,
+        slowness=(0.7, 1.0, 0.85, 1.7, 1.0, 1.2),
+        slow_spells=SlowSpells(0.15, 600.0, 2.5),
         slots=32,
         engine=EngineParameters(
             memory_tokens=473_994,
--- a/src/cicadaledge/loadtool/_replay_result.py
+++ b/src/cicadaledge/loadtool/_replay_result.py
@@ -106,7 +106,8 @@
             largest requests of the account are excluded.
         by_class: Worth earned over the worth of all requests, by request class; not limited
             to shares.
-        begun_per_s: Cost in tokens of the requests whose answers engines began, per second.
+        begun_per_s: Cost in tokens of the requests whose answers engines began during the day, per
+            second.
         abandoned: Fraction of the requests sent to engines whose callers left before the answer
             began.
     """
@@ -165,11 +166,21 @@
         / max(1, sum(one.prefilled_tokens for one in used)),
         evenness=_evenness(day, requests),
         by_class={name: one.ratio for name, one in by_class.items()},
-        begun_per_s=sum(one.call.cost_tokens for one in requests if one.started) / day.seconds,
+        begun_per_s=_begun_tokens(day, requests) / day.seconds,
         abandoned=sum(not one.started for one in admitted) / max(1, len(admitted)),
     )
 
 
+def _begun_tokens(day: ReplayDay, requests: list[ReplayRequest]) -> int:
+    """Return the cost of the requests begun during the day, without those begun after its end."""
+    end_ms = day.seconds * 1000
+    return sum(
+        one.call.cost_tokens
+        for one in requests
+        if one.began_ms is not None and one.began_ms <= end_ms
+    )
+
+
 def _evenness(day: ReplayDay, requests: list[ReplayRequest]) -> float:
     """Return the lowest service of an account that was short of service throughout a span."""
     seconds = int(day.seconds)
