--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 
 from attrs import frozen
@@ -11,6 +12,7 @@
 from cicadaledge.placing._failing import FailingServers
 from cicadaledge.placing._health import ServerHealth
 from cicadaledge.placing._load_tracker import LoadTracker, Placement
+from cicadaledge.placing._plain_servers import PlainCandidate, choose_by_free_slots
 from cicadaledge.placing._ranking import EngineRanking
 from cicadaledge.placing._server_stats import ServerTotals
 from cicadaledge.placing._settings import PlacingSettings
@@ -77,6 +79,7 @@
         self._speeds = EngineSpeeds(settings.speeds, load)
         self._failing = FailingServers(load)
         self._rotation = 0
+        self._random = random.Random()
         self._full_until_ms: dict[str, float] = {}
 
     def choose(
@@ -190,18 +193,15 @@
     def _choose_plain(
         self, usable: Iterable[ServerEntry], service: Service, now_ms: float
     ) -> Chosen | Refused:
-        best: tuple[float, ServerEntry] | None = None
+        candidates = []
         for entry in usable:
-            if not self._rate_allows_request(entry, service, now_ms):
-                continue
-            totals = self._load.totals(entry.server, now_ms)
-            load = totals.running / max(entry.slots, 1)
-            score = load + (0.0 if self._is_in_own_region(entry) else 1.0)
-            if load < 1.0 and (best is None or score < best[0]):
-                best = (score, entry)
-        if best is None:
+            free = max(entry.slots, 1) - self._load.totals(entry.server, now_ms).running
+            if free > 0 and self._rate_allows_request(entry, service, now_ms):
+                candidates.append(PlainCandidate(entry, free, self._is_in_own_region(entry)))
+        server = choose_by_free_slots(candidates, self._random)
+        if server is None:
             return Refused("all servers are full", self._settings.min_retry_ms)
-        return Chosen(best[1], Placement(best[1].server, 0, 0), 0.0)
+        return Chosen(server, Placement(server.server, 0, 0), 0.0)
 
     def _choose_engine(
         self,
