--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -311,7 +311,9 @@
             if not request.started:
                 request.began_ms = at_ms
                 router.load.record_begun(request.call.cost_tokens, at_ms)
-                router.load.record_first_token_wait(chosen.placement, at_ms - now_ms, at_ms)
+                if self._day.learns_speeds:
+                    waited_ms = at_ms - now_ms
+                    router.load.record_first_token_wait(chosen.placement, waited_ms, at_ms)
                 router.health.record_reached(name)
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -100,6 +100,7 @@
         slots: Concurrent requests of an engine.
         engine: Other figures of an engine.
         slowness: Factors by which engines are slower, repeated over them.
+        learns_speeds: Whether routers learn the engines' speed from the times to first tokens.
         repeats: How often callers repeat a request that is refused.
         slow_spells: Spells in which the machine of an engine is slower.
         bursts: Repeated bursts of all requests.
@@ -134,6 +135,7 @@
     slowness: tuple[float, ...] = (1.0,)
     slow_spells: SlowSpells | None = None
     bursts: Bursts | None = None
+    learns_speeds: bool = False
     repeats: int = 1
     rates_every_views: int = 3
     view_interval_ms: float = 50.0
@@ -246,6 +248,7 @@
         clients=30,
         single_client_accounts=5,
         repeats=20,
+        learns_speeds=True,
         slowness=(0.7, 1.0, 0.85, 1.7, 1.0, 1.2),
         slow_spells=SlowSpells(0.15, 600.0, 2.5),
         slots=32,
