Log the admissible rate and how full the engines are

Lines of refusals showed what engines begin but not whether they had room, so that an estimate that is too low could not be told from full engines, nor from a configured capacity that decides.

--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -106,9 +106,9 @@
         self._signal_handler = ServerSignalHandler(control_state.directory, metrics)
         self._retries = RetryBudget(settings.bounds)
         self._random = random.Random()
-        self._request_log = RequestLog(control_state, load, shares)
-        self._answer_times = AnswerTimes()
         capacity = EngineCapacity(settings.placing, control_state.directory, load, health)
+        self._request_log = RequestLog(control_state, load, shares, capacity)
+        self._answer_times = AnswerTimes()
         self._admission = Admission(
             settings, control_state, shares, capacity, shutdown, self._request_log
         )
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -9,7 +9,14 @@
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.logs import PartLog
-from cicadaledge.placing import AccountShares, Chosen, LoadTracker, Refused, ShareUse
+from cicadaledge.placing import (
+    AccountShares,
+    Chosen,
+    EngineCapacity,
+    LoadTracker,
+    Refused,
+    ShareUse,
+)
 
 _log = PartLog("request")
 
@@ -20,21 +27,28 @@
     Of the logged fields, `use_of_share` is the rate admitted for the account as a multiple of its
     fair share, `use_of_least` that rate as a multiple of the least served account's,
     `served_fraction` that rate as a fraction of what the account is entitled to, `begun_per_s` the
-    tokens per second that all engines begin, and `learnt_factor` the learned correction by which the
-    engine model's prediction was multiplied.
+    tokens per second that all engines begin, `admissible_per_s` the rate that shares divide,
+    `engines_used` the mean fraction of the engines' slots or backlog in use, and `learnt_factor` the
+    learned correction by which the engine model's prediction was multiplied.
 
     Args:
         control_state: The router's view of configuration and servers.
         load: Load of the servers.
         shares: Token rates of the accounts.
+        capacity: Rate that may be admitted to the engines.
     """
 
     def __init__(
-        self, control_state: ControlPlaneState, load: LoadTracker, shares: AccountShares
+        self,
+        control_state: ControlPlaneState,
+        load: LoadTracker,
+        shares: AccountShares,
+        capacity: EngineCapacity,
     ) -> None:
         self._control_state = control_state
         self._load = load
         self._shares = shares
+        self._capacity = capacity
 
     def log_placed(
         self, request: ActiveRequest, chosen: Chosen, use: ShareUse, now_ms: float
@@ -105,6 +119,7 @@
         self, request: ActiveRequest, use: ShareUse, now_ms: float
     ) -> dict[str, Any]:
         """Return the inputs that are common to all placement decisions."""
+        used = self._capacity.used_fraction
         return {
             "request_id": request.call.request_id,
             "route": request.route.name,
@@ -115,6 +130,8 @@
             "served_fraction": round(use.served_fraction, 2),
             "share_per_s": self._shares.share_per_s,
             "begun_per_s": round(self._load.begun_per_s(now_ms)),
+            "admissible_per_s": self._capacity.latest_per_s,
+            "engines_used": None if used is None else round(used, 2),
             "rates_age_ms": _rounded_age_ms(self._shares.rates_age_ms(now_ms)),
             "routers": self._load.router_count(now_ms),
             "waited_ms": round(now_ms - request.call.started_ms),
--- a/src/cicadaledge/placing/_capacity.py
+++ b/src/cicadaledge/placing/_capacity.py
@@ -42,8 +42,19 @@
         self._health = health
         self._growth = 1.0
         self._begun_per_s = 0.0
+        self._latest_per_s = 0.0
         self._updated_ms = -math.inf
 
+    @property
+    def latest_per_s(self) -> int:
+        """Rate in tokens per second that was returned last; 0 for no limit."""
+        return round(self._latest_per_s)
+
+    @property
+    def used_fraction(self) -> float | None:
+        """Mean fraction of the engines' slots or backlog in use at the last update, if any."""
+        return None if math.isinf(self._updated_ms) else 2.0 - self._growth
+
     def admissible_per_s(
         self, services: Iterable[Service], configured_per_s: float, now_ms: float
     ) -> float:
@@ -60,7 +71,8 @@
             self._growth = 1.0 + self._free_fraction(services, now_ms)
             self._begun_per_s = self._load.begun_per_s(now_ms)
             self._updated_ms = now_ms
-        return max(configured_per_s, self._begun_per_s * self._growth)
+        self._latest_per_s = max(configured_per_s, self._begun_per_s * self._growth)
+        return self._latest_per_s
 
     def _free_fraction(self, services: Iterable[Service], now_ms: float) -> float:
         """Return the mean fraction of the engines' slots or backlog that is free, the lesser one.
--- a/tests/placing/test_capacity.py
+++ b/tests/placing/test_capacity.py
@@ -77,6 +77,16 @@
     assert fleet.run(4.0, begun=1_000) == pytest.approx(20_000 * growth, rel=0.05)
 
 
+def test_logs_can_tell_a_low_estimate_from_full_engines():
+    """Lines that showed only what engines begin left open whether they had room."""
+    fleet = Fleet()
+    assert fleet.capacity.used_fraction is None
+    fleet.occupy(SLOTS // 2)
+    admissible_per_s = fleet.run(4.0, begun=1_000)
+    assert fleet.capacity.used_fraction == pytest.approx(0.5)
+    assert fleet.capacity.latest_per_s == round(admissible_per_s)
+
+
 def test_engines_with_a_full_backlog_have_nothing_free():
     fleet = Fleet()
     max_unread_tokens = round(PlacingSettings().max_unread_tokens(0.0))
