--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -45,14 +45,14 @@
     Service,
     ServiceWeight,
 )
-from cicadaledge.standins import EngineEmulator, EngineParameters, EngineRun
+from cicadaledge.standins import EngineEmulator, EngineRun
 
 _SERVICE = "pool"
 _MAX_SIZE_FACTOR = 4.0
 # Interval at which a router looks for engines that can take its waiting requests.
 _LOOK_INTERVAL_MS = 50.0
-# Callers retry a refused request once, unless they are asked to wait for more than this fraction of
-# the time that is left until the deadline.
+# Callers repeat a refused request unless they are asked to wait for more than this fraction of the
+# time that is left until the deadline.
 _MAX_RETRY_FRACTION = 1 / 3
 _ENGINE_LATENCY_MS = 1.0  # A request takes this long from a router to an engine.
 _MAX_EVENT_GAP_MS = 500.0  # An answer with a longer gap between events misses the latency target.
@@ -95,7 +95,7 @@
         self._sequence = itertools.count()
         self._request_numbers = itertools.count()
         self._requests: list[ReplayRequest] = []
-        figures = EngineParameters(slots=day.slots)
+        figures = evolve(day.engine, slots=day.slots)
         self._figures = figures
         self._speeds = self._machine_speeds()
         self._engines = {name: self._new_engine(name) for name in self._speeds}
@@ -181,7 +181,9 @@
         def arrive(now_ms: float) -> None:
             if now_ms > self._day.seconds * 1000:
                 return
-            self._schedule(now_ms + self._random.expovariate(kind.per_s) * 1000, arrive)
+            bursts = self._day.bursts
+            per_s = kind.per_s * (bursts.rate_factor(now_ms) if bursts else 1.0)
+            self._schedule(now_ms + self._random.expovariate(per_s) * 1000, arrive)
             request = self._draw_request(kind, now_ms)
             self._requests.append(request)
             self._attempt(request, now_ms)
@@ -315,7 +317,10 @@
 
     def _refuse(self, request: ReplayRequest, retry_after_ms: float, now_ms: float) -> None:
         left_ms = request.arrived_ms + request.kind.deadline_ms - now_ms
-        if request.attempts == 1 and retry_after_ms <= left_ms * _MAX_RETRY_FRACTION:
+        if (
+            request.attempts <= self._day.repeats
+            and retry_after_ms <= left_ms * _MAX_RETRY_FRACTION
+        ):
             self._schedule(now_ms + retry_after_ms, lambda at: self._attempt(request, at))
 
     def _send(
@@ -330,6 +335,9 @@
             if not request.started:
                 request.began_ms = at_ms
                 router.load.record_begun(request.call.cost_tokens, at_ms)
+                if self._day.learns_speeds:
+                    waited_ms = at_ms - now_ms
+                    router.load.record_first_token_wait(chosen.placement, waited_ms, at_ms)
                 router.health.record_reached(name)
                 request.first_event_ms = at_ms - request.arrived_ms
                 request.within_target = at_ms - request.arrived_ms <= request.kind.latency_target_ms
--- a/src/cicadaledge/loadtool/_replay_day.py
+++ b/src/cicadaledge/loadtool/_replay_day.py
@@ -6,6 +6,7 @@
 
 from cicadaledge.loadtool._replay_speeds import SpeedPattern
 from cicadaledge.placing import PlacingSettings
+from cicadaledge.standins import EngineParameters
 
 _AFFINITY_OFF_TOKENS = 100_000
 
@@ -52,6 +53,25 @@
     down_ms: float
 
 
+@frozen
+class Bursts:
+    """Repeated bursts of all requests.
+
+    Args:
+        every_ms: Time from the start of a burst to that of the next.
+        length_ms: Length of a burst; each starts at the end of its interval.
+        factor: Factor of the request rate.
+    """
+
+    every_ms: float
+    length_ms: float
+    factor: float
+
+    def rate_factor(self, now_ms: float) -> float:
+        """Return the factor at a time."""
+        return self.factor if now_ms % self.every_ms >= self.every_ms - self.length_ms else 1.0
+
+
 @frozen
 class ReplayDay:
     """A load and the deployment that serves it.
@@ -64,6 +84,10 @@
         router_weights: Relative request rates of the routers; callers connect unevenly.
         tokens_per_s: Token capacity of the engines that accounts share.
         slots: Concurrent requests of an engine.
+        engine: Other figures of an engine.
+        learns_speeds: Whether routers learn the engines' speed from the times to first tokens.
+        repeats: How often callers repeat a request that is refused.
+        bursts: Repeated bursts of all requests.
         rates_every_views: Interval, in views, at which a view includes the rates of accounts.
         view_interval_ms: Interval of load views between routers.
         view_delay_ms: Latency of a load view between routers, without relays.
@@ -92,6 +116,10 @@
     router_weights: tuple[float, ...] = (3.0, 1.0, 1.0, 2.0, 0.5, 0.5, 1.0, 0.3, 0.7)
     tokens_per_s: float = 225_000.0
     slots: int = 64
+    engine: EngineParameters = EngineParameters()
+    bursts: Bursts | None = None
+    learns_speeds: bool = False
+    repeats: int = 1
     rates_every_views: int = 3
     view_interval_ms: float = 50.0
     view_delay_ms: float = 80.0
@@ -204,6 +232,47 @@
     speeds=SpeedPattern((0.7, 0.7, 1.7), 2.5, 0.15),
 )
 
+# Two fifths of a deployment of 63 routers, 45 engines and 30 accounts, with the request kinds of its
+# callers, who repeat what is refused. They ask for over twice what the engines can begin, engines
+# differ in speed, and a quarter of them is lost for two seconds. The configured capacity is a tenth
+# of the real one, so that the estimate decides.
+THROTTLED_DAY = scaled(
+    ReplayDay(
+        (
+            RequestClass("long", 60.4, 1000, 12_000, 3.7, 1.1, 5382, 120, 6610, 1.0, 378),
+            RequestClass("question", 86.0, 1200, 10_000, 1.5, 0.45, 198, 120, 628, 0.8, 288),
+            RequestClass("summary", 91.2, 2000, 3_000, 0.47, 0.14, 568, 120, 1800, 1.0, 27),
+        ),
+        seconds=12.0,
+        routers=24,
+        engines=18,
+        accounts=12,
+        skew=1.6,
+        hot_accounts=3,
+        hot_factor=2.5,
+        tokens_per_s=100_000.0,
+        clients=30,
+        single_client_accounts=5,
+        repeats=20,
+        learns_speeds=True,
+        speeds=SpeedPattern((0.7, 1.0, 0.85, 1.7, 1.0, 1.2), 2.5, 0.15),
+        slots=32,
+        engine=EngineParameters(
+            memory_tokens=473_994,
+            step_ms=2.89,
+            prefill_tokens_per_ms=55.0,
+            tokens_per_event=9,
+            chunk_tokens=2_048,
+        ),
+        view_interval_ms=83.0,
+        zones=3,
+        rates_every_views=1,
+        crashes=(EngineCrash(6_000.0, 5, 2_000.0),),
+        cold_per_s=8.9,
+    ),
+    2.0,
+)
+
 
 @frozen
 class Mode:
