--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -182,7 +182,7 @@
         """Apply a change, if it is an order."""
 
     def on_complete_read_of_orders(self, changes: list[Change], now_ms: float) -> None:
-        """Withdraw the orders that a complete read did not return."""
+        """Note which orders a complete read did not return."""
 
 
 class _StateSink:
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -62,7 +62,7 @@
                 self.keeper.apply_status(status, now_ms)
 
     def on_complete_read_of_orders(self, changes: list[Change], now_ms: float) -> None:
-        """Withdraw the orders that a complete read did not return."""
+        """Note which orders a complete read did not return."""
         orders = [one for one in changes if isinstance(one, RolloutOrdered) and one.order]
         self.keeper.retain_orders({one.service for one in orders}, now_ms)
 
@@ -125,6 +125,7 @@
         rollout = self.keeper.rollout(request.service.name) if self._is_enabled else None
         if rollout is None:
             return True
+        rollout.expire_fraction(clock_ms())
         is_new = server.version == rollout.order.to
         if rollout.state is RolloutState.RUNNING and (not is_new or rollout.fraction > 0.0):
             return True
--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -25,6 +25,9 @@
 )
 from cicadaledge.routing import ServerDirectory, ServerEntry, Version
 
+# An order that is missing is withdrawn after this time. After a restore of the store, the operator
+# writes its records again within about two seconds.
+_MISSING_ORDER_MS = 6_000.0
 _NOTHING: frozenset[str] = frozenset()
 _log = PartLog("rollouts")
 
@@ -94,6 +97,7 @@
         self.refresh(now_ms)
         previous = known.rollout
         if previous is not None and previous.order.to == order.to and not previous.is_withdrawn:
+            previous.missing_ms = None
             previous.order = order  # the operator has written it again, perhaps with more time
             return
         former = self._former_versions(known, order, now_ms)
@@ -148,10 +152,15 @@
         self.refresh(now_ms)
 
     def retain_orders(self, services: set[str], now_ms: float) -> None:
-        """Withdraw the orders that a complete read of the operator's records did not return."""
+        """Note the orders that a complete read of the operator's records did not return.
+
+        A store that was restored from a copy may lack them until the operator has written them
+        again, so that they are withdrawn only if they stay missing.
+        """
         for service, known in self._services.items():
-            if known.rollout is not None and service not in services:
-                self.withdraw(service, now_ms)
+            rollout = known.rollout
+            if rollout is not None and service not in services and rollout.missing_ms is None:
+                rollout.missing_ms = now_ms
         self._has_read_orders = True
 
     def apply_status(self, status: RolloutStatus, now_ms: float) -> None:
@@ -189,7 +198,9 @@
         known = self._services.setdefault(service, _Service())
         if self._directory.generation != self._generation:
             self.refresh(now_ms)
-        if known.rollout is None:
+        if known.rollout is not None:
+            known.rollout.expire_fraction(now_ms)
+        else:
             usable = self._directory.usable_by_name(service)
             return [frozenset(usable) - known.held] if known.held else None
         return allowed_servers(known.rollout, route, side, known.groups, tried, known.sampler)
@@ -233,7 +244,13 @@
             )
 
     def refresh_due(self, now_ms: float) -> None:
-        """Group the servers anew where the groups also change with time."""
+        """Withdraw missing orders, and group the servers anew where the groups change with time."""
+        for service, known in self._services.items():
+            rollout = known.rollout
+            if rollout is None or rollout.missing_ms is None:
+                continue
+            if now_ms - rollout.missing_ms >= _MISSING_ORDER_MS:
+                self.withdraw(service, now_ms)
         if any(one.held or one.rollout is not None for one in self._services.values()):
             self.refresh(now_ms)
 
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -27,6 +27,8 @@
 # this interval.
 _LOGGED_FACTOR = 2.0
 _LOG_INTERVAL_MS = 1_000.0
+# Decisions are made every 100 ms. An older one was made before a pause of the process.
+_DECISION_LIFE_MS = 1_000.0
 # The clocks of two VMs differ by at most twice `maxSkewMs`. Two routers' statuses of one order differ
 # by no more in the time of the order.
 _MAX_CLOCK_DIFFERENCE_MS = 16_000
@@ -50,6 +52,8 @@
         route_fractions: The same for routes that differ.
         stage: Stage of the plan.
         longest_ms: Longest time that a request of the service may take.
+        decided_ms: When the fraction was last decided.
+        missing_ms: When the order was first missing from the operator's records, or None.
         finished_ms: When the final status was read or written, or None.
     """
 
@@ -68,6 +72,8 @@
     route_fractions: dict[str, float] = field(factory=dict)
     stage: Stage = Stage.WAITING
     longest_ms: float = 0.0
+    decided_ms: float = 0.0
+    missing_ms: float | None = None
     finished_ms: float | None = None
     _started_ms: float | None = None
     _logged: tuple[Stage, RolloutState, float, float] = (
@@ -117,6 +123,11 @@
             self._logged = self.stage, self.state, self.fraction, now_ms
         return is_other or is_far
 
+    def expire_fraction(self, now_ms: float) -> None:
+        """Allow nothing for the new version if the decision is old, as after a pause of the VM."""
+        if self.state is RolloutState.RUNNING and now_ms - self.decided_ms > _DECISION_LIFE_MS:
+            self.fraction = 0.0
+
     def age_ms(self, now_ms: float) -> float | None:
         """Return the time since the order, or None while it is unknown."""
         return None if self._started_ms is None else now_ms - self._started_ms
@@ -195,6 +206,7 @@
         """
         age_ms = self.age_ms(now_ms)
         self.tally.latest = counts
+        self.decided_ms = now_ms
         self.route_fractions = {}
         if not self._is_ended:
             self.evidence.update(counts, now_ms)
