--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -243,10 +243,8 @@
     def apply(self, change: Change, now_ms: float) -> None:
         """Apply a change, if it is an order."""
 
-    def on_complete_read_of_orders(
-        self, changes: list[Change], now_ms: float, *, from_copy: bool
-    ) -> None:
-        """Withdraw the orders that a complete read did not return."""
+    def on_complete_read_of_orders(self, changes: list[Change], now_ms: float) -> None:
+        """Note which orders a complete read did not return."""
 
 
 class _StateSink:
@@ -300,7 +298,7 @@
         evacuated = {change.zone for change in zones if change.evacuated}
         self._state.retain_evacuated_zones(evacuated, now_ms, from_copy=from_copy)
         if self._orders is not None:
-            self._orders.on_complete_read_of_orders(changes, now_ms, from_copy=from_copy)
+            self._orders.on_complete_read_of_orders(changes, now_ms)
 
     def on_epoch_changed(self, now_ms: float) -> None:
         """Take the next complete read as one of an older copy, and count proofs only later."""
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -61,20 +61,10 @@
             case RolloutStatusSeen(status):
                 self.keeper.apply_status(status, now_ms)
 
-    def on_complete_read_of_orders(
-        self, changes: list[Change], now_ms: float, *, from_copy: bool
-    ) -> None:
-        """Withdraw the orders that a complete read did not return.
-
-        Args:
-            from_copy: Whether the store was restored from a copy. Orders that the copy lacks stay in
-                force, as the operator writes them again.
-        """
+    def on_complete_read_of_orders(self, changes: list[Change], now_ms: float) -> None:
+        """Note which orders a complete read did not return."""
         orders = [one for one in changes if isinstance(one, RolloutOrdered) and one.order]
-        services = {one.service for one in orders}
-        if from_copy:
-            services |= {one.order.service for one in self.keeper.rollouts()}
-        self.keeper.retain_orders(services, now_ms)
+        self.keeper.retain_orders({one.service for one in orders}, now_ms)
 
     def on_complete_read(self, changes: list[Change], now_ms: float) -> None:
         """Note which status a complete read did not return."""
@@ -138,6 +128,7 @@
         rollout = self.keeper.rollout(request.service.name) if self._is_enabled else None
         if rollout is None:
             return True
+        rollout.expire_fraction(clock_ms())
         is_new = server.version == rollout.order.to
         if rollout.state is RolloutState.RUNNING and (not is_new or rollout.fraction > 0.0):
             return True
