End answers whose callers have stopped reading, and bound what they hold

A caller that read nothing kept its engine's slot until the kernel ended the connection after 4.3 s; a caller that read 10 KB a second of a faster stream was ended after 4.4 s as well, as the kernel counts the time for which a segment of up to 64 KB has no room. The start of each long plain answer, up to 256 KB, was given back to the budget for all answers before its caller had read it: 24 callers held 3.7 MB beside a budget of 0.5 MB when the kernel took 4 KB of each.

Callers for whose reading an answer waits are now checked, and those whose kernel has taken no byte for slow_readers.stalled_ms (3 s) are reset, before servers cut unread answers off. The kernel's own limit for callers is 60 s, and it buffers at most 256 KB to send to each. The start of a long answer counts until it is read, and whole answers are no longer held twice.

Not kept on loopback: a caller that reads 4 KB a second from a large receive buffer is ended, since its progress shows only every 64 KB.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -9,7 +9,12 @@
 from cicadaledge.edge._http_client import Headers, HttpConnection, ResponseHead
 from cicadaledge.edge._load_shedder import LoadShedder, SheddingSettings
 from cicadaledge.edge._news import StoreRelay
-from cicadaledge.edge._settings import BoundSettings, EdgeSettings, TimingSettings
+from cicadaledge.edge._settings import (
+    BoundSettings,
+    EdgeSettings,
+    SlowReaderSettings,
+    TimingSettings,
+)
 from cicadaledge.edge._source import (
     Change,
     ChangePage,
@@ -62,6 +67,7 @@
     "ServerSink",
     "LoadShedder",
     "SheddingSettings",
+    "SlowReaderSettings",
     "StoreAvailability",
     "StoreError",
     "StoreRelay",
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -249,12 +249,12 @@
                     raise BackendError(
                         f"the failure of {connection.peer} is too long to hold", sent=True
                     )
-                await self._relay_long(connection, head, body.release() + chunk)
+                await self._relay_long(connection, head, body, chunk)
                 return AttemptResult(
                     AttemptEnd.ANSWERED, status=head.status, cold_left_ms=signals.cold_left_ms
                 )
             self._record_first_byte()
-            answer = BufferedResponse(head.status, self._codec.response_headers(head), body.copy())
+            answer = BufferedResponse(head.status, self._codec.response_headers(head), body.take())
             if failed:
                 return AttemptResult(
                     AttemptEnd.FAILED, "server failed", head.status, answer, signals.cold_left_ms
@@ -265,15 +265,20 @@
             )
 
     async def _relay_long(
-        self, connection: HttpConnection, head: ResponseHead, prefix: bytes
+        self, connection: HttpConnection, head: ResponseHead, body: BufferedBody, chunk: bytes
     ) -> None:
-        """Relay the buffered start of a response, then the rest as it arrives."""
+        """Relay the buffered start of a response, then the rest as it arrives.
+
+        The start counts against the budget until the caller has read most of it.
+        """
         self._record_first_byte()
         self._request.cannot_resume = True
         self._start_response(head)
-        await self._writer.send_chunk(prefix)
-        while (chunk := await connection.read_chunk()) is not None:
-            await self._writer.send_chunk(chunk)
+        await self._writer.send_chunk(body.take())
+        body.release()
+        await self._writer.send_chunk(chunk)
+        while (following := await connection.read_chunk()) is not None:
+            await self._writer.send_chunk(following)
         self._writer.end()
 
     async def _relay_stream(self, connection: HttpConnection, head: ResponseHead) -> None:
--- a/src/cicadaledge/edge/_caller_connections.py
+++ b/src/cicadaledge/edge/_caller_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from cicadaledge.edge._caller_connection import CallerConnection
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._settings import EdgeSettings
@@ -38,6 +40,9 @@
         self._connections: set[CallerConnection] = set()
         self._next_eviction_ms = 0.0
 
+    def __iter__(self) -> Iterator[CallerConnection]:
+        return iter(list(self._connections))
+
     def __len__(self) -> int:
         return len(self._connections)
 
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
+import fcntl
 import os
 import socket
 import struct
+import sys
+import termios
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import cast
@@ -34,6 +37,12 @@
 # If sent bytes stay unacknowledged for this long, the kernel ends the connection, as the network
 # path is lost.
 _USER_TIMEOUT_MS = 4_000
+# The same for peers that may read slowly: the kernel also counts the time for which a peer that reads
+# a little has no room for the next segment of up to 64 KB.
+_SLOW_PEER_TIMEOUT_MS = 60_000
+# The kernel takes at most this many bytes to send for such a peer, instead of some megabytes; it
+# allows twice as much including its own overhead. That is 2 MB a second over 60 ms of round trip.
+_SLOW_PEER_SEND_BYTES = 131_072
 
 
 def clock_ms() -> float:
@@ -119,6 +128,26 @@
         """Number of written bytes that are not yet handed to the kernel."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def waits_for_peer(self) -> bool:
+        """Whether `drain` waits because the peer reads slowly."""
+        return self._writing_paused and not self.is_lost
+
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of written bytes that the peer's kernel has not taken yet."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return self.unsent_bytes
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return self.unsent_bytes + int.from_bytes(queued, sys.byteorder)
+
+    def allow_slow_peer(self) -> None:
+        """Bound what the kernel holds for a peer that may read slowly, and let it do so."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SLOW_PEER_SEND_BYTES)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SLOW_PEER_TIMEOUT_MS)
+
     async def read(self, timeout_ms: float | None = None) -> bytes:
         """Return the next bytes; empty at the end of the stream.
 
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -36,6 +36,7 @@
 from cicadaledge.edge._request_handler import RequestHandler
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._slow_readers import SlowReaders
 from cicadaledge.edge._source import ChangeSource, StoreTopics
 from cicadaledge.edge._store_reach import StoreAvailability
 from cicadaledge.logs import LineWriter, PartLog
@@ -174,6 +175,7 @@
             self._poison_guard,
             self._metrics,
         )
+        self._slow_readers = SlowReaders(settings.slow_readers, self._callers, self._metrics)
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
         self._peers = PeerKeeper(
             settings,
@@ -239,6 +241,7 @@
             self._suspect_news.keep_claims_written,
             self._settle_removals,
             self._watch_loop,
+            self._slow_readers.keep_checked,
             self._keep_up,
         ]
 
@@ -306,6 +309,7 @@
         self._tasks.add(task)
         if service is self._request_handler:
             self._callers.add(connection)
+            channel.allow_slow_peer()
 
         def done(ended: asyncio.Task[None]) -> None:
             self._tasks.discard(ended)
--- a/src/cicadaledge/edge/_held.py
+++ b/src/cicadaledge/edge/_held.py
@@ -33,6 +33,7 @@
     def __init__(self, budget: BufferBudget) -> None:
         self._budget = budget
         self._body = bytearray()
+        self._counted_bytes = 0
 
     def __enter__(self) -> BufferedBody:
         return self
@@ -52,16 +53,18 @@
         if over or self._budget.used_bytes + size > self._budget.total_bytes:
             return False
         self._budget.used_bytes += size
+        self._counted_bytes += size
         self._body += chunk
         return True
 
-    def copy(self) -> bytes:
-        """Return the body; it still counts against the budget."""
-        return bytes(self._body)
-
-    def release(self) -> bytes:
-        """Return the body and give its bytes back to the budget."""
-        self._budget.used_bytes -= len(self._body)
+    def take(self) -> bytes:
+        """Return the body; it counts against the budget until it is released."""
         body = bytes(self._body)
         self._body.clear()
         return body
+
+    def release(self) -> None:
+        """Give the bytes back to the budget."""
+        self._budget.used_bytes -= self._counted_bytes
+        self._counted_bytes = 0
+        self._body.clear()
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -41,6 +41,11 @@
             "New callers that were turned away before their request was taken.",
             registry=registry,
         )
+        self._stalled_readers = aioprometheus.Counter(
+            "cicadaledge_callers_stalled_total",
+            "Callers that were disconnected because they had stopped reading their answer.",
+            registry=registry,
+        )
         self._disconnects = aioprometheus.Counter(
             "cicadaledge_callers_left_total",
             "Requests whose caller left before the answer.",
@@ -84,6 +89,10 @@
         """Count a caller that disconnected before its answer."""
         self._disconnects.inc({})
 
+    def count_stalled_reader(self) -> None:
+        """Count a caller that was disconnected because it had stopped reading."""
+        self._stalled_readers.inc({})
+
     def count_server_report(self, what: str) -> None:
         """Count a server's report of its own state in an answer."""
         self._server_reports.inc({"what": what})
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -102,6 +102,19 @@
     lapse_ms: float = field(default=2_000.0, validator=ge(0))
 
 
+@frozen
+class SlowReaderSettings:
+    """Limits on callers that do not read.
+
+    Args:
+        stalled_ms: A caller that has read nothing for this time, while its answer waits, is
+            disconnected: servers cut off answers that stay unread for some seconds, and the engine's
+            slot stays taken until then.
+    """
+
+    stalled_ms: float = field(default=3_000.0, validator=gt(0))
+
+
 @frozen
 class EdgeSettings:
     """All settings of one router process.
@@ -131,6 +144,7 @@
     placing: PlacingSettings = field(factory=PlacingSettings)
     waiting: WaitingSettings = field(factory=WaitingSettings)
     shedding: SheddingSettings = field(factory=SheddingSettings)
+    slow_readers: SlowReaderSettings = field(factory=SlowReaderSettings)
 
     @property
     def max_connections(self) -> int:
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -19,6 +19,7 @@
     HttpConnection,
     ResponseHead,
     SheddingSettings,
+    SlowReaderSettings,
     StoreError,
     StoreTopics,
     TimingSettings,
@@ -166,6 +167,7 @@
         bounds: BoundSettings | None = None,
         descriptors: int = 4_096,
         shedding: SheddingSettings | None = None,
+        slow_readers: SlowReaderSettings | None = None,
         cut_topics: frozenset[str] = frozenset(),
         wait_for_list: bool = True,
     ) -> EdgeRouter:
@@ -189,6 +191,7 @@
             bounds=bounds or BoundSettings(grace_ms=3_000),
             timing=timing,
             shedding=shedding or SheddingSettings(),
+            slow_readers=slow_readers or SlowReaderSettings(),
         )
         client = _DisconnectableClient(HOST, self.store.port)
         client.cut_topics = cut_topics
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -151,9 +151,10 @@
         assert not one.add(b"x")
         assert other.add(b"y" * 4)
         assert not other.add(b"y")
-        assert one.copy() == b"x" * 6
         assert budget.used_bytes == 10
-        assert one.release() == b"x" * 6
+        assert one.take() == b"x" * 6
+        assert not other.add(b"x" * 6)
+        one.release()
         assert other.add(b"yy")
     assert budget.used_bytes == 0
 
