--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -10,7 +10,12 @@
 from cicadaledge.edge._http_client import Headers, HttpConnection, ResponseHead
 from cicadaledge.edge._load_shedder import LoadShedder, SheddingSettings
 from cicadaledge.edge._news import StoreRelay
-from cicadaledge.edge._settings import BoundSettings, EdgeSettings, TimingSettings
+from cicadaledge.edge._settings import (
+    BoundSettings,
+    EdgeSettings,
+    SlowReaderSettings,
+    TimingSettings,
+)
 from cicadaledge.edge._source import (
     Change,
     ChangePage,
@@ -70,6 +75,7 @@
     "LoadShedder",
     "SheddingSettings",
     "NO_EPOCH",
+    "SlowReaderSettings",
     "StoreAvailability",
     "StoreEpoch",
     "StoreError",
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -41,6 +41,7 @@
 from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
+from cicadaledge.edge._slow_readers import SlowReaders
 from cicadaledge.edge._source import ChangeSource, StoreTopics
 from cicadaledge.edge._store_reach import StoreAvailability
 from cicadaledge.ingress import Intake
@@ -191,6 +192,7 @@
             self._rollouts,
             self._metrics,
         )
+        self._slow_readers = SlowReaders(settings.slow_readers, self._callers, self._metrics)
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
         self._peers = PeerKeeper(
             settings,
@@ -268,6 +270,7 @@
             *self._rollout_exchange.tasks(),
             self._settle_removals,
             self._watch_loop,
+            self._slow_readers.keep_checked,
             self._keep_up,
         ]
 
@@ -349,6 +352,8 @@
         task = asyncio.get_running_loop().create_task(connection.run())
         self._tasks.add(task)
         callers.add(connection)
+        if callers is self._callers:
+            channel.allow_slow_peer()
 
         def done(ended: asyncio.Task[None]) -> None:
             self._tasks.discard(ended)
--- a/src/cicadaledge/edge/_settings.py
+++ b/src/cicadaledge/edge/_settings.py
@@ -114,6 +114,19 @@
     rewrite_spread_ms: float = field(default=1_000.0, validator=ge(0))
 
 
+@frozen
+class SlowReaderSettings:
+    """Limits on callers that do not read.
+
+    Args:
+        stalled_ms: A caller that has read nothing for this time, while its answer waits, is
+            disconnected: servers cut off answers that stay unread for some seconds, and the engine's
+            slot stays taken until then.
+    """
+
+    stalled_ms: float = field(default=3_000.0, validator=gt(0))
+
+
 @frozen
 class EdgeSettings:
     """All settings of one router process.
@@ -145,6 +158,7 @@
     shedding: SheddingSettings = field(factory=SheddingSettings)
     rollouts: RolloutSettings = field(factory=RolloutSettings)
     ingress: IngressSettings = field(factory=IngressSettings)
+    slow_readers: SlowReaderSettings = field(factory=SlowReaderSettings)
 
     @property
     def max_connections(self) -> int:
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -19,6 +19,7 @@
     HttpConnection,
     ResponseHead,
     SheddingSettings,
+    SlowReaderSettings,
     StoreError,
     StoreTopics,
     TimingSettings,
@@ -168,6 +169,7 @@
         bounds: BoundSettings | None = None,
         descriptors: int = 4_096,
         shedding: SheddingSettings | None = None,
+        slow_readers: SlowReaderSettings | None = None,
         cut_topics: frozenset[str] = frozenset(),
         wait_for_list: bool = True,
         rollouts: RolloutSettings | None = None,
@@ -193,6 +195,7 @@
             timing=timing,
             shedding=shedding or SheddingSettings(),
             rollouts=rollouts or RolloutSettings(),
+            slow_readers=slow_readers or SlowReaderSettings(),
         )
         client = _DisconnectableClient(HOST, self.store.port)
         client.cut_topics = cut_topics
