--- a/src/cicadaledge/soak/_untrusted_clients.py
+++ b/src/cicadaledge/soak/_untrusted_clients.py
@@ -8,11 +8,12 @@
 
 from cicadaledge.settings import Address
 from cicadaledge.soak._deployment import KEYS
+from cicadaledge.standins import CallerRequest
 
 _CLIENTS = 40
 _BODY_BYTES = 99_000
 _DRIP_S = 0.1
-_HEAD = b"POST %b HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: incomplete\r\nAuthorization: Token %b\r\n"
+_DEADLINE_MS = 2_000
 _FORMS = (
     (b"Content-Length: %d\r\n\r\n" % _BODY_BYTES, b"x" * (_BODY_BYTES - 1)),
     (b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 5_000),
@@ -30,7 +31,9 @@
     rng = random.Random(number)
     start, body = rng.choice(_FORMS)
     path = rng.choice((b"/book/1", b"/nothing"))
-    request = _HEAD % (path, rng.choice(KEYS).encode()) + start + body
+    named = CallerRequest("incomplete", rng.choice(KEYS), _DEADLINE_MS).headers()
+    fields = b"".join(b"%b: %b\r\n" % field for field in named)
+    request = b"POST %b HTTP/1.1\r\n" % path + fields + start + body
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(duration_s), asyncio.TaskGroup() as clients:
             for _ in range(_CLIENTS):
