--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -247,7 +247,7 @@
         if request.service.engine is not None:
             work_ms = refused.work_ms
             objective_start_ms = self._settings.placing.objective_start_ms(
-                request.route, request.call, work_ms
+                request.route, request.call, work_ms, use.served_fraction
             )
         return WaitingRequest(
             group=self._group(request, use, now_ms),
--- a/src/cicadaledge/loadtool/_replay.py
+++ b/src/cicadaledge/loadtool/_replay.py
@@ -266,7 +266,7 @@
             latest_start_ms,
             refused,
             objective_start_ms=self._mode.settings.objective_start_ms(
-                _route(request), request.call, refused.work_ms
+                _route(request), request.call, refused.work_ms, use.served_fraction
             ),
         )
         router.queue.add(waiting, now_ms)
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -237,6 +237,8 @@
             ranked = self._spread_candidates(ranked)
             min_evaluated = self._settings.spread_engines
         allowed_fractions = self._allowed_fractions(use)
+        # An account that gets less than it is entitled to may fill engines beyond the objective.
+        objective_ms = service.shortest_objective_ms if use.served_fraction >= 1.0 else 0.0
         choices: list[Chosen] = []
         first_limit: Limit | None = None
         for index, entry in enumerate(ranked):
@@ -255,6 +257,7 @@
                 entry is first,
                 is_bound,
                 allowed_fractions,
+                objective_ms,
                 speeds,
                 now_ms,
             )
@@ -310,6 +313,7 @@
         is_first: bool,
         is_bound: bool,
         allowed_fractions: _AllowedFractions,
+        objective_ms: float,
         speeds: ServiceSpeeds,
         now_ms: float,
     ) -> Chosen | Limit:
@@ -318,6 +322,7 @@
         Args:
             is_first: Whether the server ranks first for the request's shared prompt parts.
             is_bound: Whether the request may go nowhere else.
+            objective_ms: Latency objective that bounds the backlog; 0 for none.
         """
         assert service.engine is not None
         totals = self._load.totals(entry.server, now_ms)
@@ -338,7 +343,7 @@
             expected_ms += self._settings.region_crossing_ms
         predicted_ms = expected_ms * factor
         max_backlog_ms = self._settings.max_backlog_ms(
-            self._load.max_view_age_ms, service.shortest_objective_ms, is_bound=is_bound
+            self._load.max_view_age_ms, objective_ms, is_bound=is_bound
         )
         if backlog_ms > max_backlog_ms * allowed_fractions.backlog:
             return Limit.READING
--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -27,8 +27,8 @@
             would fill each engine up to the limit, wherever there is room, and leave them none.
         objective_backlog_fraction: Fraction of the shortest latency objective among the routes to an
             engine for which its backlog may keep it busy: the prompts of one route delay those of
-            all. The rest is for the request itself, and for prompts that other routers place at the
-            same moment.
+            all. As much again may be added for prompts that are bound to the engine, and the rest
+            is for the request itself.
         affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
             cache them.
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
@@ -98,20 +98,26 @@
             is_bound: Whether the request may go to no other engine.
         """
         limit_ms = max(self.min_backlog_ms, max_view_age_ms)
-        if is_bound:
-            limit_ms *= self.bound_backlog_multiple
-        if objective_ms <= 0:
-            return limit_ms
-        objective_limit_ms = objective_ms * self.objective_backlog_fraction
-        return min(limit_ms, max(self.min_backlog_ms, objective_limit_ms))
+        if objective_ms > 0:
+            # Most views are half as old as the oldest; with a shorter backlog engines run idle.
+            shortest_ms = max(self.min_backlog_ms, max_view_age_ms / 2)
+            objective_limit_ms = objective_ms * self.objective_backlog_fraction
+            limit_ms = min(limit_ms, max(shortest_ms, objective_limit_ms))
+        return limit_ms * self.bound_backlog_multiple if is_bound else limit_ms
 
-    def objective_start_ms(self, route: Route, call: Call, work_ms: float) -> float:
+    def objective_start_ms(
+        self, route: Route, call: Call, work_ms: float, served_fraction: float
+    ) -> float:
         """Return until when a request must be sent to begin within its route's objective.
 
+        It is infinite for an account that gets less than it is entitled to: its requests wait while
+        their callers do, as refusing them sooner would take even more from it.
+
         Args:
             work_ms: Predicted time to the first token on an engine without other load.
+            served_fraction: What the account gets, as a fraction of what it is entitled to.
         """
-        if route.latency_target_ms <= 0:
+        if route.latency_target_ms <= 0 or served_fraction < 1.0:
             return math.inf
         backlog_ms = route.latency_target_ms * self.objective_backlog_fraction
         return call.started_ms + route.latency_target_ms - backlog_ms - work_ms
