--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -67,7 +67,7 @@
     memory: MemorySettings = field(factory=MemorySettings)
     min_backlog_ms: float = 200.0
     bound_backlog_multiple: float = 2.0
-    objective_backlog_fraction: float = 0.6
+    objective_backlog_fraction: float = 0.9
     affinity_min_tokens: int = 1_000
     spill_engines: int = 4
     spread_engines: int = 9
