--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import contextlib
-import fcntl
 import os
 import socket
 import struct
-import sys
-import termios
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import cast
@@ -139,10 +136,7 @@
     def unacknowledged_bytes(self) -> int:
         """Return the number of written bytes that the peer's kernel has not taken yet."""
         sock = self.transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return self.unsent_bytes
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return self.unsent_bytes + int.from_bytes(queued, sys.byteorder)
+        return self.unsent_bytes + unacknowledged_bytes(sock.fileno() if sock is not None else -1)
 
     def allow_slow_peer(self) -> None:
         """Bound what the kernel holds for a peer that may read slowly, and let it do so."""
@@ -261,10 +255,7 @@
     def eof_received(self) -> bool:
         """Close the connection, unless half-open is allowed, after the peer stopped sending."""
         self._ended = True
-        sock = self.transport.get_extra_info("socket")
-        self.was_unwritten_at_end = bool(
-            self.unsent_bytes or unacknowledged_bytes(sock.fileno() if sock is not None else -1)
-        )
+        self.was_unwritten_at_end = bool(self.unacknowledged_bytes())
         self._wake_reader()
         return self.allow_half_open
 
