--- a/src/cicadaledge/placing/_settings.py
+++ b/src/cicadaledge/placing/_settings.py
@@ -26,9 +26,9 @@
         bound_backlog_multiple: Multiple of that for requests that only one engine may take. Others
             would fill each engine up to the limit, wherever there is room, and leave them none.
         objective_backlog_fraction: Fraction of the shortest latency objective among the routes to an
-            engine for which its backlog may keep it busy: the prompts of one route delay those of
-            all. As much again may be added for prompts that are bound to the engine, and the rest
-            is for the request itself.
+            engine for which its backlog may keep it busy, as the prompts of one route delay those of
+            all. The rest is for the request's own prompt. Also bounds the waits in an overload. 0 turns
+            both off: with them, accounts that compete for full engines were served less evenly.
         affinity_min_tokens: From this many shared tokens on, a request goes only to engines that
             cache them.
         spill_engines: Number of engines, by rank, that may cache such a prefix while its account
@@ -67,7 +67,7 @@
     memory: MemorySettings = field(factory=MemorySettings)
     min_backlog_ms: float = 200.0
     bound_backlog_multiple: float = 2.0
-    objective_backlog_fraction: float = 0.9
+    objective_backlog_fraction: float = 0.0
     affinity_min_tokens: int = 1_000
     spill_engines: int = 4
     spread_engines: int = 9
@@ -98,7 +98,7 @@
             is_bound: Whether the request may go to no other engine.
         """
         limit_ms = max(self.min_backlog_ms, max_view_age_ms)
-        if objective_ms > 0:
+        if objective_ms > 0 and self.objective_backlog_fraction > 0:
             # Most views are half as old as the oldest; with a shorter backlog engines run idle.
             shortest_ms = max(self.min_backlog_ms, max_view_age_ms / 2)
             objective_limit_ms = objective_ms * self.objective_backlog_fraction
@@ -110,14 +110,15 @@
     ) -> float:
         """Return until when a request must be sent to begin within its route's objective.
 
-        It is infinite for an account that gets less than it is entitled to: its requests wait while
-        their callers do, as refusing them sooner would take even more from it.
+        It is infinite without the bound, and for an account that gets less than it is entitled to:
+        its requests wait while their callers do, as refusing them sooner would take even more.
 
         Args:
             work_ms: Predicted time to the first token on an engine without other load.
             served_fraction: What the account gets, as a fraction of what it is entitled to.
         """
-        if route.latency_target_ms <= 0 or served_fraction < 1.0:
+        has_bound = route.latency_target_ms > 0 and self.objective_backlog_fraction > 0
+        if not has_bound or served_fraction < 1.0:
             return math.inf
         backlog_ms = route.latency_target_ms * self.objective_backlog_fraction
         return call.started_ms + route.latency_target_ms - backlog_ms - work_ms
