Measure levels of reported speeds in octaves, so that spells do not move prompts between engines

A simulation of the reports of 45 engines at eight routers shows why: with levels of half octaves, spells of other work moved the home of every prefix once in 34 s, and 3 to 5% of the homes differed between routers at any time.

--- a/src/cicadaledge/placing/_ranking.py
+++ b/src/cicadaledge/placing/_ranking.py
@@ -66,8 +66,8 @@
     inverse, fewer long prompts are answered in time (docs/design/reported-speeds.md).
 
     Args:
-        speed_level: How long work takes, in half octaves.
+        speed_level: How long work takes, in octaves.
     """
     hashed = hashlib.blake2b(f"{prefix}/{server}".encode(), digest_size=8).digest()
     uniform = (int.from_bytes(hashed, "big") >> 11) / 2.0**53
-    return -math.log1p(-uniform) * 2.0**speed_level
+    return -math.log1p(-uniform) * 4.0**speed_level
--- a/src/cicadaledge/placing/_speed_reports.py
+++ b/src/cicadaledge/placing/_speed_reports.py
@@ -21,10 +21,10 @@
 _CACHE_MS = 20.0
 # Levels are brought up to date at this interval, in which a mean changes by a sixteenth at most.
 _REFRESH_INTERVAL_MS = 500.0
-_LEVELS_PER_OCTAVE = 2
-# A level changes only by this much: each change moves prompts to engines that have not cached them,
-# and a mean over a few spells of other work varies by up to a third of a level.
-_MIN_LEVEL_CHANGE = 0.75
+# A level, in octaves, changes only by this much: each change moves prompts to engines that have not
+# cached them. Spells of other work shift a mean over several of them by up to half an octave; with
+# levels of half octaves every prompt moved once in 34 s, on each router at another time.
+_MIN_LEVEL_CHANGE = 0.6
 # A mean is updated for at most this time at once: nothing is known of a longer pause.
 _MAX_STEP_MS = 500.0
 
@@ -64,7 +64,7 @@
 
     Args:
         reported: The newest factor that the server reported to this router.
-        level: Level of the mean, at the last change.
+        level: Level of the mean in octaves, at the last change.
         weight_ms: Time over which the mean was formed.
         sum_ms: Mean factor times that time.
     """
@@ -120,7 +120,7 @@
         return known.factor
 
     def level(self, server: str) -> int:
-        """Return a server's level: how long work takes there on average, in half octaves."""
+        """Return a server's level: how long work takes there on average, in octaves."""
         known = self._servers.get(server)
         return 0 if known is None else known.level
 
@@ -168,7 +168,7 @@
         known.weight_ms = known.weight_ms * kept + passed_ms
         known.sum_ms = known.sum_ms * kept + passed_ms * newest
         mean = known.sum_ms / known.weight_ms
-        exact_level = _LEVELS_PER_OCTAVE * math.log2(mean)
+        exact_level = math.log2(mean)
         if abs(exact_level - known.level) >= _MIN_LEVEL_CHANGE:
             known.level = round(exact_level)
             self._level_generation += 1
