--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -103,6 +103,7 @@
         was_sent: Whether the request was written to a connection.
         first_byte_ms: Time of the first byte of the response, or None.
         last_byte_ms: Time of the latest byte of a streamed response, or None.
+        longest_pause_ms: Longest time between two reads of a streamed response.
         caller_wait_ms: Time spent waiting until the caller took parts of a streamed response.
     """
 
@@ -124,6 +125,7 @@
         self.was_sent = False
         self.first_byte_ms: float | None = None
         self.last_byte_ms: float | None = None
+        self.longest_pause_ms = 0.0
         self.caller_wait_ms = 0.0
         self._started_ms = clock_ms()
         self._request = request
@@ -332,7 +334,10 @@
         if self.first_byte_ms is None:
             self._load.record_begun(self._request.call.cost_tokens, clock_ms())
         self._record_first_byte()
-        self.last_byte_ms = clock_ms()
+        now_ms = clock_ms()
+        if self.last_byte_ms is not None:
+            self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.last_byte_ms)
+        self.last_byte_ms = now_ms
         assert self.first_byte_ms is not None
         if not self._has_begun and self.last_byte_ms - self.first_byte_ms >= BEGUN_ANSWER_MS:
             self._has_begun = True
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -366,7 +366,9 @@
             self._metrics.observe_first_byte((attempt.first_byte_ms - now_ms) / 1000)
         if result.end is AttemptEnd.ANSWERED:
             self._metrics.observe_answer((ended_ms - request.call.started_ms) / 1000)
-        self._request_log.log_attempt_ended(request, chosen, result, attempt.first_byte_ms, now_ms)
+        self._request_log.log_attempt_ended(
+            request, chosen, result, attempt.first_byte_ms, attempt.longest_pause_ms, now_ms
+        )
         return result
 
     def _record_health(self, request: ActiveRequest, server: str, *, failed: bool) -> None:
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -96,23 +96,27 @@
         chosen: Chosen,
         result: AttemptResult,
         first_byte_ms: float | None,
+        longest_pause_ms: float,
         sent_ms: float,
     ) -> None:
         """Log how an attempt ended.
 
         Args:
             first_byte_ms: Time of the first byte of the response, or None.
+            longest_pause_ms: Longest time between two reads of a streamed response.
             sent_ms: Time at which the attempt started.
         """
         _log.info(
             "Attempt to run the request on a server has ended.",
             request_id=request.call.request_id,
+            route=request.route.name,
             server=chosen.server.server,
             end=result.end.value,
             status=result.status,
             reason=result.reason,
             predicted_ms=round(chosen.predicted_ms),
             first_ms=first_byte_ms and round(first_byte_ms - sent_ms),
+            longest_pause_ms=round(longest_pause_ms),
             took_ms=round(clock_ms() - sent_ms),
         )
 
