--- a/src/cicadaledge/ingress/_intake.py
+++ b/src/cicadaledge/ingress/_intake.py
@@ -8,14 +8,12 @@
 
 from cicadaledge.ingress._body_reader import BodyReader
 from cicadaledge.ingress._budget import Holding, IngressBudget
-from cicadaledge.ingress._settings import IngressSettings
+from cicadaledge.ingress._settings import BUFFER_GROWTH, HEAD_COPIES, IngressSettings
 from cicadaledge.ingress._turns import CostlyTurns
 from cicadaledge.logs import PartLog
 
 # A header field takes this much memory besides its bytes: three byte strings and two tuples.
 _FIELD_BYTES = 400
-# Buffers that grow are allocated an eighth larger than their content.
-_GROWTH = 1.125
 # Bodies ask for memory in steps of this size, so that few of their reads ask for any.
 _STEP_BYTES = 65_536
 # Reading this many chunks takes about a quarter of a millisecond; then others get a turn.
@@ -104,7 +102,7 @@
             EvictedError: The request gave way to others.
             NoMemoryError: There was no memory for the request.
         """
-        head_bytes = head_size[0] * 2 + head_size[1] * _FIELD_BYTES if reader.keeps else 0
+        head_bytes = head_size[0] * HEAD_COPIES + head_size[1] * _FIELD_BYTES if reader.keeps else 0
         allowed_bytes = -1
         data = b""
         while True:
@@ -114,7 +112,7 @@
                 if reader.left_bytes is not None:
                     allowed_bytes = min(allowed_bytes, reader.held_bytes + reader.left_bytes)
                     allowed_bytes = max(allowed_bytes, needed_bytes)
-                await self._hold(holding, head_bytes + int(allowed_bytes * _GROWTH))
+                await self._hold(holding, head_bytes + int(allowed_bytes * BUFFER_GROWTH))
             rest = reader.feed(data, _CHUNKS_PER_TURN)
             if rest is not None:
                 holding.is_complete = True
--- a/src/cicadaledge/ingress/_settings.py
+++ b/src/cicadaledge/ingress/_settings.py
@@ -8,6 +8,10 @@
 _MEGABYTE = 1_048_576
 # Memory of the smallest VM on which routers run, assumed if the settings file states none.
 SMALLEST_MEMORY_MB = 160
+# Buffers that grow are allocated an eighth larger than their content.
+BUFFER_GROWTH = 1.125
+# A head is held as received and as parsed fields.
+HEAD_COPIES = 2
 
 
 @frozen
@@ -43,3 +47,7 @@
     def memory_bytes(self) -> int:
         """Memory for what callers send."""
         return int(self.memory_mb * _MEGABYTE * self.memory_ratio)
+
+    def largest_body_bytes(self, header_bytes: int) -> int:
+        """Return the largest body that finds memory next to a head of the given size."""
+        return int((self.memory_bytes - HEAD_COPIES * header_bytes) / BUFFER_GROWTH)
