--- a/src/cicadaledge/platform/__init__.py
+++ b/src/cicadaledge/platform/__init__.py
@@ -1,8 +1,15 @@
 """Adapter that translates the platform's data formats into the types of this package."""
 
+from cicadaledge.platform._collecting_fields import Location, RecordError
 from cicadaledge.platform._decode import decode_order, decode_server, decode_status, decode_table
 from cicadaledge.platform._header_codec import PlatformHeaderCodec
 from cicadaledge.platform._main import main
+from cicadaledge.platform._record_check import (
+    RecordReading,
+    load_deployment,
+    locate,
+    read_record,
+)
 from cicadaledge.platform._settings_file import load_edge_settings
 from cicadaledge.platform._store import (
     ControlTopic,
@@ -14,8 +21,11 @@
 
 __all__ = [
     "ControlTopic",
+    "Location",
     "MemberTopic",
     "PlatformHeaderCodec",
+    "RecordError",
+    "RecordReading",
     "RolloutStatusTopic",
     "ServerTopic",
     "StoreClient",
@@ -23,6 +33,9 @@
     "decode_server",
     "decode_status",
     "decode_table",
+    "load_deployment",
     "load_edge_settings",
+    "locate",
     "main",
+    "read_record",
 ]
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
 from cicadaledge.edge import CrashEvidence, FleetMember
 from cicadaledge.platform._fields import Fields, check_header_name
 from cicadaledge.rollouts import RolloutOrder, RolloutState, RolloutStatus
@@ -23,8 +21,6 @@
 )
 from cicadaledge.suspects import MAX_TRIALS, Evidence, PartEvidence, TrialClaim
 
-T = TypeVar("T")
-
 _ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -47,7 +43,15 @@
     Raises:
         ValueError: The data is not a valid configuration.
     """
-    fields = Fields.parse(data)
+    return table_of(Fields.parse(data))
+
+
+def table_of(fields: Fields) -> RoutingTable:
+    """Return the configuration in the fields of its record.
+
+    Raises:
+        ValueError: A field has no valid value.
+    """
     routes = tuple(_route(route) for route in fields.nested_list("routes"))
     services = {
         service.text("name"): _service(service) for service in fields.nested_list("services")
@@ -56,7 +60,9 @@
         version=fields.integer("version"),
         routes=routes,
         services=with_objectives(services, routes),
-        accounts=tuple(_account(account) for account in fields.nested_list("tenants")),
+        accounts=tuple(
+            _account(account) for account in fields.nested_list("tenants", hides_values=True)
+        ),
         limits=_limits(fields.nested("limits")) if fields.has("limits") else Limits(),
     )
 
@@ -78,7 +84,7 @@
         host=host,
         port=port,
         zone=fields.text("zone"),
-        state=_choice(_SERVER_STATES, fields.text("state")),
+        state=fields.choice("state", _SERVER_STATES),
         slots=fields.integer("slots", _MAX_SLOTS),
         cold_left_ms=cold_left_ms,
         born_ms=fields.time_ms("born"),
@@ -113,7 +119,7 @@
     return RolloutStatus(
         service,
         fields.version("to"),
-        _choice(_ROLLOUT_STATES, fields.text("state")),
+        fields.choice("state", _ROLLOUT_STATES),
         fields.time_ms("sinceMs") if fields.has("sinceMs") else 0,
         tuple(one.version("version") for one in former),
     )
@@ -190,19 +196,13 @@
     return {name: list(fields.texts(name)) for name in fields.names()}
 
 
-def _choice(choices: dict[str, T], name: str) -> T:
-    if name not in choices:
-        raise ValueError(f"expected one of {', '.join(choices)}, found {name[:40]!r}")
-    return choices[name]
-
-
 def _route(fields: Fields) -> Route:
     split = fields.nested_list("trafficSplit")
     return Route(
         name=fields.text("name"),
         host=fields.text("host"),
         prefix=fields.text("pathPrefix"),
-        kind=_choice(_ROUTE_KINDS, fields.text("routeType")),
+        kind=fields.choice("routeType", _ROUTE_KINDS),
         timeout_ms=fields.number("timeoutMs"),
         latency_target_ms=fields.number("targetLatencyMs", 0.0),
         max_attempts=int(fields.number("maxAttempts", 0.0)) or 1,
--- a/src/cicadaledge/platform/_fields.py
+++ b/src/cicadaledge/platform/_fields.py
@@ -4,16 +4,18 @@
 
 import ipaddress
 import math
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Mapping
+from typing import Any, TypeVar
 
 import orjson
 
+T = TypeVar("T")
+
 # Times after this one, the year 2100, are rejected, because such a start time would supersede every
 # real one.
 _MAX_TIME_MS = 4_102_444_800_000
 # Larger integers are rejected, as not all JSON parsers represent them exactly.
-_MAX_INTEGER = 2**53 - 1
+MAX_INTEGER = 2**53 - 1
 # Longer texts are rejected; no name, host or path of a deployment is longer.
 _MAX_TEXT_CHARACTERS = 1_024
 _MAX_PORT = 65_535
@@ -27,12 +29,14 @@
 
     Args:
         decoded: Decoded JSON value.
+        hides_values: Whether error messages name the type of an invalid value instead of the value.
     """
 
-    def __init__(self, decoded: Any) -> None:
+    def __init__(self, decoded: Any, *, hides_values: bool = False) -> None:
         if not isinstance(decoded, dict):
-            raise _unexpected("the record", "an object", decoded)
+            raise _unexpected("the record", "an object", decoded, hides_value=hides_values)
         self._values: dict[str, Any] = decoded
+        self._hides_values = hides_values
 
     @classmethod
     def parse(cls, data: bytes) -> Fields:
@@ -52,7 +56,7 @@
         """Return a string field, which must not be empty."""
         value = self._values.get(name)
         if not isinstance(value, str) or not 0 < len(value) <= _MAX_TEXT_CHARACTERS:
-            raise _unexpected(name, f"text of 1 to {_MAX_TEXT_CHARACTERS} characters", value)
+            raise self._unexpected(name, f"text of 1 to {_MAX_TEXT_CHARACTERS} characters", value)
         return value
 
     def texts(self, name: str) -> tuple[str, ...]:
@@ -61,14 +65,14 @@
         if values is None:
             return ()
         if not isinstance(values, list) or not all(isinstance(item, str) for item in values):
-            raise _unexpected(name, "a list of texts", values)
+            raise self._unexpected(name, "a list of texts", values)
         return tuple(values)
 
-    def integer(self, name: str, maximum: int = _MAX_INTEGER, minimum: int = 0) -> int:
+    def integer(self, name: str, maximum: int = MAX_INTEGER, minimum: int = 0) -> int:
         """Return an integer field within bounds."""
         value: Any = self._values.get(name)
         if type(value) is not int or not minimum <= value <= maximum:
-            raise _unexpected(name, f"a whole number from {minimum} to {maximum}", value)
+            raise self._unexpected(name, f"a whole number from {minimum} to {maximum}", value)
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
@@ -77,14 +81,14 @@
         if value is None and default is not None:
             return default
         if type(value) not in (int, float) or not 0 <= value < math.inf:
-            raise _unexpected(name, "a number of at least 0", value)
+            raise self._unexpected(name, "a number of at least 0", value)
         return float(value)
 
     def flag(self, name: str) -> bool:
         """Return a boolean field; false if it is missing."""
         value = self._values.get(name)
         if value is not None and type(value) is not bool:
-            raise _unexpected(name, "true or false", value)
+            raise self._unexpected(name, "true or false", value)
         return bool(value)
 
     def version(self, name: str) -> str | int:
@@ -108,26 +112,46 @@
         text = self.text(name)
         host, _, port = text.rpartition(":")
         if not (port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS):
-            raise _unexpected(name, "an address with a port", text)
+            raise self._unexpected(name, "an address with a port", text)
         if not 1 <= int(port) <= _MAX_PORT:
-            raise _unexpected(name, f"an address with a port from 1 to {_MAX_PORT}", text)
+            raise self._unexpected(name, f"an address with a port from 1 to {_MAX_PORT}", text)
         return _host(name, host), int(port)
 
+    def choice(self, name: str, choices: Mapping[str, T]) -> T:
+        """Return what *choices* has for the text of a field."""
+        text = Fields.text(self, name)  # not that of a derived class, which may not raise errors
+        if text not in choices:
+            raise self._unexpected(name, f"one of {', '.join(choices)}", text)
+        return choices[text]
+
     def nested(self, name: str) -> Fields:
         """Return the fields of a nested object."""
-        return Fields(self._values.get(name))
+        return Fields(self._values.get(name), hides_values=self._hides_values)
 
-    def nested_list(self, name: str) -> list[Fields]:
-        """Return the fields of each object in a list; empty if the field is missing."""
-        values = self._values.get(name)
-        if values is not None and not isinstance(values, list):
-            raise _unexpected(name, "a list", values)
-        return [Fields(item) for item in values or ()]
+    def nested_list(self, name: str, *, hides_values: bool = False) -> list[Fields]:
+        """Return the fields of each object in a list; empty if the field is missing.
+
+        Args:
+            hides_values: Whether error messages must not show values, as the objects hold secrets.
+        """
+        hides_values = hides_values or self._hides_values
+        items = self._items(name, hides_values)
+        return [Fields(item, hides_values=hides_values) for item in items]
 
     def names(self) -> Iterable[str]:
         """Return the names of the fields."""
         return self._values.keys()
 
+    def _items(self, name: str, hides_values: bool) -> list[Any]:
+        """Return the items of a list; empty if the field is missing."""
+        values = self._values.get(name)
+        if values is not None and not isinstance(values, list):
+            raise _unexpected(name, "a list", values, hides_value=hides_values)
+        return values or []
+
+    def _unexpected(self, name: str, expected: str, value: Any) -> ValueError:
+        return _unexpected(name, expected, value, hides_value=self._hides_values)
+
 
 def check_header_name(name: str) -> str:
     """Return a name that can be sent in a header without escaping.
@@ -147,8 +171,9 @@
         raise _unexpected(name, "an IPv4 address", text) from error
 
 
-def _unexpected(name: str, expected: str, value: Any) -> ValueError:
-    return ValueError(f"{name}: expected {expected}, found {_abbreviated(value)}")
+def _unexpected(name: str, expected: str, value: Any, *, hides_value: bool = False) -> ValueError:
+    shown = type(value).__name__ if hides_value else _abbreviated(value)
+    return ValueError(f"{name}: expected {expected}, found {shown}")
 
 
 def _abbreviated(value: Any) -> str:
--- a/src/cicadaledge/platform/_settings_file.py
+++ b/src/cicadaledge/platform/_settings_file.py
@@ -29,18 +29,18 @@
 _DEFAULT_FILE = "/etc/cicadaledge/node.toml"
 
 
-def load_edge_settings() -> EdgeSettings:
-    """Load the settings of this process.
+def load_edge_settings(path: Path | None = None) -> EdgeSettings:
+    """Load a settings file; without a path, that of this process.
 
     Raises:
         SettingsError: The file is missing, unreadable or incomplete.
     """
-    path = Path(os.environ.get(_FILE_VARIABLE, _DEFAULT_FILE))
+    path = path or Path(os.environ.get(_FILE_VARIABLE, _DEFAULT_FILE))
     try:
         return _settings(tomllib.loads(path.read_text()))
     except (OSError, ValueError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
-    except (KeyError, TypeError) as error:
+    except (LookupError, TypeError, AttributeError, OverflowError) as error:
         raise SettingsError(
             [f"{path}: a value is missing or has the wrong type: {error}"]
         ) from error
