--- a/src/cicadaledge/cli/_app.py
+++ b/src/cicadaledge/cli/_app.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from cicadaledge.cli._config import config_app
 from cicadaledge.cli._exit import EXIT_CUT_REQUESTS, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE
 from cicadaledge.cli._load import load_app
 from cicadaledge.cli._logs import logs_app
@@ -20,6 +21,7 @@
 standin_app = typer.Typer(no_args_is_help=True, help="Stand-ins for development.")
 app.add_typer(standin_app, name="standin")
 settings_app = typer.Typer(no_args_is_help=True, help="Check files before they are used.")
+app.add_typer(config_app, name="config")
 app.add_typer(load_app, name="load")
 app.add_typer(logs_app, name="logs")
 app.add_typer(plan_app, name="plan")
--- /dev/null
+++ b/tests/cli/test_config.py
@@ -0,0 +1,129 @@
+"""The command that checks a configuration before it is sent: exit codes, text, JSON, files."""
+
+import json
+import time
+
+import pytest
+from typer.testing import CliRunner
+
+from cicadaledge.cli import app
+from cicadaledge.cli._exit import EXIT_OK, EXIT_RECORD_ERRORS, EXIT_RECORD_WARNINGS, EXIT_USAGE
+from cicadaledge.settings import Address
+from cicadaledge.standins import NodeFile, platform_account, platform_pool, platform_route
+
+KEY = "0123456789abcdef"
+
+
+def record(**changes):
+    """Return a record without errors and warnings."""
+    plain = {
+        "version": 2,
+        "routes": [platform_route("chat", "pool", "streaming", allowedRegions=["north"])],
+        "services": [platform_pool("pool")],
+        "tenants": [platform_account("ash", [KEY])],
+    }
+    return {**plain, **changes}
+
+
+def run(tmp_path, sent, *options, in_force=None):
+    """Return exit code and output of a check; what is not text is written as JSON."""
+    arguments = ["config", "check", str(tmp_path / "sent.json"), *options]
+    for name, content in {"sent": sent, "in-force": in_force}.items():
+        if content is not None:
+            text = content if isinstance(content, str) else json.dumps(content)
+            (tmp_path / f"{name}.json").write_text(text)
+    if in_force is not None:
+        arguments += ["--in-force", str(tmp_path / "in-force.json")]
+    result = CliRunner().invoke(app, arguments)
+    assert result.exception is None or isinstance(result.exception, SystemExit)
+    return result.exit_code, result.output
+
+
+def test_a_large_record_is_checked_within_a_second(tmp_path):
+    """Guards against checks that compare each route with each account and key."""
+    regions = [["north"], ["south"], ["north", "south"], []]
+    large = record(
+        routes=[
+            platform_route(f"r{n}", f"s{n % 60}", "streaming", allowedRegions=regions[n % 4])
+            for n in range(300)
+        ],
+        services=[platform_pool(f"s{n}") for n in range(60)],
+        tenants=[
+            {**platform_account(f"a{n}", [f"{KEY}{n}", KEY]), "allowedRegions": regions[n % 4]}
+            for n in range(240)
+        ],
+    )
+    run(tmp_path, record())  # imports the modules
+    started_s = time.perf_counter()
+    code, _ = run(tmp_path, {**large, "version": 3}, in_force=large)
+    assert time.perf_counter() - started_s < 1.0
+    assert code == EXIT_RECORD_WARNINGS
+
+
+def test_a_sound_record_has_neither_errors_nor_warnings(tmp_path):
+    code, output = run(tmp_path, record())
+    assert (code, output) == (EXIT_OK, f"{tmp_path / 'sent.json'}: 0 errors, 0 warnings\n")
+
+
+def test_errors_are_listed_with_their_locations_and_without_keys(tmp_path):
+    broken = record(version=-1, tenants=[{"name": "ash", "apiKeys": KEY}, KEY])
+    broken["routes"][0]["timeoutMs"] = "soon"
+    code, output = run(tmp_path, broken)
+    assert code == EXIT_RECORD_ERRORS
+    for location in (
+        "version:",
+        "routes[0].timeoutMs ('chat'):",
+        "tenants[0].apiKeys",
+        "tenants[1]",
+    ):
+        assert f"error    {location}" in output
+    assert "4 errors" in output
+    assert KEY not in output
+    code, output = run(tmp_path, broken, "--json")
+    report = json.loads(output)
+    assert (code, len(report["errors"]), report["changes"]) == (EXIT_RECORD_ERRORS, 4, None)
+
+
+def test_changes_and_a_version_that_does_not_rise_are_listed_without_keys(tmp_path):
+    accounts = [platform_account("ash", [KEY[::-1]]), platform_account("birch", [KEY])]
+    later = record(tenants=accounts, limits={"maxBodyBytes": 1_000})
+    code, output = run(tmp_path, later, in_force=record())
+    assert code == EXIT_RECORD_WARNINGS
+    assert "warning  the record: version 2 is not above version 2" in output
+    assert "changed  account 'ash': API key added: 'fedc'" in output
+    assert "added    account 'birch'" in output
+    assert "changed  limits: body_bytes: 4194304 -> 1000" in output
+    code, as_json = run(tmp_path, later, "--json", in_force=record())
+    report = json.loads(as_json)
+    assert [one["kind"] for one in report["warnings"]] == ["old-version"]
+    assert [one["action"] for one in report["changes"]] == ["changed", "added", "changed"]
+    for shown in (output, as_json):
+        assert KEY not in shown and KEY[::-1] not in shown
+
+
+def test_zones_and_memory_come_from_the_settings_file(tmp_path):
+    at = Address("127.0.0.1", 1)
+    file = tmp_path / "node.toml"
+    node = NodeFile("r", "z", {"z": "south"}, at, at, at, at, memory_mb=16)
+    file.write_text(node.text())
+    code, output = run(tmp_path, record(), "--settings", str(file), "--json")
+    kinds = [one["kind"] for one in json.loads(output)["warnings"]]
+    assert (code, kinds) == (EXIT_RECORD_WARNINGS, ["region-without-zone", "body-over-memory"])
+    file.write_text(node.text().replace('front = "127.0.0.1:1"', "front = 5"))
+    code, output = run(tmp_path, record(), "--settings", str(file))
+    assert (code, "node.toml" in output) == (EXIT_USAGE, True)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "null", "\0", "[" * 100_000])
+def test_a_file_that_is_no_record_is_an_error(tmp_path, text):
+    code, output = run(tmp_path, text)
+    assert (code, "error    the record: " in output) == (EXIT_RECORD_ERRORS, True)
+
+
+def test_files_that_cannot_be_read_are_named(tmp_path):
+    code, output = run(tmp_path, None)
+    assert (code, "sent.json: No such file" in output) == (EXIT_USAGE, True)
+    code, output = run(tmp_path, record(), in_force={"tenants": KEY})
+    assert (code, "not in force" in output, KEY in output) == (EXIT_USAGE, True, False)
+    code, output = run(tmp_path, record(), "--in-force", str(tmp_path))
+    assert (code, "directory" in output) == (EXIT_USAGE, True)
