--- a/src/cicadaledge/review/_accounts.py
+++ b/src/cicadaledge/review/_accounts.py
@@ -90,7 +90,7 @@
         if account.keys and _usable(account, deployment):
             names_by_regions.setdefault(account.regions, []).append(account.name)
     for index, route in enumerate(table.routes):
-        if not route.needs_key or not _usable(route, deployment):
+        if not route.needs_key or not route.regions or not _usable(route, deployment):
             continue
         names = [
             name
