Keep the newest idle connection to a server for as long as the server states

A router sends a server a request every 5.7 s, connections were dropped after 4 s although servers state ten, and requests that can be repeated took the newest connections, of which others may use only those idle for less than 250 ms.

--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import h11
 
@@ -33,6 +34,8 @@
 # Connections are not reused within this time before the server's Keep-Alive timeout expires, which
 # is in whole seconds and may have expired at the server half a round trip before its close arrives.
 _IDLE_MARGIN_MS = 1_000.0
+# A longer stated timeout counts as this: hosts and networks on the way may forget a connection.
+_MAX_IDLE_LIMIT_MS = 30_000.0
 
 
 class ResponseHead:
@@ -199,13 +202,17 @@
         self.exchanges += 1
         return True
 
-    def is_usable(self, idle_limit_ms: float) -> bool:
+    @property
+    def idle_ms(self) -> float:
+        """Time since the last exchange."""
+        return clock_ms() - self.last_used_ms
+
+    def is_usable(self, idle_limit_ms: float = math.inf) -> bool:
         """Return whether an idle connection can be reused, judging by the bytes read so far."""
-        idle_ms = clock_ms() - self.last_used_ms
         limit_ms = min(idle_limit_ms, self._idle_limit_ms)
-        return not self.channel.is_lost and not self.channel.has_unread and idle_ms < limit_ms
+        return not self.channel.is_lost and not self.channel.has_unread and self.idle_ms < limit_ms
 
-    def is_ready(self, idle_limit_ms: float) -> bool:
+    def is_ready(self, idle_limit_ms: float = math.inf) -> bool:
         """Return whether an idle connection can be reused, also checking the socket's buffer."""
         return self.is_usable(idle_limit_ms) and not self.channel.is_readable()
 
@@ -268,4 +275,5 @@
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
             if name.lower() == b"timeout" and number.strip().isdigit():
-                self._idle_limit_ms = max(0.0, float(number) * 1000.0 - _IDLE_MARGIN_MS)
+                stated_ms = min(float(number) * 1000.0, _MAX_IDLE_LIMIT_MS)
+                self._idle_limit_ms = max(0.0, stated_ms - _IDLE_MARGIN_MS)
--- a/src/cicadaledge/edge/_server_pool.py
+++ b/src/cicadaledge/edge/_server_pool.py
@@ -8,8 +8,10 @@
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.routing import ServerEntry
 
-# Connections idle for longer are not reused; the limit is below the idle timeout of common servers.
-_IDLE_LIMIT_MS = 4_000.0
+# Of the connections to a server that have been idle for longer, only the newest one is kept, for as
+# long as the server states. Servers limit the connections of all routers together, and a router of a
+# large fleet sends a server a request every few seconds.
+_SEVERAL_IDLE_MS = 4_000.0
 # For requests that are not idempotent, the limit is shorter. Some servers drop connections after
 # 300 ms of idle time without closing them, and such a request would be lost there.
 _NON_IDEMPOTENT_IDLE_LIMIT_MS = 250.0
@@ -47,6 +49,9 @@
     async def acquire(self, server: ServerEntry, *, repeatable: bool) -> HttpConnection:
         """Return a connection to a server.
 
+        A request that can be repeated gets the connection that has been idle longest, so that others
+        find one that was used a moment ago.
+
         Args:
             repeatable: Whether a request that is lost with its connection can be sent again.
 
@@ -54,11 +59,14 @@
             BackendError: The server cannot be reached.
             PoolExhaustedError: All connections are in use.
         """
-        limit_ms = _IDLE_LIMIT_MS if repeatable else _NON_IDEMPOTENT_IDLE_LIMIT_MS
         idle = self._idle.get((server.server, server.born_ms), deque())
+        index = 0 if repeatable else -1
         while idle:
-            connection = idle.pop()
-            if connection.is_ready(limit_ms):
+            connection = idle[index]
+            if not repeatable and connection.idle_ms >= _NON_IDEMPOTENT_IDLE_LIMIT_MS:
+                break
+            del idle[index]
+            if connection.is_ready():
                 return connection
             self._close(connection)
         return await self._connect(server)
@@ -112,7 +120,8 @@
         for key, idle in list(self._idle.items()):
             kept: deque[HttpConnection] = deque()
             for connection in idle:
-                if connection.is_usable(_IDLE_LIMIT_MS):
+                is_kept = connection is idle[-1] or connection.idle_ms < _SEVERAL_IDLE_MS
+                if is_kept and connection.is_usable():
                     kept.append(connection)
                 else:
                     self._close(connection)
--- a/tests/edge/test_server_pool.py
+++ b/tests/edge/test_server_pool.py
@@ -16,13 +16,15 @@
 HOST = "127.0.0.1"
 RUNNERS = [uvloop.run, asyncio.run]
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+ANSWER_WITH_TIMEOUT = ANSWER.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=10\r\n\r\n")
 
 
 class ThreadedServer:
     """A backend server that runs in threads; the test has access to its sockets."""
 
-    def __init__(self):
+    def __init__(self, answer=ANSWER):
         self.socks = []
+        self._response = answer
         self._listener = socket.create_server((HOST, 0))
         self.port = self._listener.getsockname()[1]
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -40,7 +42,7 @@
     def _answer(self, sock):
         try:
             while sock.recv(65_536):
-                sock.sendall(ANSWER)
+                sock.sendall(self._response)
         except OSError:
             pass
 
@@ -54,6 +56,10 @@
 async def exchange(pool, entry):
     """Return the response to a request that is not idempotent."""
     connection = await pool.acquire(entry, repeatable=False)
+    return await exchange_on(pool, entry, connection)
+
+
+async def exchange_on(pool, entry, connection):
     connection.send("POST", "/book/1", [(b"Host", b"x")], b"{}")
     await connection.read_head()
     body = await connection.read_body(100)
@@ -98,6 +104,50 @@
     run(play())
 
 
+def test_requests_that_can_be_repeated_leave_the_newest_connection_to_others():
+    """Others may not use one that was idle for long, and each opened a new one."""
+
+    async def play():
+        server = ThreadedServer()
+        entry = evolve(ENTRY, host=HOST, port=server.port)
+        pool = ServerPool(SETTINGS)
+        older, newer = [await pool.acquire(entry, repeatable=True) for _ in range(2)]
+        for connection in (older, newer):
+            await exchange_on(pool, entry, connection)
+        older.last_used_ms -= 1_000.0
+        assert await pool.acquire(entry, repeatable=True) is older
+        assert await pool.acquire(entry, repeatable=False) is newer
+        await exchange_on(pool, entry, older)
+        older.last_used_ms -= 1_000.0
+        assert await pool.acquire(entry, repeatable=False) not in (older, newer)
+        assert await pool.acquire(entry, repeatable=True) is older
+        server.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("answer", "kept"), [(ANSWER, 0), (ANSWER_WITH_TIMEOUT, 1)])
+def test_the_newest_connection_is_kept_for_as_long_as_its_server_states(answer, kept):
+    """In a large fleet, a router sends a server a request every few seconds."""
+
+    async def play():
+        server = ThreadedServer(answer)
+        entry = evolve(ENTRY, host=HOST, port=server.port)
+        pool = ServerPool(SETTINGS)
+        connections = [await pool.acquire(entry, repeatable=True) for _ in range(3)]
+        for connection in connections:
+            await exchange_on(pool, entry, connection)
+            connection.last_used_ms -= 6_000.0
+        pool.close_idle()
+        assert len(pool) == kept
+        connections[-1].last_used_ms -= 4_000.0
+        pool.close_idle()
+        assert len(pool) == 0
+        server.close()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("run", RUNNERS)
 def test_idle_connections_are_closed_before_the_pool_is_exhausted(run):
     async def play():
