Use servers of a third version after a rollout only as later replacements

A server of a version that was neither in use nor ordered got requests as soon as the rollout was completed, as every version but the former ones counted as a replacement. Whether a replacement is later is told by the time of the order for routers that restart after the rollout.

--- a/src/cicadaledge/rollouts/_keeper.py
+++ b/src/cicadaledge/rollouts/_keeper.py
@@ -128,7 +128,7 @@
             usable = self._directory.usable_by_name(order.service)
             groups = known.groups
             if previous.state is RolloutState.COMPLETED:
-                in_use = (groups.all_new | groups.others) - groups.former
+                in_use = groups.all_new | groups.replacements or groups.others
                 return frozenset(usable[name].version for name in in_use) - {order.to}
             present = frozenset(usable[name].version for name in groups.others)
             return (previous.former or present) - {order.to}
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -54,7 +54,8 @@
         longest_ms: Longest time that a request of the service may take.
         decided_ms: When the fraction was last decided.
         missing_ms: When the order was first missing from the operator's records, or None.
-        finished_ms: When the final status was read or written, or None.
+        finished_ms: When the final status was read or written, or the deadline if that was earlier;
+            None before.
     """
 
     order: RolloutOrder
@@ -159,9 +160,16 @@
             return False
         self.status = status
         if status.is_final:
-            self.finished_ms = now_ms
+            self.finished_ms = now_ms - self._late_ms(status, now_ms)
         return True
 
+    def _late_ms(self, status: RolloutStatus, now_ms: float) -> float:
+        """Return how long ago a rollout ended at least, as after a restart; 0 if unknown."""
+        if not status.since_ms:
+            return 0.0
+        wall_ms = self.wall_seen_ms + now_ms - self.seen_ms
+        return max(0.0, wall_ms - status.since_ms - self.order.duration_ms)
+
     def _is_of_later_order(self, status: RolloutStatus) -> bool:
         """Return whether a status belongs to the same order given again after this one ended."""
         known = self.status
--- a/src/cicadaledge/rollouts/_sides.py
+++ b/src/cicadaledge/rollouts/_sides.py
@@ -69,7 +69,7 @@
     """
     all_new, others = groups.all_new, groups.others
     if rollout.state is RolloutState.COMPLETED:
-        return _present(all_new | (others - groups.former) if all_new else others)
+        return _present(all_new | groups.replacements or others)
     if rollout.state is RolloutState.ROLLED_BACK:
         if rollout.is_withdrawn:
             # Without an order, all versions but the unproven one are ordinary replacements.
--- a/src/cicadaledge/rollouts/_versions.py
+++ b/src/cicadaledge/rollouts/_versions.py
@@ -17,8 +17,9 @@
 # Servers of an unknown version are used after this time even if the operator's records cannot be
 # read; the rules bind routers that have been connected to the store for as long.
 _MAX_HOLD_MS = 5_000.0
-# A server of a former version that first appears this long after the rollout was completed is an
-# ordinary replacement; the ones that stopped then are gone from the store by that time.
+# A server of another version that first appears this long after the rollout was completed is an
+# ordinary replacement. The former ones are gone from the store by that time, and the time of a status
+# is off by up to 16 s.
 REPLACEMENT_MS = 30_000.0
 
 
@@ -31,6 +32,7 @@
         former: Servers of the versions in use before.
         all_new: All usable servers of the new version.
         others: All usable servers of other versions.
+        replacements: Those of them that have replaced servers since the rollout was completed.
         regions: Number of regions with new servers.
         new_slots: Requests that the servers in `new` can run.
         former_slots: The same for `former`.
@@ -43,6 +45,7 @@
     former_slots: int = 0
     all_new: frozenset[str] = frozenset()
     others: frozenset[str] = frozenset()
+    replacements: frozenset[str] = frozenset()
     _canaries: dict[int, frozenset[str]] = field(factory=dict, eq=False, repr=False)
 
     def canaries(self, fraction: float) -> frozenset[str]:
@@ -66,7 +69,7 @@
     """Group the usable servers of a service.
 
     Args:
-        replacements: Servers of former versions that are ordinary replacements.
+        replacements: Servers of any version that are ordinary replacements.
         former: Versions in use before; empty if unknown, which allows all but `to`.
         cold: Returns whether a server is cold; cold ones are not used for the new version unless
             all are.
@@ -90,6 +93,7 @@
         sum(max(entry.slots, 1) for entry in old),
         frozenset(entry.server for entry in new),
         frozenset(entry.server for entry in others),
+        frozenset(entry.server for entry in others if entry.server in replacements),
     )
 
 
