Judge slow answers also if their server writes a heartbeat meanwhile

Each heartbeat of a warm server set the end of its cold time to the time of the heartbeat. Answers that were sent before the latest heartbeat then counted as those of a cold server, so that an answer that took longer than the 1.2 s between two heartbeats was never called slow, and a shorter one only by chance.

--- a/src/cicadaledge/routing/_servers.py
+++ b/src/cicadaledge/routing/_servers.py
@@ -107,7 +107,10 @@
             if entry.born_ms > record.pause_reported_ms:
                 record.paused_until_ms = 0.0
         record.entry = entry
-        record.cold_until_ms = cold_until_ms
+        if entry.cold_left_ms > 0.0:
+            record.cold_until_ms = cold_until_ms
+        else:  # it became warm at this heartbeat at the latest
+            record.cold_until_ms = min(record.cold_until_ms, now_ms)
         record.removed_ms = None
         record.is_foreign = False
         if changed:
--- a/tests/rollouts/test_outcomes.py
+++ b/tests/rollouts/test_outcomes.py
@@ -42,6 +42,14 @@
     assert (new_cell(rollout).judged, new_cell(rollout).slow) == (2, 1)
 
 
+def test_a_heartbeat_during_a_slow_answer_does_not_excuse_it(rollout):
+    # Answers that take longer than the interval between two heartbeats would never be called slow.
+    one = recorder()
+    rollout.tally.own.cell("look", is_new=False).timed = 20
+    one._directory.apply(evolve(NEW.server, sequence=2), 10_500.0)
+    assert record(one, rollout, evolve(NEW, took_ms=900.0)) == [True]
+
+
 @pytest.mark.parametrize("start", [{"cold_until_ms": 10_500.0}, {"first_seen_ms": 8_000.0}])
 def test_a_server_that_has_just_started_is_not_called_slow(rollout, start):
     one = recorder(**start)
