Order rollouts in the soak and judge them from outside

Half of the rounds order a rollout of a service to a good version or one that is bad from the start or later; the other faults of a seed stay the same.

--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -10,6 +10,7 @@
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
+    ROLLOUT_KINDS,
     SERVER_SIGNAL_KINDS,
     UNTRUSTED_CLIENT_KINDS,
     PlannedFault,
@@ -17,6 +18,7 @@
 )
 from cicadaledge.soak._observations import Observations, Restriction, SentRequest, SoakBounds
 from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._rollouts import RolloutChecker, RolloutRecord
 from cicadaledge.soak._round import SoakPlan, SoakResult, run_round
 from cicadaledge.soak._server_signals import ServerRecord, ServerSignalChecker
 
@@ -27,12 +29,15 @@
     "MISLEADING_ANSWER_KINDS",
     "PARTIAL_OUTAGE_KINDS",
     "RESTORE_KINDS",
+    "ROLLOUT_KINDS",
     "SERVER_SIGNAL_KINDS",
     "UNTRUSTED_CLIENT_KINDS",
     "Restriction",
     "Callers",
     "ColdSpell",
     "FaultProxy",
+    "RolloutChecker",
+    "RolloutRecord",
     "Observations",
     "PlannedFault",
     "SentRequest",
--- a/src/cicadaledge/soak/_deployment.py
+++ b/src/cicadaledge/soak/_deployment.py
@@ -18,7 +18,9 @@
 
 from cicadaledge.edge import HttpConnection, clock_ms
 from cicadaledge.errors import BackendError
+from cicadaledge.rollouts import RolloutSettings
 from cicadaledge.settings import Address
+from cicadaledge.soak._backend import SoakBackend
 from cicadaledge.soak._fatal_requests import CRASH_MARKER, CRASH_PART
 from cicadaledge.soak._observations import ROUTE_TIMEOUT_MS, Observations, SoakBounds
 from cicadaledge.soak._ports import first_of_adjacent, free_ports, reserve_ports
@@ -28,9 +30,7 @@
     NODE_FILE_VARIABLE,
     READY_PATH,
     NodeFile,
-    PlatformBackend,
     PlatformStore,
-    Run,
     platform_account,
     platform_pool,
     platform_route,
@@ -49,11 +49,10 @@
 # machine on which they wait longer cannot run a meaningful round.
 _MAX_CPU_WAIT_S = 40.0
 _HEARTBEAT_S = 0.6
+_VERSION = "v1"  # Servers have this version, unless a rollout has started them.
 _CALLER_TIMEOUT_S = 1.0
 # Warm servers may get this multiple of what cold ones can serve, which is more than the callers send.
 _COLD_OVERAGE = 24.0
-_EVENTS = 6  # Each stream has this many events.
-_EVENT_GAP_S = 0.03
 # This does the same as deploy/router.py, which is not installed with the package.
 _ROUTER_PROGRAM = (
     "import signal; signal.signal(signal.SIGHUP, signal.SIG_IGN);"
@@ -89,17 +88,13 @@
         return {f"zone-{index}": f"region-{index}" for index in range(self.zones)}
 
 
-class SoakBackend(PlatformBackend):
-    """A backend server whose stream events contain the id of their request."""
-
-    def event(self, run: Run, number: int) -> bytes:
-        """Return one event of a stream."""
-        return f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
-
-
 @define
 class SoakServer:
-    """A backend server and the proxy whose address is in the server's entry."""
+    """A backend server and the proxy whose address is in the server's entry.
+
+    Args:
+        is_initial: Whether the deployment began with it; faults are drawn among these servers.
+    """
 
     name: str
     backend: SoakBackend
@@ -108,6 +103,7 @@
     draining: bool = False
     has_entry: bool = True
     cold_until_ms: float = 0.0
+    is_initial: bool = True
 
 
 @define
@@ -159,6 +155,9 @@
     Args:
         directory: Directory for the routers' settings and logs.
         cold_per_s: Requests per second that cold servers can serve; 0 for no limit.
+        rollouts: Settings of rollouts.
+        orders: Version and duration of the ordered rollouts by service.
+        versions: Version by service after a completed rollout; servers restart with it.
     """
 
     size: SoakSize
@@ -171,6 +170,9 @@
     routed_service: str = "desk"
     keys: list[str] = field(factory=lambda: list(KEYS))
     cold_per_s: float = 0.0
+    rollouts: RolloutSettings = RolloutSettings()
+    orders: dict[str, tuple[str, float]] = field(factory=dict)
+    versions: dict[str, str] = field(factory=dict)
     evacuated: set[str] = field(factory=set)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     _port_reservations: list[socket.socket] = field(factory=list)
@@ -223,9 +225,16 @@
         (self.evacuated.add if evacuated else self.evacuated.discard)(zone)
         self.store.put_evacuation(zone, evacuated=evacuated)
 
+    def order_rollout(self, service: str, to: str, duration_s: float) -> None:
+        """Order a rollout."""
+        self.orders[service] = (to, duration_s)
+        self.store.put_order(service, to, duration_s)
+
     def write_again(self) -> None:
         """Write all that a restored store may have lost, as the operator and the servers do."""
         self.store.put_configuration(self._configuration())
+        for service, order in self.orders.items():
+            self.store.put_order(service, *order)
         for zone in self.size.regions_by_zone:
             self.store.put_evacuation(zone, evacuated=zone in self.evacuated)
         for server in self.servers.values():
@@ -259,12 +268,15 @@
             "tenants": [platform_account(ACCOUNTS[key], [key]) for key in self.keys],
         }
 
-    async def add_server(self, name: str, service: str, zone: str) -> SoakServer:
+    async def add_server(
+        self, name: str, service: str, zone: str, version: str = _VERSION
+    ) -> SoakServer:
         """Start a backend server behind a proxy and write its entry to the store."""
-        backend = await _start_backend(name, service, zone)
+        backend = SoakBackend(name, service, zone, version)
+        await backend.start_now()
         proxy = FaultProxy(Address(_HOST, backend.port))
         await proxy.start()
-        server = SoakServer(name, backend, proxy)
+        server = SoakServer(name, backend, proxy, is_initial=version == _VERSION)
         self.servers[name] = server
         self._mirror_crashes(server)
         self.write_entry(server)
@@ -281,7 +293,9 @@
         """Restart a stopped server as a new incarnation under the same name."""
         self.collect_runs(server)
         previous = server.backend
-        restarted = await _start_backend(previous.instance, previous.service, previous.zone)
+        version = self.versions.get(previous.service, previous.version)
+        restarted = SoakBackend(previous.instance, previous.service, previous.zone, version)
+        await restarted.start_now()
         restarted.born_ms = max(restarted.born_ms, previous.born_ms + 1)
         server.proxy.target = Address(_HOST, restarted.port)
         if previous.is_down:
@@ -433,6 +447,7 @@
             store,
             bounds.for_routers(),
             _COLD_OVERAGE,
+            self.rollouts,
         )
 
     async def _write_heartbeats(self) -> None:
@@ -460,10 +475,3 @@
         await self.store.stop()
         for reservation in self._port_reservations:
             reservation.close()
-
-
-async def _start_backend(name: str, service: str, zone: str) -> SoakBackend:
-    backend = SoakBackend(name, service, zone, events=_EVENTS, gap_s=_EVENT_GAP_S)
-    backend.born_ms = time.time_ns() // 1_000_000
-    await backend.start()
-    return backend
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -16,6 +16,7 @@
 from cicadaledge.soak._deployment import RouterProcess, SoakServer, SoakWorld
 from cicadaledge.soak._observations import Restriction
 from cicadaledge.soak._proxy import FaultProxy
+from cicadaledge.soak._rollouts import BAD, BAD_LATER, GOOD, RolloutRecord, roll_out
 from cicadaledge.soak._untrusted_clients import send_incomplete_requests
 from cicadaledge.standins import CRASH_TOPIC, EXTRA_ANSWER, ROUTER_TOPIC, BackendFaults
 
@@ -27,6 +28,7 @@
 _PARTIAL_OUTAGE_COUNTS = (0, 2)
 _RESTORE_COUNTS = (1, 2)
 _UNTRUSTED_CLIENT_COUNTS = (0, 2)
+_ROLLOUT_COUNTS = (0, 1)
 _PAUSES_S = (0.3, 1.5, 4.0, 10.0)
 # Killed processes are started again after this time, as their platform does.
 _RESTART_S = 0.2
@@ -84,6 +86,7 @@
     partial_outages: bool = False,
     restores: bool = False,
     untrusted_clients: bool = False,
+    rollouts: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a seed, ordered by time.
 
@@ -98,6 +101,7 @@
         partial_outages: Add some of `PARTIAL_OUTAGE_KINDS` in the same way.
         restores: Add at least one of `RESTORE_KINDS` in the same way.
         untrusted_clients: Add some of `UNTRUSTED_CLIENT_KINDS` in the same way.
+        rollouts: Add one of `ROLLOUT_KINDS` to half of the rounds in the same way.
     """
     rng = random.Random(seed)
     if count is None:
@@ -111,6 +115,7 @@
         (partial_outages, "outages", _PARTIAL_OUTAGE_COUNTS, PARTIAL_OUTAGE_KINDS),
         (restores, "restores", _RESTORE_COUNTS, RESTORE_KINDS),
         (untrusted_clients, "clients", _UNTRUSTED_CLIENT_COUNTS, UNTRUSTED_CLIENT_KINDS),
+        (rollouts, "rollouts", _ROLLOUT_COUNTS, ROLLOUT_KINDS),
     )
     for is_drawn, name, counts, kinds in more:
         if is_drawn:
@@ -140,10 +145,12 @@
     Args:
         world: The running deployment.
         callers: Callers that send bursts of new connections.
+        rollouts: Rollouts that have ended.
     """
 
     world: SoakWorld
     callers: Callers
+    rollouts: list[RolloutRecord] = field(factory=list)
     _locks: dict[str, asyncio.Lock] = field(factory=dict)
 
     async def run(self, faults: list[PlannedFault]) -> None:
@@ -162,7 +169,7 @@
         return routers[fault.random_number % len(routers)]
 
     def _server(self, fault: PlannedFault) -> SoakServer:
-        servers = list(self.world.servers.values())
+        servers = [server for server in self.world.servers.values() if server.is_initial]
         return servers[fault.random_number % len(servers)]
 
     def _record_disturbance(self, names: list[str], from_ms: float, **flags: bool) -> None:
@@ -374,6 +381,10 @@
             await asyncio.sleep(fault.duration_s)
             await self.world.restart_server(server)
 
+    async def roll_out(self, fault: PlannedFault) -> None:
+        """Order a rollout to a good or a bad version, which lasts longer than the other faults."""
+        self.rollouts.append(await roll_out(self.world, fault.kind, fault.random_number))
+
     async def lapse(self, fault: PlannedFault) -> None:
         """Remove the entry of a running server and write it again."""
         server = self._server(fault)
@@ -585,6 +596,9 @@
 UNTRUSTED_CLIENT_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
     "incomplete": FaultInjector.incomplete,
 }
+ROLLOUT_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
+    kind: FaultInjector.roll_out for kind in (GOOD, BAD, BAD_LATER)
+}
 _ALL_KINDS = (
     FAULT_KINDS
     | BUSY_LOOP_KINDS
@@ -594,4 +608,5 @@
     | PARTIAL_OUTAGE_KINDS
     | RESTORE_KINDS
     | UNTRUSTED_CLIENT_KINDS
+    | ROLLOUT_KINDS
 )
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -15,6 +15,7 @@
 from cicadaledge.soak._fatal_requests import CRASH_PART_MARKER
 from cicadaledge.soak._faults import FaultInjector, PlannedFault, draw_faults
 from cicadaledge.soak._observations import LEAVE_NOTICE_MS, Observations, SentRequest, SoakBounds
+from cicadaledge.soak._rollouts import SETTINGS, RolloutChecker
 
 _WARM_UP_S = 1.0  # Callers send requests for this long before the first fault.
 # The platform requires that all routers are ready again within this time after the last fault.
@@ -48,6 +49,7 @@
             are down.
         restores: Whether the store has epochs and is restored from an older copy.
         untrusted_clients: Whether small crowds send requests that stay incomplete.
+        rollouts: Whether half of the rounds order a rollout of a service to a new version.
         size: Size of the deployment.
     """
 
@@ -63,6 +65,7 @@
     partial_outages: bool = True
     restores: bool = True
     untrusted_clients: bool = True
+    rollouts: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -100,10 +103,13 @@
         partial_outages=plan.partial_outages,
         restores=plan.restores,
         untrusted_clients=plan.untrusted_clients,
+        rollouts=plan.rollouts,
     )
     world = SoakWorld(plan.size, directory)
     if plan.partial_outages:
         world.cold_per_s = COLD_PER_S
+    if plan.rollouts:
+        world.rollouts = SETTINGS
     world.store.era = 1 if plan.restores else None
     world.observations.bounds = _bounds(plan, faults)
     async with world.running():
@@ -115,7 +121,8 @@
         elif plan.fatal_request:
             callers.start_fatal_requests()
         await asyncio.sleep(_WARM_UP_S)
-        await FaultInjector(world, callers).run(faults)
+        injector = FaultInjector(world, callers)
+        await injector.run(faults)
         for unready in await world.wait_until_ready(_RECOVERY_S):
             world.observations.failures.append(f"recovery: not ready in time: {unready}")
         for name in await world.unresponsive_routers():
@@ -129,9 +136,10 @@
         # The round lasts until servers must have learnt that the last callers have disconnected.
         await asyncio.sleep(LEAVE_NOTICE_MS / 1000)
         world.observations.failures += _find_exited_routers(world)
-    return SoakResult(
-        plan.seed, faults, world.observations.violations(), dict(world.observations.statuses())
-    )
+    broken = world.observations.violations()
+    for record in injector.rollouts:
+        broken += RolloutChecker(record, world.observations).violations()
+    return SoakResult(plan.seed, faults, broken, dict(world.observations.statuses()))
 
 
 def _bounds(plan: SoakPlan, faults: list[PlannedFault]) -> SoakBounds:
--- a/src/cicadaledge/standins/_platform_store.py
+++ b/src/cicadaledge/standins/_platform_store.py
@@ -12,6 +12,7 @@
 from attrs import define, field, frozen
 
 from cicadaledge.edge import Headers, RequestHead, ResponseWriter
+from cicadaledge.rollouts import RolloutState
 from cicadaledge.standins._http_service import HttpService
 from cicadaledge.standins._odd_entries import INVALID_ENTRIES
 
@@ -86,6 +87,11 @@
         records = self._topic(STATUS_TOPIC).records
         return [json.loads(one[len(key) :]) for one in records if one.startswith(key)]
 
+    def rollout_state(self, service: str) -> RolloutState | None:
+        """Return the state in the newest status record of a service's rollouts."""
+        newest = self._latest_by_key.get(STATUS_TOPIC, {}).get(f"rollout/{service}")
+        return RolloutState(json.loads(newest[0])["state"]) if newest else None
+
     def put_server(self, name: str, entry: dict[str, Any] | None) -> None:
         """Write a server's entry, or remove it."""
         self.put(_SERVER_TOPIC, name, entry)
