--- a/src/cicadaledge/rollouts/_plan.py
+++ b/src/cicadaledge/rollouts/_plan.py
@@ -90,6 +90,8 @@
         former_bad_rate: Fraction of the former versions' answers that were bad.
         strength: Strength of the evidence that the new version is bad.
         is_bad: Whether it is known to be bad.
+        is_counted: Whether the requests have been counted since the order; not if this router has
+            started later.
     """
 
     age_ms: float
@@ -104,6 +106,7 @@
     former_bad_rate: float = 0.0
     strength: float = 0.0
     is_bad: bool = False
+    is_counted: bool = True
 
 
 class RolloutPlan:
@@ -202,7 +205,8 @@
     def _has_evidence(self, progress: RolloutProgress) -> bool:
         """Return whether the answers, or the lack of requests, allow more than the canary."""
         bound = self._settings.expose_share * progress.sent + self._settings.expose_slack
-        return progress.answered_new >= _MIN_ANSWERS or progress.sent <= bound
+        is_small = progress.is_counted and progress.sent <= bound
+        return is_small or progress.answered_new >= _MIN_ANSWERS
 
     def _canary(self, progress: RolloutProgress) -> float:
         settings = self._settings
--- a/src/cicadaledge/rollouts/_rollout.py
+++ b/src/cicadaledge/rollouts/_rollout.py
@@ -234,6 +234,7 @@
             new.bad,
             former.bad / max(1, former.answered),
             self.evidence.strength,
+            is_counted=self.is_observed,
         )
         plan = RolloutPlan(self.order.duration_ms, self.settings, self.longest_ms)
         self.stage = plan.stage(progress)
--- a/tests/rollouts/test_keeper.py
+++ b/tests/rollouts/test_keeper.py
@@ -11,6 +11,7 @@
     RolloutOrder,
     RolloutState,
     RolloutStatus,
+    Stage,
 )
 from cicadaledge.routing import ServerDirectory
 
@@ -201,6 +202,14 @@
     assert rollout.fraction > 0.0
 
 
+def test_after_a_restart_all_requests_move_only_with_evidence():
+    site = Site(has_read_orders=False)
+    rollout = site.order()
+    rollout.learn_age(24_000.0, 1_000.0)
+    site.decide(1_100.0)
+    assert rollout.stage is Stage.CANARY
+
+
 def test_if_all_routers_restart_the_age_and_the_former_versions_come_from_the_status():
     site = Site(has_read_orders=False, versions=("v1", "v2", "v3"))
     site.status(RUNNING, since_ms=WALL_MS - 12_000, former=("v1",))
--- a/tests/rollouts/test_plan.py
+++ b/tests/rollouts/test_plan.py
@@ -52,6 +52,14 @@
     assert PLAN.fraction(evolve(late, answered_new=3)) <= SETTINGS.expose_share
 
 
+def test_after_a_restart_few_counted_requests_are_not_taken_for_few_requests():
+    # All routers have restarted and lost their counts; nothing is known of the new version.
+    late = evolve(GOOD, age_ms=PLAN.full_ms, sent=10, sent_new=0, answered_new=0)
+    assert PLAN.stage(late) is Stage.FULL
+    assert PLAN.stage(evolve(late, is_counted=False)) is Stage.CANARY
+    assert PLAN.stage(evolve(late, is_counted=False, answered_new=10)) is Stage.FULL
+
+
 def test_a_suspect_version_gets_only_as_much_as_is_needed_to_decide():
     suspect = evolve(GOOD, age_ms=PLAN.full_ms, strength=9.0)
     assert PLAN.fraction(suspect) == pytest.approx(0.02)
