--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -9,6 +9,7 @@
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
+    ROLLOUT_KINDS,
     SERVER_SIGNAL_KINDS,
     UNTRUSTED_CLIENT_KINDS,
     SoakPlan,
@@ -72,6 +73,7 @@
         "partial_outages": False,
         "restores": False,
         "untrusted_clients": False,
+        "rollouts": False,
     }
     return SoakPlan(seed, **{"size": size, **usual, **changes})
 
@@ -168,6 +170,28 @@
     assert result.statuses["200"] > 50
 
 
+def test_rollouts_do_not_change_the_other_faults_of_a_seed():
+    drawn = set()
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, untrusted_clients=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, untrusted_clients=True, rollouts=True)
+        assert [fault for fault in more if fault.kind not in ROLLOUT_KINDS] == plain
+        assert len(more) <= len(plain) + 1
+        drawn |= {fault.kind for fault in more} & set(ROLLOUT_KINDS)
+    assert drawn == set(ROLLOUT_KINDS)
+
+
+# Guards against a slow version that is completed because heartbeats excuse its answers.
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", [57031])
+def test_a_version_that_turns_slow_is_rolled_back(seed, tmp_path):
+    size = SoakSize(routers_per_zone=1, first_port=FIRST_PORT)
+    result = run_round(plan(seed, faults=2, busy=False, rollouts=True, size=size), tmp_path)
+    assert "rollout-bad-later" in {fault.kind for fault in result.faults}
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 # Guards against routers that each use the whole rate of a cold server.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize("seed", [5, 7])
@@ -256,6 +280,7 @@
             partial_outages=False,
             restores=False,
             untrusted_clients=False,
+            rollouts=False,
         ),
         tmp_path,
     )
@@ -275,6 +300,7 @@
             partial_outages=False,
             restores=False,
             untrusted_clients=False,
+            rollouts=False,
         ),
         tmp_path,
     )
@@ -293,6 +319,7 @@
             partial_outages=False,
             restores=False,
             untrusted_clients=False,
+            rollouts=False,
         ),
         tmp_path,
     )
