--- a/src/cicadaledge/soak/_rollouts.py
+++ b/src/cicadaledge/soak/_rollouts.py
@@ -198,12 +198,23 @@
             found.append(f"a final state was replaced: {seen}")
         if record.state is wanted:
             return found
-        is_excused = not self._are_all_bound(record.deadline_ms - _STATUS_MS, record.deadline_ms)
+        from_ms = record.deadline_ms - _STATUS_MS
+        is_excused = self._is_age_unknown() or not self._are_all_bound(from_ms, record.deadline_ms)
         if not is_excused or (record.is_over and not is_bad):
             quality = "bad" if is_bad else "good"
             found.append(f"a {quality} version must be {wanted}, seen were: {seen or 'none'}")
         return found
 
+    def _is_age_unknown(self) -> bool:
+        """Return whether faults kept the time of the order out of the store.
+
+        If all routers restart before there is a status, they count the duration anew.
+        """
+        record = self.record
+        first_ms = record.states[0][0] if record.states else record.deadline_ms
+        is_late = first_ms - record.ordered_ms > _CONTACT_MS
+        return is_late and not self._are_all_bound(record.ordered_ms, first_ms)
+
     def _find_exposure(self) -> list[str]:
         record = self.record
         if record.bad_from_ms is None:
