--- a/src/cicadaledge/soak/_rollouts.py
+++ b/src/cicadaledge/soak/_rollouts.py
@@ -38,6 +38,7 @@
 # The status is due 3 s before the deadline. Without the relays, other routers write it up to 9 s
 # later; a fault in this time before the deadline excuses a missing status.
 _STATUS_MS = 9_000.0
+_FIRST_STATUS_MS = 2_000.0  # Without faults, the first status is written within this time.
 _BAD_ANSWERS = 50  # The time for a rollback begins with this bad answer.
 
 
@@ -49,6 +50,7 @@
         new_servers: Names of the servers of the ordered version.
         stray_server: Name of the server of a version that was not ordered.
         bad_from_ms: When the version became bad, or None.
+        missing_ms: When the store was last seen without a status.
         states: States that the store held, each when it was first seen.
         cut_runs: Runs that the former servers had not ended when they stopped.
     """
@@ -58,6 +60,7 @@
     new_servers: list[str] = field(factory=list)
     stray_server: str = ""
     bad_from_ms: float | None = None
+    missing_ms: float = 0.0
     states: list[tuple[float, RolloutState]] = field(factory=list)
     bad_runs: list[Run] = field(factory=list)
     cut_runs: list[Run] = field(factory=list)
@@ -107,7 +110,9 @@
             for server in new:
                 server.backend.bad_answer, server.backend.bad_share = bad_answer, bad_share
         state = world.store.rollout_state(service)
-        if state is not None and state is not record.state:
+        if state is None:
+            record.missing_ms = clock_ms()
+        elif state is not record.state:
             was_over = record.is_over
             record.states.append((clock_ms(), state))
             if record.is_over and not was_over:
@@ -206,14 +211,16 @@
         return found
 
     def _is_age_unknown(self) -> bool:
-        """Return whether faults kept the time of the order out of the store.
+        """Return whether faults let the routers and the store lose the time of the order.
 
-        If all routers restart before there is a status, they count the duration anew.
+        If all routers restart while the store has no status, they count the duration anew.
         """
         record = self.record
-        first_ms = record.states[0][0] if record.states else record.deadline_ms
-        is_late = first_ms - record.ordered_ms > _CONTACT_MS
-        return is_late and not self._are_all_bound(record.ordered_ms, first_ms)
+        routers = {sent.router for sent in self.observations.sent.values()}
+        is_late = record.missing_ms - record.ordered_ms > _FIRST_STATUS_MS
+        return is_late and not any(
+            self._is_bound(router, record.ordered_ms, record.missing_ms) for router in routers
+        )
 
     def _find_exposure(self) -> list[str]:
         record = self.record
