--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from attrs import define, field, frozen
+from attrs import asdict, define, field, fields, frozen
 
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._metrics import EdgeMetrics
@@ -32,6 +32,7 @@
 from cicadaledge.wire import RolloutCell, RolloutView, ViewScope
 
 _UNKNOWN_AGE = -1
+_COUNT_NAMES = tuple(one.name for one in fields(OutcomeCounts))
 # A failed write of a status is retried after this delay; several attempts fit into the margin that
 # is left before a deadline.
 _RETRY_MS = 300.0
@@ -277,17 +278,7 @@
 
 def _encode_cells(counts: RolloutCounts) -> list[RolloutCell]:
     return [
-        RolloutCell(
-            route,
-            is_new,
-            cell.sent,
-            cell.answered,
-            cell.failed,
-            cell.judged,
-            cell.slow,
-            cell.timed,
-            cell.log_sum,
-        )
+        RolloutCell(route, is_new, **asdict(cell, recurse=False))
         for (route, is_new), cell in counts.cells.items()
     ]
 
@@ -296,13 +287,7 @@
     return RolloutCounts(
         {
             (cell.route, cell.is_new): OutcomeCounts(
-                cell.sent,
-                cell.answered,
-                cell.failed,
-                cell.judged,
-                cell.slow,
-                cell.timed,
-                cell.log_sum,
+                *(getattr(cell, name) for name in _COUNT_NAMES)
             )
             for cell in cells
         }
