--- a/tests/rollouts/test_keeper.py
+++ b/tests/rollouts/test_keeper.py
@@ -11,6 +11,7 @@
     RolloutOrder,
     RolloutState,
     RolloutStatus,
+    Stage,
 )
 from cicadaledge.routing import ServerDirectory
 
@@ -167,12 +168,26 @@
     assert site.allowed() == {"v2-0"}
 
 
-def test_a_replacement_long_after_a_completed_rollout_is_used():
+@pytest.mark.parametrize("version", ["v1", "v3"])
+def test_a_replacement_long_after_a_completed_rollout_is_used(version):
     site = Site()
     site.order()
     site.status(COMPLETED)
-    site.directory.apply(entry("later", "v1"), 60_000.0)
+    site.directory.apply(entry("soon", version), 5_000.0)
+    assert site.allowed(5_000.0) == {"v2-0"}
+    site.directory.apply(entry("later", version), 60_000.0)
     assert site.allowed(60_000.0) == {"v2-0", "later"}
+    # The next order finds these versions in use.
+    assert site.order(evolve(ORDER, to="v9"), 60_000.0).former == {"v2", version}
+
+
+@pytest.mark.parametrize(("age_ms", "is_used"), [(10_000, False), (3_600_000, True)])
+def test_a_router_that_restarts_long_after_a_completed_rollout_uses_replacements(age_ms, is_used):
+    # It sees all servers for the first time, so that only the time of the order tells.
+    site = Site(has_read_orders=False, versions=("v2", "v3"))
+    site.status(COMPLETED, since_ms=WALL_MS - age_ms, former=("v1",))
+    site.order()
+    assert site.allowed() == ({"v2-0", "v3-0"} if is_used else {"v2-0"})
 
 
 def test_a_restarted_router_sends_nothing_until_it_knows_the_age_of_the_order():
@@ -187,6 +202,14 @@
     assert rollout.fraction > 0.0
 
 
+def test_after_a_restart_all_requests_move_only_with_evidence():
+    site = Site(has_read_orders=False)
+    rollout = site.order()
+    rollout.learn_age(24_000.0, 1_000.0)
+    site.decide(1_100.0)
+    assert rollout.stage is Stage.CANARY
+
+
 def test_if_all_routers_restart_the_age_and_the_former_versions_come_from_the_status():
     site = Site(has_read_orders=False, versions=("v1", "v2", "v3"))
     site.status(RUNNING, since_ms=WALL_MS - 12_000, former=("v1",))
