Reset connections that a stand-in sets up while it stops

A server that crashed in a test went on to answer a request whose connection the event loop had accepted, but not set up, at the time of the crash. The router saw an open connection and rightly detected no crash, so that the test of simultaneous crashes saw 2 of 3.

--- a/src/cicadaledge/standins/_http_service.py
+++ b/src/cicadaledge/standins/_http_service.py
@@ -41,6 +41,7 @@
         """Stop listening and reset every connection."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         for channel in self.channels:
             channel.abort()
         for task in list(self._tasks):
@@ -59,6 +60,10 @@
         """Do nothing: disconnects of callers are not recorded here."""
 
     def _accept(self, channel: Channel) -> None:
+        if self._server is None:
+            # The event loop took this connection before `stop`, but sets it up only now.
+            channel.abort()
+            return
         self.channels.append(channel)
         task = asyncio.get_running_loop().create_task(CallerConnection(channel, self).run())
         self._tasks.add(task)
