Reserve the ports of in-process routers against other runs of the tests

Two runs of the tests without xdist both took the ports of worker gw0. A router process of the flood test then ended with "Address already in use" and the test waited 30 s for it (1 of 10 runs beside another run).

--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
-import os
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 from attrs import define, evolve, field
@@ -68,23 +68,40 @@
 )
 ENTRY = ServerEntry("desk-0", "desk", "h", 1, "zone-a", ServerState.READY, 6, 0.0, 1_000, 5)
 FIRST_PORT = 21_000
-PORTS_PER_WORKER = 1_000
-_ports = itertools.count(os.getpid() % PORTS_PER_WORKER)
+PORTS_PER_BLOCK = 200  # a port is used again after some minutes
+BLOCKS = 20  # for several runs of the tests at the same time, with several workers each
 _ids = itertools.count(1)
 
 
+@functools.cache
+def _reserve_block() -> tuple[socket.socket, Iterator[int]]:
+    """Reserve a block of ports against other processes that run tests.
+
+    Returns:
+        The socket that holds the reservation while it is open, and the ports, repeated endlessly.
+    """
+    for first in range(FIRST_PORT, FIRST_PORT + BLOCKS * PORTS_PER_BLOCK, PORTS_PER_BLOCK):
+        reservation = socket.socket()
+        try:
+            reservation.bind((HOST, first))
+        except OSError:
+            reservation.close()
+        else:
+            return reservation, itertools.cycle(range(first + 1, first + PORTS_PER_BLOCK))
+    raise OSError(f"all {BLOCKS} blocks of ports are reserved by other processes")
+
+
 def free_port() -> int:
     """Return a port that is not in use.
 
-    The ports lie below the kernel's range for outgoing connections, and each test worker has its
-    own range, so that no other process takes a port before it is used.
+    The ports lie below the kernel's range for outgoing connections, and each process has reserved
+    its own block of them, so that no other process takes a port before it is used.
     """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    while True:
-        port = FIRST_PORT + worker * PORTS_PER_WORKER + next(_ports) % PORTS_PER_WORKER
+    for port in _reserve_block()[1]:
         with socket.socket() as one, contextlib.suppress(OSError):
             one.bind((HOST, port))
             return port
+    raise AssertionError("the ports repeat endlessly")
 
 
 def configuration(**changes: Any) -> dict[str, Any]:
