Send prompts with suspect parts to other engines than prompts without them

Engines are ranked by a prompt's last shared part, so that a part in front of it took the sound prompts with the same end to each engine that it crashed.

From the first crash until an answer clears them, the suspected parts of a prompt now rank the engines together.

--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -187,6 +187,10 @@
             return set()
         return {name for name, digests in self._running.items() if digests.keys() - {digest}}
 
+    def suspect_parts(self, work: ActiveRequest) -> tuple[str, ...]:
+        """Return the parts of a request's prompt that may have caused crashes, sorted."""
+        return self._parts.suspect_parts(work)
+
     @contextmanager
     def track_running(self, work: ActiveRequest, server: str) -> Iterator[None]:
         """Track that a request runs on a server, if it is a suspect."""
--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -222,6 +222,12 @@
             Code.PART_CRASHES_SERVERS, retry_after_ms=int(max(trial_in_ms, _TRIAL_PERIOD_MS))
         )
 
+    def suspect_parts(self, request: ActiveRequest) -> tuple[str, ...]:
+        """Return the parts of a request's prompt that may have caused crashes, sorted."""
+        if not self._first_heard_ms:
+            return ()
+        return tuple(sorted(part for part in _parts(request) if self._fleet.crashes_of(part)))
+
     def blamed_crashes(self) -> set[str]:
         """Return the crashes that blamed groups explain."""
         return set().union(*map(self._fleet.crashes_of_group, self._blamed))
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -163,6 +163,7 @@
         """
         failed_servers = self._excluded_servers(request)
         suspect_servers = self._poison_guard.servers_to_avoid(request)
+        suspect_parts = self._poison_guard.suspect_parts(request)
         for other_versions in self._rollouts.excluded_servers(request):
             excluded = failed_servers | other_versions
             tries = (excluded | suspect_servers, excluded) if suspect_servers else (excluded,)
@@ -175,6 +176,7 @@
                     avoided,
                     use,
                     now_ms,
+                    suspect_parts,
                 )
                 if isinstance(choice, Chosen):
                     return choice
@@ -201,7 +203,12 @@
     def _group(self, request: ActiveRequest, use: ShareUse, now_ms: float) -> str:
         other_versions = self._rollouts.excluded_servers(request)[0]
         engine = self._placer.bound_engine(
-            request.call, request.service, request.regions, now_ms, other_versions
+            request.call,
+            request.service,
+            request.regions,
+            now_ms,
+            other_versions,
+            self._poison_guard.suspect_parts(request),
         )
         return waiting_group(engine, request.account_name or "", use)
 
--- a/src/cicadaledge/placing/_placer.py
+++ b/src/cicadaledge/placing/_placer.py
@@ -93,6 +93,7 @@
         tried: set[str],
         use: ShareUse,
         now_ms: float,
+        suspect_parts: tuple[str, ...] = (),
     ) -> Chosen | Refused:
         """Return where to send a request now.
 
@@ -100,6 +101,7 @@
             regions: Regions whose servers may run it, or None for all.
             tried: Servers to which it has been sent before.
             use: How much its account gets.
+            suspect_parts: Parts of its prompt that are suspected of crashing servers.
         """
         allowed = self._allowed(service, regions, tried)
         usable = self._candidates(service, allowed, now_ms)
@@ -107,7 +109,7 @@
             return self._refuse_unusable(allowed, now_ms)
         if service.engine is None:
             return self._choose_plain(usable.values(), service, now_ms)
-        return self._choose_engine(call, route, service, usable, use, now_ms)
+        return self._choose_engine(call, route, service, usable, use, now_ms, suspect_parts)
 
     def record_sent(self, call: Call, chosen: Chosen, now_ms: float) -> None:
         """Record a request that is about to be sent."""
@@ -128,16 +130,18 @@
         regions: frozenset[str] | None,
         now_ms: float,
         excluded: frozenset[str] = frozenset(),
+        suspect_parts: tuple[str, ...] = (),
     ) -> str:
         """Return the engine that a request goes to while it has room there, or "" for any.
 
         Args:
             excluded: Servers of versions that it must not go to.
+            suspect_parts: Parts of its prompt that are suspected of crashing servers.
         """
         if service.engine is None or not self._has_affinity(call):
             return ""
         usable = self._candidates(service, self._allowed(service, regions, set(excluded)), now_ms)
-        ranked = self._ranking.ranked(call, service.name, usable, now_ms)
+        ranked = self._ranking.ranked(call, service.name, usable, now_ms, suspect_parts)
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
         return self._prefix_engines(ranked, speeds, now_ms)[0].server if ranked else ""
@@ -223,8 +227,9 @@
         usable: dict[str, ServerEntry],
         use: ShareUse,
         now_ms: float,
+        suspect_parts: tuple[str, ...],
     ) -> Chosen | Refused:
-        ranked = self._ranking.ranked(call, service.name, usable, now_ms)
+        ranked = self._ranking.ranked(call, service.name, usable, now_ms, suspect_parts)
         first = ranked[0]
         all_usable = self._directory.usable_by_name(service.name)
         speeds = self._speeds.service_speeds(service.name, all_usable, now_ms)
@@ -254,7 +259,7 @@
                 route,
                 service,
                 entry,
-                entry is first,
+                entry is first and not suspect_parts,
                 is_bound,
                 allowed_fractions,
                 objective_ms,
--- a/src/cicadaledge/placing/_ranking.py
+++ b/src/cicadaledge/placing/_ranking.py
@@ -17,6 +17,10 @@
 class EngineRanking:
     """Ranks the engines of a service by rendezvous hash of a prompt's last shared part.
 
+    Prompts with parts that are suspected of crashing servers are ranked by all of these instead.
+    Otherwise prompts that share only their last part with one that crashes servers would go to the
+    same engine as it does, until no engine is left that can answer them and thereby clear them.
+
     An engine on which work lasts longer ranks first for fewer prompts. Orders are cached until the
     set of usable servers or their speed levels change.
 
@@ -32,14 +36,20 @@
         self._orders: OrderedDict[tuple[str, str], list[str]] = OrderedDict()
 
     def ranked(
-        self, call: Call, service: str, candidates: dict[str, ServerEntry], now_ms: float
+        self,
+        call: Call,
+        service: str,
+        candidates: dict[str, ServerEntry],
+        now_ms: float,
+        suspect_parts: tuple[str, ...] = (),
     ) -> list[ServerEntry]:
         """Return the candidates, which must be usable, in the order for a request's prompt."""
-        return [
-            candidates[name] for name in self._order(call, service, now_ms) if name in candidates
-        ]
+        order = self._order(call, service, now_ms, suspect_parts)
+        return [candidates[name] for name in order if name in candidates]
 
-    def _order(self, call: Call, service: str, now_ms: float) -> list[str]:
+    def _order(
+        self, call: Call, service: str, now_ms: float, suspect_parts: tuple[str, ...]
+    ) -> list[str]:
         names = self._directory.usable_by_name(service)
         speeds = self._speeds
         generation = (self._directory.generation, speeds.level_generation(service, names, now_ms))
@@ -47,7 +57,8 @@
             self._orders.clear()
             self._generation = generation
         shared = call.shared_parts
-        key = (service, shared[-1].digest if shared else call.request_id)
+        last_part = shared[-1].digest if shared else call.request_id
+        key = (service, " ".join(suspect_parts) or last_part)
         order = self._orders.get(key)
         if order is None:
             order = sorted(
--- a/tests/edge/test_prompt_part_guard.py
+++ b/tests/edge/test_prompt_part_guard.py
@@ -123,6 +123,15 @@
     assert guard.blamed_group(make_request("fatal")) == {"fatal"}
 
 
+def test_parts_are_suspect_from_their_first_crash_until_an_answer_begins(guard, clock):
+    assert guard.suspect_parts(make_request("frequent", "fatal")) == ()
+    crash(guard, "a/1", ["frequent", "fatal"])
+    assert guard.suspect_parts(make_request("frequent", "fatal")) == ("fatal", "frequent")
+    assert guard.suspect_parts(make_request("frequent", "other")) == ("frequent",)
+    guard.record_begun_answer(make_request("frequent"))
+    assert guard.suspect_parts(make_request("frequent", "fatal")) == ("fatal",)
+
+
 def test_the_last_part_of_a_prompt_is_not_blamed(guard, clock):
     for name in ("a/1", "b/1", "c/1"):
         run = InterruptedRun(make_request())
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -121,6 +121,30 @@
         raise AssertionError("nothing was refused")
 
 
+@pytest.mark.parametrize("shared", [200, 5_000], ids=["spread", "bound to one engine"])
+def test_a_prompt_with_suspect_parts_goes_to_another_engine_than_prompts_with_some_of_them(shared):
+    """Sound prompts followed one that crashed its engine, as they shared its last part."""
+
+    def servers(suspect_parts: tuple[str, ...]) -> list[str]:
+        found = []
+        for part in range(40):
+            pool = Pool(*(entry(name) for name in "abcdefgh"))
+            request = call(1, prefix=f"last-{part}", shared=shared)
+            request.started_ms = SETTLED_MS
+            choice = pool.placer.choose(
+                request, route(), POOL, None, set(), ENOUGH, SETTLED_MS, suspect_parts
+            )
+            assert isinstance(choice, Chosen)
+            found.append(choice.server.server)
+        return found
+
+    usual, suspect = servers(()), servers(("fatal",))
+    assert usual == servers(())
+    assert len(set(usual)) > 4
+    assert len(set(suspect)) == 1
+    assert suspect != servers(("fatal", "last"))
+
+
 def test_the_max_min_share_leaves_small_accounts_what_they_ask():
     assert max_min_share([10.0, 100.0, 100.0], 110.0) == pytest.approx(50.0)
     assert max_min_share([10.0, 20.0], 100.0) == float("inf")
