Let the kernel hold callers until a router short of CPU time refuses them

The kernel's backlog was as long as the queue of connections that wait for their setup. They are now accepted or refused when the router runs again.

--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -16,6 +16,10 @@
 # Setting up this many connections takes about 10 ms; more of them in one turn of the event loop
 # would delay its other work.
 _SETUPS_PER_TURN = 4
+# The kernel holds up to this many connections that were not accepted yet; it drops any more, and their
+# callers connect again after a second, when most have given up. With 128, a process that got no CPU
+# time for 0.3 s in a flood of 400 callers a second lost hundreds, instead of refusing them.
+_KERNEL_BACKLOG = 1_024
 # The listener accepts nothing for this long when descriptors run out; they become free as answers
 # end.
 _DESCRIPTORS_PAUSE_S = 0.1
@@ -64,7 +68,7 @@
 
     Args:
         make_protocol: Creates the protocol of a connection.
-        backlog: Size of the kernel's backlog, and of the queue of connections waiting for setup.
+        backlog: Size of the queue of connections waiting for setup.
         admission: Decides which connections are rejected; by default none.
 
     Attributes:
@@ -101,7 +105,7 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
         self._sock.bind((host, port))
-        self._sock.listen(self._backlog)
+        self._sock.listen(max(_KERNEL_BACKLOG, self._backlog))
         self._watch()
 
     @property
@@ -132,7 +136,7 @@
     async def drain(self) -> int:
         """Accept and set up all pending connections, then close; return how many were accepted."""
         accepted_count = 0
-        for _ in range(self._backlog + 1):
+        for _ in range(max(_KERNEL_BACKLOG, self._backlog) + 1):
             if not self._accept_one():
                 break
             accepted_count += 1
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of the listening socket: errors of single connections, bursts, closing."""
 
 import asyncio
+import contextlib
 import errno
 import socket
 from itertools import pairwise
@@ -170,6 +171,39 @@
         runner.run(scenario())
 
 
+def test_callers_that_connect_while_the_process_is_stopped_are_accepted_or_rejected():
+    """The kernel dropped them, so that a router short of CPU time neither served nor refused them."""
+    callers = 400
+
+    class RejectAll:
+        max_wait_ms = 250.0
+        rejected = 0
+
+        def has_room(self):
+            return False
+
+        def reject(self, sock):
+            sock.close()
+            self.rejected += 1
+
+    async def scenario():
+        admission = RejectAll()
+        listener = Listener(asyncio.Protocol, admission=admission)
+        listener.start(HOST, 0)
+        with contextlib.ExitStack() as stack:
+            for _ in range(callers):
+                sock = stack.enter_context(socket.socket())
+                sock.setblocking(False)
+                sock.connect_ex((HOST, listener.port))
+            async with asyncio.timeout(0.9):  # The kernel repeats a dropped attempt after 1 s.
+                while admission.rejected < callers:
+                    await asyncio.sleep(0.005)
+        assert listener.accepted == callers
+        listener.close()
+
+    asyncio.run(scenario())
+
+
 def test_drain_accepts_pending_connections():
     """Otherwise a stopping router resets requests that wait in the backlog of a busy event loop."""
 
