--- a/tests/edge/test_fatal_prompt_parts.py
+++ b/tests/edge/test_fatal_prompt_parts.py
@@ -94,6 +94,7 @@
 
 
 def test_two_prompt_parts_that_crash_servers_are_both_refused():
+    """All prompts end alike, so that the sound ones followed the others to each engine that crashed."""
     async def scenario():
         async with small_world(pools=8, routers=3) as world:
             make_fatal(world, FATAL, "dead0002")
@@ -104,7 +105,7 @@
                 send_repeatedly(world, "/chat/", ("aa", "bb"), sound, every_s=0.1),
             )
             assert one[-1] == two[-1] == (503, 3009)
-            assert served(sound) > 0.9
+            assert served(sound) > 0.95
             assert 3009 not in {code for _, code in sound}
 
     asyncio.run(scenario())
