--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -118,7 +118,7 @@
         version: Version of its software.
 
     Attributes:
-        slots: Number of slots in its heartbeats.
+        announced_slots: Number of slots in its heartbeats.
         crash_marker: A target that contains this crashes the server; None for no target.
         crash_parts: The server crashes when it begins to answer a prompt with one of these parts.
         ended_ms: Times of its crashes.
@@ -150,7 +150,7 @@
         self.refused = 0
         self.refusals: list[Refusal] = []
         self.born_ms = 1_000
-        self.slots = 8
+        self.announced_slots = 8
         self.crash_marker: str | None = None
         self.crash_parts: frozenset[str] = frozenset()
         self.ended_ms: list[float] = []
@@ -167,7 +167,7 @@
             "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
             "version": self.version,
-            "slots": self.slots,
+            "slots": self.announced_slots,
             "state": state,
             "coldRemainingMs": cold_ms,
             "seqNo": self._sequence,
--- a/tests/edge/test_fatal_requests.py
+++ b/tests/edge/test_fatal_requests.py
@@ -244,7 +244,7 @@
     """Let all servers of `desk` have this number of slots, and wait until the router knows it."""
     desks = [runner for runner in world.runners if runner.service == "desk"]
     for runner in desks:
-        runner.slots = slots
+        runner.announced_slots = slots
         world.write_heartbeat(runner)
     directory = world.routers[0]._control_state.directory
 
