Split the store's client, its topics, its records and their encoding into modules

The HTTP client is now in _store_client.py, the keyed topics in _topics.py, the form of records in _records.py, and what routers write in _encode.py, next to _decode.py. No change of behaviour.

--- a/src/cicadaledge/platform/__init__.py
+++ b/src/cicadaledge/platform/__init__.py
@@ -11,13 +11,8 @@
     read_record,
 )
 from cicadaledge.platform._settings_file import load_edge_settings
-from cicadaledge.platform._store import (
-    ControlTopic,
-    MemberTopic,
-    RolloutStatusTopic,
-    ServerTopic,
-    StoreClient,
-)
+from cicadaledge.platform._store_client import StoreClient
+from cicadaledge.platform._topics import ControlTopic, MemberTopic, RolloutStatusTopic, ServerTopic
 
 __all__ = [
     "ControlTopic",
--- a/src/cicadaledge/platform/_main.py
+++ b/src/cicadaledge/platform/_main.py
@@ -5,13 +5,8 @@
 from cicadaledge.edge import StoreTopics, run_edge_router
 from cicadaledge.platform._header_codec import PlatformHeaderCodec
 from cicadaledge.platform._settings_file import load_edge_settings
-from cicadaledge.platform._store import (
-    ControlTopic,
-    MemberTopic,
-    RolloutStatusTopic,
-    ServerTopic,
-    StoreClient,
-)
+from cicadaledge.platform._store_client import StoreClient
+from cicadaledge.platform._topics import ControlTopic, MemberTopic, RolloutStatusTopic, ServerTopic
 
 
 def main() -> None:
--- a/tests/edge/test_poison_guard.py
+++ b/tests/edge/test_poison_guard.py
@@ -13,7 +13,7 @@
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
 from cicadaledge.errors import RefusalError
 from cicadaledge.platform import decode_table
-from cicadaledge.platform._store import encode_evidence
+from cicadaledge.platform._encode import encode_evidence
 from cicadaledge.routing import Call, PromptPart
 
 TABLE = decode_table(json.dumps(configuration()).encode())
--- a/tests/platform/test_evidence.py
+++ b/tests/platform/test_evidence.py
@@ -8,7 +8,7 @@
 from cicadaledge.edge import CrashEvidence, EvidenceSeen, TrialClaimed
 from cicadaledge.platform import StoreClient
 from cicadaledge.platform._decode import decode_evidence, decode_trial_claim
-from cicadaledge.platform._store import SuspectTopic
+from cicadaledge.platform._topics import SuspectTopic
 from cicadaledge.standins import PlatformStore
 from cicadaledge.suspects import Evidence, PartEvidence, TrialClaim
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -10,7 +10,7 @@
 
 from cicadaledge.edge import EvidenceSeen, MemberSeen, ServerChanged, TableChanged, UnreadableEntry
 from cicadaledge.platform import ControlTopic, MemberTopic, ServerTopic, StoreClient
-from cicadaledge.platform._store import SuspectTopic
+from cicadaledge.platform._topics import SuspectTopic
 from cicadaledge.standins import PlatformStore
 
 CLIENT = StoreClient("127.0.0.1", 1)
