Move the router's ports, probes, loop watch and process entry out of its assembly

Listening and the tasks of accepted connections are now in _ports.py, answers to probes in _probe_service.py, the lateness of the event loop in _loop_watch.py, and signals, log lines and the garbage collector's settings in _process.py. Only the name of the part in the log line and metric of a failed loop watch changes: LoopWatch.keep_sampled.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -3,13 +3,14 @@
 from cicadaledge.edge._caller_connection import CallerConnection, RequestHead, ResponseWriter
 from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close, timeout_after_reads
 from cicadaledge.edge._control_state import ControlPlaneState, ServerSink
-from cicadaledge.edge._daemon import EdgeRouter, run_edge_router
+from cicadaledge.edge._daemon import EdgeRouter
 from cicadaledge.edge._epoch import NO_EPOCH, StoreEpoch
 from cicadaledge.edge._follow import PollTiming, TopicFollower, TopicSink
 from cicadaledge.edge._header_codec import HeaderCodec, ResponseSignals
 from cicadaledge.edge._http_client import Headers, HttpConnection, ResponseHead
 from cicadaledge.edge._load_shedder import LoadShedder, SheddingSettings
 from cicadaledge.edge._news import StoreRelay
+from cicadaledge.edge._process import run_edge_router
 from cicadaledge.edge._settings import (
     BoundSettings,
     EdgeSettings,
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -1,41 +1,27 @@
-"""The edge router process: assembles its components and shuts them down gracefully."""
+"""The edge router: assembles its components and shuts them down gracefully."""
 
 from __future__ import annotations
 
 import asyncio
-import gc
-import os
-import signal
-import sys
 from collections.abc import Callable, Coroutine
-from functools import partial
 from typing import Any
 
-import uvloop
-
-from cicadaledge.codes import Code
-from cicadaledge.edge._caller_connection import (
-    CallerConnection,
-    CallerService,
-    EarlyAnswer,
-    HeadCheck,
-    RequestHead,
-    ResponseWriter,
-)
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import Channel, clock_ms
-from cicadaledge.edge._connection_gate import ConnectionGate, ProbeGate
+from cicadaledge.edge._channel import clock_ms
+from cicadaledge.edge._connection_gate import ConnectionGate
 from cicadaledge.edge._control_state import ControlPlaneState, ControlSink, ServerSink
 from cicadaledge.edge._crash_watch import CrashDetector
 from cicadaledge.edge._departure import ShutdownSchedule
 from cicadaledge.edge._evidence_publisher import SuspectNews
 from cicadaledge.edge._follow import PollTiming, TopicFollower, TopicSink
 from cicadaledge.edge._header_codec import HeaderCodec
-from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._load_shedder import LoadShedder
+from cicadaledge.edge._loop_watch import LoopWatch
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._peers import PeerKeeper
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
+from cicadaledge.edge._ports import HttpPorts
+from cicadaledge.edge._probe_service import ProbeService
 from cicadaledge.edge._request_handler import RequestHandler
 from cicadaledge.edge._rollout_exchange import RolloutExchange
 from cicadaledge.edge._rollout_guard import RolloutGuard
@@ -45,19 +31,12 @@
 from cicadaledge.edge._source import ChangeSource, StoreTopics
 from cicadaledge.edge._store_reach import StoreAvailability
 from cicadaledge.ingress import Intake
-from cicadaledge.logs import LineWriter, PartLog
+from cicadaledge.logs import PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker, Placer, ServerHealth
-from cicadaledge.routing import Limits
-from cicadaledge.settings import Address
 from cicadaledge.wire import Listener
 
-# At most this many new connections wait to be set up, which takes half a second for all of them.
-# Callers time out after one second in the queue.
-_BACKLOG = 128
 _UPKEEP_INTERVAL_S = 1.0
 _DRAIN_CHECK_S = 0.05
-# The lateness of the event loop is sampled ten times between two probes of the load balancer.
-_LOOP_SAMPLE_S = 0.1
 # An event loop that is later than this is logged, as it delays each stream noticeably.
 _LATE_LOOP_MS = 100.0
 # The crash evidence is read again after this pause. All routers report a crash within it, so that
@@ -68,63 +47,13 @@
 _REMOVAL_CHECK_S = 0.2
 # At the end of the process, cancelled tasks get this long to end, and then the log lines to be
 # written. The two waits take half of the stop margin.
-_FINAL_WAIT_S = 0.1
+FINAL_WAIT_S = 0.1
 # A failed background task is restarted after this delay, so that a task that fails at once does not
 # occupy the CPU.
 _TASK_RESTART_S = 0.5
-# Thresholds of the garbage collector. It starts a collection once this many more objects (the first
-# value) were created than freed. The objects of some hundred requests reach that number, and few of
-# them form cycles that need a collection.
-_GC_THRESHOLDS = (5_000, 20, 20)
-_METRICS_PATH = "/metrics"
-_OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
 _log = PartLog("router")
 
 
-class ProbeService:
-    """Answers the load balancer's readiness probes and serves the metrics.
-
-    Args:
-        is_ready: Whether the balancer may send callers to this router.
-    """
-
-    limits = Limits()
-
-    def __init__(
-        self, dialect: HeaderCodec, is_ready: Callable[[], bool], metrics: EdgeMetrics
-    ) -> None:
-        self._dialect = dialect
-        self._is_ready = is_ready
-        self._metrics = metrics
-
-    async def answer(self, head: RequestHead, body: bytes, writer: ResponseWriter) -> None:
-        """Answer a readiness probe or a request for the metrics."""
-        path = head.target.split("?", 1)[0]
-        if path == self._dialect.ready_path:
-            await writer.send_response(_OK if self._is_ready() else _UNAVAILABLE, [], b"")
-        elif path == _METRICS_PATH:
-            content, headers = self._metrics.text()
-            named = [(name.encode(), value.encode()) for name, value in headers.items()]
-            await writer.send_response(_OK, named, content)
-        else:
-            await writer.send_response(_NOT_FOUND, [], b"")
-
-    def check_head(self, head: RequestHead) -> EarlyAnswer:
-        """Return how to answer a request; no body is kept."""
-        return partial(self.answer, head, b"")
-
-    def ends_connection(self) -> bool:
-        """Return False: probes keep their connections."""
-        return False
-
-    def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
-        """Return the answer to a malformed probe."""
-        return [], b""
-
-    def record_disconnect(self, head: RequestHead) -> None:
-        """Do nothing: a disconnected probe needs no record."""
-
-
 class EdgeRouter:
     """One router process.
 
@@ -145,7 +74,6 @@
         self._load = LoadTracker(fleet)
         self._shares = AccountShares(settings.bounds.share_window_ms, fleet)
         self._pool = ServerPool(settings)
-        self._fleet = fleet
         self._load_shedder = LoadShedder(settings.shedding)
         availability = StoreAvailability(topics.registry.epoch)
         self._epoch = topics.registry.epoch
@@ -194,6 +122,10 @@
         )
         self._slow_readers = SlowReaders(settings.slow_readers, self._callers, self._metrics)
         self._probes = ProbeService(dialect, self._is_ready, self._metrics)
+        self._ports = HttpPorts(settings, self._intake, self._metrics)
+        self._loop_watch = LoopWatch(
+            self._load_shedder, fleet, self._callers, self._request_handler, self._metrics
+        )
         self._peers = PeerKeeper(
             settings,
             topics.registry,
@@ -215,17 +147,17 @@
         )
         self._peers.on_rollout_view = self._rollout_exchange.receive
         self._followers = self._create_followers(topics, availability)
-        self._probe_gates: list[ProbeGate] = []
         self._listener: Listener | None = None
         self._stopping = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Serve until `stop` is called."""
         await self._peers.listen()
-        callers = self._listener = self._listen(self._settings.callers, self._request_handler)
-        probes = self._listen(self._settings.probes, self._probes)
-        metrics = self._listen(self._settings.metrics, self._probes)
+        callers = self._listener = self._ports.listen_for_callers(
+            self._request_handler, self._callers, self._gate
+        )
+        probes = self._ports.listen_for_probes(self._settings.probes, self._probes)
+        metrics = self._ports.listen_for_probes(self._settings.metrics, self._probes)
         parts = [asyncio.create_task(self._supervise(part)) for part in self._background_tasks()]
         _log.info("Router has started.", router=self._settings.router, zone=self._settings.zone)
         await self._stopping.wait()
@@ -233,10 +165,10 @@
         self._request_handler.is_terminating = True
         for listener in (probes, metrics):
             listener.close()
-        tasks = [*parts, *self._tasks]
+        tasks = [*parts, *self._ports.tasks]
         for task in tasks:
             task.cancel()
-        await asyncio.wait(tasks, timeout=_FINAL_WAIT_S)
+        await asyncio.wait(tasks, timeout=FINAL_WAIT_S)
         await self._peers.links.close()
         broken_off = self._request_handler.aborted_requests
         _log.info("Router has stopped.", router=self._settings.router, broken_off=broken_off)
@@ -269,7 +201,7 @@
             self._suspect_news.keep_claims_written,
             *self._rollout_exchange.tasks(),
             self._settle_removals,
-            self._watch_loop,
+            self._loop_watch.keep_sampled,
             self._slow_readers.keep_checked,
             self._keep_up,
         ]
@@ -325,48 +257,6 @@
             and not self._listener.is_out_of_descriptors
         )
 
-    def _listen(self, address: Address, service: CallerService) -> Listener:
-        gate: ConnectionGate | ProbeGate = self._gate
-        callers = self._callers
-        check_head: HeadCheck = self._request_handler.check_head
-        if service is not self._request_handler:
-            callers = CallerConnections(self._settings, self._settings.ingress.probe_connections)
-            gate = ProbeGate(callers, address, self._metrics)
-            check_head = self._probes.check_head
-            self._probe_gates.append(gate)
-
-        def accept() -> Channel:
-            return Channel(lambda channel: start(channel))
-
-        def start(channel: Channel) -> None:
-            connection = CallerConnection(channel, service, self._intake, check_head)
-            self._start_connection(channel, connection, callers)
-
-        listener = Listener(accept, backlog=_BACKLOG, admission=gate)
-        listener.start(address.host, address.port)
-        return listener
-
-    def _start_connection(
-        self, channel: Channel, connection: CallerConnection, callers: CallerConnections
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(connection.run())
-        self._tasks.add(task)
-        callers.add(connection)
-        if callers is self._callers:
-            channel.allow_slow_peer()
-
-        def done(ended: asyncio.Task[None]) -> None:
-            self._tasks.discard(ended)
-            if not ended.cancelled() and ended.exception() is not None:
-                _log.warning(
-                    "Handler of an accepted connection has failed; the connection is aborted.",
-                    error=repr(ended.exception()),
-                )
-                channel.abort()
-            channel.call_when_lost(lambda: callers.discard(connection))
-
-        task.add_done_callback(done)
-
     async def _settle_removals(self) -> None:
         while True:
             self._control_state.apply_due_removals(clock_ms())
@@ -379,8 +269,7 @@
             self._pool.close_idle()
             self._placer.retain_servers(self._control_state.directory.server_names())
             self._gate.report()
-            for gate in self._probe_gates:
-                gate.report()
+            self._ports.report_probes()
             evicted, refused = self._intake.report()
             self._metrics.count_ingress("memory, gave way", evicted)
             self._metrics.count_ingress("memory, refused", refused)
@@ -395,30 +284,6 @@
             self._metrics.set_gauge("proof_age_ms", self._control_state.proof_age_ms(clock_ms()))
             await self._sleep_until_upkeep()
 
-    async def _watch_loop(self) -> None:
-        """Sample the lateness of the event loop, which controls load shedding."""
-        while True:
-            started_ms = clock_ms()
-            await asyncio.sleep(_LOOP_SAMPLE_S)
-            now_ms = clock_ms()
-            others = self._fleet.router_totals(now_ms)
-            late_ms = now_ms - started_ms - _LOOP_SAMPLE_S * 1000
-            if self._load_shedder.record_lateness(late_ms, others, now_ms):
-                active = self._load_shedder.is_active
-                self._metrics.set_gauge("shedding", float(active))
-                _log.info(
-                    (
-                        "Load shedding has started; readiness is 503 to keep new callers away."
-                        if active
-                        else "Load shedding has ended; it no longer makes readiness 503."
-                    ),
-                    late_ms=round(self._load_shedder.late_ms, 1),
-                    others_late_ms=round(others.mean_late_ms, 1),
-                    others_shedding=others.shedding,
-                    callers=len(self._callers),
-                    active=self._request_handler.active,
-                )
-
     async def _sleep_until_upkeep(self) -> None:
         """Sleep until the next upkeep; log if the event loop wakes this task late."""
         listener = self._listener
@@ -467,25 +332,3 @@
             "Shutdown deadline has passed; remaining requests and connections are aborted.",
             count=self._request_handler.active,
         )
-
-
-def run_edge_router(settings: EdgeSettings, dialect: HeaderCodec, topics: StoreTopics) -> None:
-    """Run a router until it gets a stop signal."""
-
-    async def main() -> None:
-        lines = LineWriter(sys.stdout.fileno())
-        lines.attach()
-        router = EdgeRouter(settings, dialect, topics)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, router.stop)
-        loop.add_signal_handler(signal.SIGHUP, router.reload)
-        await router.run()
-        await lines.drain(_FINAL_WAIT_S)
-
-    # Imported objects are never freed; freezing them keeps full collections short.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
-    os.environ["UV_USE_IO_URING"] = "0"  # read by libuv when it creates the event loop
-    uvloop.run(main())
