Split reading requests and writing responses from the connection of a caller

Reading a request within its limits is now in _request_reader.py, writing a response in _response_writer.py, and what both share with the services that answer requests in _caller_service.py. The connection keeps its idle time, its order of requests and its refusals. No change of behaviour.

--- a/src/cicadaledge/edge/__init__.py
+++ b/src/cicadaledge/edge/__init__.py
@@ -1,6 +1,7 @@
 """Edge router: a process that proxies calls transparently between callers and backend servers."""
 
-from cicadaledge.edge._caller_connection import CallerConnection, RequestHead, ResponseWriter
+from cicadaledge.edge._caller_connection import CallerConnection
+from cicadaledge.edge._caller_service import RequestHead
 from cicadaledge.edge._channel import Channel, clock_ms, reset_on_close, timeout_after_reads
 from cicadaledge.edge._control_state import ControlPlaneState, ServerSink
 from cicadaledge.edge._daemon import EdgeRouter
@@ -11,6 +12,7 @@
 from cicadaledge.edge._load_shedder import LoadShedder, SheddingSettings
 from cicadaledge.edge._news import StoreRelay
 from cicadaledge.edge._process import run_edge_router
+from cicadaledge.edge._response_writer import ResponseWriter
 from cicadaledge.edge._settings import (
     BoundSettings,
     EdgeSettings,
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from cicadaledge.edge._active_request import ActiveRequest
-    from cicadaledge.edge._caller_connection import ResponseWriter
+    from cicadaledge.edge._response_writer import ResponseWriter
 
 # Late responses to earlier requests are skipped on a connection. After more of them than this, the
 # connection is closed and the request counts as lost.
--- a/src/cicadaledge/edge/_probe_service.py
+++ b/src/cicadaledge/edge/_probe_service.py
@@ -6,10 +6,11 @@
 from functools import partial
 
 from cicadaledge.codes import Code
-from cicadaledge.edge._caller_connection import EarlyAnswer, RequestHead, ResponseWriter
+from cicadaledge.edge._caller_service import EarlyAnswer, RequestHead
 from cicadaledge.edge._header_codec import HeaderCodec
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
+from cicadaledge.edge._response_writer import ResponseWriter
 from cicadaledge.routing import Limits
 
 _METRICS_PATH = "/metrics"
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -14,8 +14,8 @@
 from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._answer_times import AnswerTimes
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
-from cicadaledge.edge._caller_connection import EarlyAnswer, RequestHead, ResponseWriter
 from cicadaledge.edge._caller_connections import CallerConnections
+from cicadaledge.edge._caller_service import EarlyAnswer, RequestHead
 from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._crash_watch import CrashDetector
@@ -30,6 +30,7 @@
 from cicadaledge.edge._refusals import BUSY_RETRY_MS, no_capacity, unanswered, with_true_run_state
 from cicadaledge.edge._request_log import RequestLog
 from cicadaledge.edge._request_placer import RequestPlacer
+from cicadaledge.edge._response_writer import ResponseWriter
 from cicadaledge.edge._retry_budget import RetryBudget
 from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._server_pool import ServerPool
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -268,7 +268,7 @@
         if not self.faults.endless:
             return
         data = self.faults.endless * (_ENDLESS_WRITE_BYTES // len(self.faults.endless) + 1)
-        channel = writer._connection.channel
+        channel = writer.channel
         while run.sent_bytes < _ENDLESS_LIMIT_BYTES and not channel.is_lost:
             writer.send_raw(data)
             run.sent_bytes += len(data)
