Separate the outcomes of attempts and the writing of refusals from the request handler

What the end of an attempt shows about its server is now recorded in _attempt_outcomes.py, and refusals are logged, counted and sent in _refusal_writer.py. No change of behaviour.

--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 import random
 from functools import partial
-from typing import Any
 
-from cicadaledge.codes import Code, code_info
+from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._answer_times import AnswerTimes
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
+from cicadaledge.edge._attempt_outcomes import AttemptOutcomes
 from cicadaledge.edge._caller_connections import CallerConnections
 from cicadaledge.edge._caller_service import EarlyAnswer, RequestHead
 from cicadaledge.edge._channel import clock_ms
@@ -23,10 +22,10 @@
 from cicadaledge.edge._header_codec import HeaderCodec, ResponseSignals
 from cicadaledge.edge._held import BufferBudget
 from cicadaledge.edge._http_client import Headers
-from cicadaledge.edge._interrupted_run import InterruptedRun
 from cicadaledge.edge._load_shedder import LoadShedder
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
+from cicadaledge.edge._refusal_writer import RefusalWriter
 from cicadaledge.edge._refusals import BUSY_RETRY_MS, no_capacity, unanswered, with_true_run_state
 from cicadaledge.edge._request_log import RequestLog
 from cicadaledge.edge._request_placer import RequestPlacer
@@ -36,7 +35,7 @@
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._server_words import ServerSignalHandler
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.errors import RefusalError, refusal_body
+from cicadaledge.errors import RefusalError
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import (
     AccountShares,
@@ -50,12 +49,6 @@
 
 # A request is refused if this many servers could not be reached for it.
 _MAX_UNREACHABLE_SERVERS = 3
-# A server counts as silent from this multiple of the time in which its answer was expected, as
-# single requests take several times as long as most.
-_SILENCE_FACTOR = 4.0
-# A server does not count as silent before this time, in which a lost packet is sent again.
-_MIN_SILENCE_MS = 1_000.0
-_OK = 200
 _log = PartLog("request")
 
 
@@ -98,15 +91,14 @@
         self._control_state = control_state
         self._load = load
         self._health = health
-        self._placer = placer
         self._pool = pool
-        self._callers = callers
         self._load_shedder = load_shedder
         self._crash_detector = crash_detector
         self._poison_guard = poison_guard
         self._rollouts = rollouts
         self._metrics = metrics
         self._buffer_budget = BufferBudget()
+        self._refusals = RefusalWriter(codec, callers, metrics)
         self._signal_handler = ServerSignalHandler(control_state.directory, metrics)
         self._retries = RetryBudget(settings.bounds)
         self._random = random.Random()
@@ -114,7 +106,7 @@
             settings.placing, control_state.directory, load, health, rollouts.unused_servers
         )
         self._request_log = RequestLog(control_state, load, shares, capacity)
-        self._answer_times = AnswerTimes()
+        answer_times = AnswerTimes()
         self._admission = Admission(
             settings, control_state, shares, capacity, shutdown, self._request_log
         )
@@ -127,10 +119,22 @@
             self._admission,
             poison_guard,
             shutdown,
-            self._answer_times,
+            answer_times,
             self._request_log,
             rollouts,
         )
+        self._outcomes = AttemptOutcomes(
+            control_state,
+            load,
+            health,
+            placer,
+            crash_detector,
+            poison_guard,
+            rollouts,
+            answer_times,
+            self._request_log,
+            metrics,
+        )
 
     @property
     def limits(self) -> Limits:
@@ -160,7 +164,7 @@
         except RefusalError as refusal:
             if call is not None:
                 call.headers.clear()
-            return partial(self._send_refusal, with_true_run_state(refusal, None), call)
+            return partial(self._refusals.send, with_true_run_state(refusal, None), call)
         return None
 
     def ends_connection(self) -> bool:
@@ -171,10 +175,7 @@
 
     def refuse(self, code: Code, detail: str, status: int) -> tuple[Headers, bytes]:
         """Return the headers and body of a refusal sent before a route is known."""
-        self._metrics.count_refusal(int(code))
-        _log.info("Request refused.", code=int(code), detail=detail, status=status)
-        body = _json(refusal_body(RefusalError(code, detail), None))
-        return self._codec.refusal_headers(None), body
+        return self._refusals.before_route(code, detail, status)
 
     def record_disconnect(self, head: RequestHead) -> None:
         """Record that a caller disconnected before its request was read."""
@@ -197,7 +198,7 @@
             if request is not None and request.last_failure is not None and not writer.started:
                 await request.last_failure.send(writer)
                 return
-            await self._send_refusal(with_true_run_state(refusal, request), call, writer)
+            await self._refusals.send(with_true_run_state(refusal, request), call, writer)
         except Exception as error:  # noqa: BLE001 - the caller gets a code, not a closed connection
             request_id = call.request_id if call else None
             _log.warning(
@@ -205,7 +206,7 @@
                 request_id=request_id,
                 error=repr(error),
             )
-            await self._send_refusal(RefusalError(Code.INTERNAL), call, writer)
+            await self._refusals.send(RefusalError(Code.INTERNAL), call, writer)
         except asyncio.CancelledError:
             request_id = call.request_id if call else None
             if self.is_terminating:
@@ -320,64 +321,18 @@
         self._request_log.log_placed(
             request, chosen, self._admission.share_use(request, now_ms), now_ms
         )
-        server = chosen.server.server
         try:
-            with self._poison_guard.track_running(request, server):
+            with self._poison_guard.track_running(request, chosen.server.server):
                 result = await attempt.run()
         except asyncio.CancelledError:
-            if attempt.was_sent:
-                run = _interrupted_run(request, attempt)
-                self._crash_detector.record_unanswered(
-                    chosen.server, run, now_ms, connection_lost=False
-                )
-            elapsed_ms = clock_ms() - now_ms
-            if attempt.first_byte_ms is None and elapsed_ms > chosen.predicted_ms:
-                self._load.record_first_token_wait(chosen.placement, elapsed_ms, clock_ms())
-            if attempt.first_byte_ms is None and self._is_silent(request, chosen, elapsed_ms):
-                self._record_health(request, server, failed=True)
-                self._rollouts.record_silent(request, chosen.server, now_ms)
+            self._outcomes.record_cancelled(request, chosen, attempt, now_ms)
             raise
         finally:
             self._load.record_end(chosen.placement)
             self._request_placer.wake(request.service.name)
-        ended_ms = clock_ms()
-        took_ms = ended_ms - now_ms
-        if result.end is AttemptEnd.ANSWERED and result.status == _OK:
-            self._answer_times.record(request.route.name, took_ms)
-        elif result.end in (AttemptEnd.LOST, AttemptEnd.FAILED):
-            request.longest_attempt_ms = max(request.longest_attempt_ms, took_ms)
-        self._rollouts.record_ended(request, chosen.server, attempt, result, now_ms)
-        if result.is_full:
-            self._placer.record_full(server, ended_ms)
-        if result.end is AttemptEnd.LOST:
-            run = _interrupted_run(request, attempt)
-            self._crash_detector.record_unanswered(chosen.server, run, now_ms, connection_lost=True)
-        elif result.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
-            self._poison_guard.record_complete_answer(request)
-            if result.end is AttemptEnd.ANSWERED and result.status == _OK:
-                self._poison_guard.record_begun_answer(request)
-        if result.end is AttemptEnd.UNREACHABLE:
-            self._health.record_unreachable(server, ended_ms)
-        elif result.end not in (AttemptEnd.WITHDRAWN, AttemptEnd.POOL_EXHAUSTED):
-            self._record_health(request, server, failed=result.failed)
-        if result.cold_left_ms:
-            self._control_state.directory.mark_cold(server, ended_ms + result.cold_left_ms)
-        self._metrics.count_attempt(result.end.value)
-        if attempt.first_byte_ms is not None:
-            self._metrics.observe_first_byte((attempt.first_byte_ms - now_ms) / 1000)
-        if result.end is AttemptEnd.ANSWERED:
-            self._metrics.observe_answer((ended_ms - request.call.started_ms) / 1000)
-        self._request_log.log_attempt_ended(
-            request, chosen, result, attempt.first_byte_ms, attempt.longest_pause_ms, now_ms
-        )
+        self._outcomes.record_ended(request, chosen, attempt, result, now_ms)
         return result
 
-    def _record_health(self, request: ActiveRequest, server: str, *, failed: bool) -> None:
-        peers = [one.server for one in self._control_state.directory.usable(request.service.name)]
-        now_ms = clock_ms()
-        self._health.record_outcome(server, failed, peers, now_ms)
-        self._load.record_attempt_outcome(server, now_ms, failed=failed)
-
     def _apply_signals(self, chosen: Chosen, signals: ResponseSignals) -> None:
         now_ms = clock_ms()
         self._signal_handler.apply(chosen.server, signals, now_ms)
@@ -398,17 +353,6 @@
             return False
         return request.account is None or control_state.may_use_keys(now_ms)
 
-    def _is_silent(self, request: ActiveRequest, chosen: Chosen, elapsed_ms: float) -> bool:
-        """Return whether a server has been silent for longer than its load explains.
-
-        Where it is not known how long an answer takes, that is so only once the caller's time is
-        over: a caller may leave sooner for reasons of its own.
-        """
-        expected_ms = chosen.predicted_ms or self._answer_times.typical_ms(request.route.name)
-        if expected_ms > 0:
-            return elapsed_ms > max(expected_ms * _SILENCE_FACTOR, _MIN_SILENCE_MS)
-        return clock_ms() >= request.route.answer_due_ms(request.call)
-
     def _may_retry(
         self, request: ActiveRequest, result: AttemptResult, writer: ResponseWriter
     ) -> bool:
@@ -422,37 +366,3 @@
             return False
         routers = self._load.max_router_count(clock_ms())
         return self._retries.try_spend(request.service.name, routers, clock_ms())
-
-    async def _send_refusal(
-        self, refusal: RefusalError, call: Call | None, writer: ResponseWriter
-    ) -> None:
-        request_id = call.request_id if call else None
-        _log.info(
-            "Request refused.",
-            request_id=request_id,
-            code=int(refusal.code),
-            detail=refusal.detail,
-            run_state=refusal.run_state.value,
-            broken_off=writer.started,
-            after_ms=round(clock_ms() - call.started_ms) if call else None,
-        )
-        self._metrics.count_refusal(int(refusal.code))
-        if writer.started:
-            writer.abort()
-            return
-        status = code_info(refusal.code).http_status
-        headers = self._codec.refusal_headers(refusal.retry_after_ms)
-        if self._callers.is_half_full:
-            headers = [*headers, (b"Connection", b"close")]
-        await writer.send_response(status, headers, _json(refusal_body(refusal, request_id)))
-
-
-def _interrupted_run(request: ActiveRequest, attempt: Attempt) -> InterruptedRun:
-    answered_for_ms = None
-    if attempt.first_byte_ms is not None and attempt.last_byte_ms is not None:
-        answered_for_ms = attempt.last_byte_ms - attempt.first_byte_ms
-    return InterruptedRun(request, request.attempts + 1, answered_for_ms)
-
-
-def _json(plain: dict[str, Any]) -> bytes:
-    return json.dumps(plain).encode()
