Move what follows the store's topics into a package of its own

The followers of topics, the relay of pages, the store's epoch, its availability and the interface to its topics are in store/, which edge/ and platform/ import. store/ imports nothing of edge/: clock_ms, which both need, is now in clock.py, and a follower counts unused entries through a protocol. edge/ no longer exports the names of store/. The tests of the follower and of the availability move along; those that run whole routers stay in tests/edge. No change of behaviour.

--- a/benchmarks/request_costs.py
+++ b/benchmarks/request_costs.py
@@ -24,13 +24,14 @@
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._caller_connection import CallerConnection
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.clock import clock_ms
+from cicadaledge.edge._channel import Channel
 from cicadaledge.edge._request_handler import RequestHandler
 from cicadaledge.edge._http_client import HttpConnection
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._load_shedder import LoadShedder
-from cicadaledge.edge._source import ServerChanged, TableChanged
+from cicadaledge.store import ServerChanged, TableChanged
 from cicadaledge.logs import LineWriter
 from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker, Placer, ServerHealth
 from cicadaledge.platform import PlatformHeaderCodec
--- a/src/cicadaledge/edge/_admission.py
+++ b/src/cicadaledge/edge/_admission.py
@@ -4,9 +4,9 @@
 
 import random
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._departure import LEAVING_RETRY_MS, ShutdownSchedule
 from cicadaledge.edge._request_log import RequestLog
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -8,8 +8,8 @@
 
 from attrs import frozen
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import NOT_RUN_STATUSES
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._event_splitter import EventBoundary, EventSplitter, ResumeMismatchError
 from cicadaledge.edge._header_codec import HeaderCodec, ResponseSignals
 from cicadaledge.edge._held import BufferBudget, BufferedBody
--- a/src/cicadaledge/edge/_attempt_outcomes.py
+++ b/src/cicadaledge/edge/_attempt_outcomes.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._answer_times import AnswerTimes
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._crash_watch import CrashDetector
 from cicadaledge.edge._interrupted_run import InterruptedRun
--- a/src/cicadaledge/edge/_caller_connection.py
+++ b/src/cicadaledge/edge/_caller_connection.py
@@ -10,9 +10,10 @@
 
 import h11
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._caller_service import CallerService, HeadCheck
-from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._channel import Channel
 from cicadaledge.edge._request_reader import Received, RequestError, RequestReader
 from cicadaledge.edge._response_writer import ResponseWriter
 from cicadaledge.ingress import IngressSettings, Intake
--- a/src/cicadaledge/edge/_caller_connections.py
+++ b/src/cicadaledge/edge/_caller_connections.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._caller_connection import CallerConnection
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.logs import PartLog
 
--- a/src/cicadaledge/edge/_channel.py
+++ b/src/cicadaledge/edge/_channel.py
@@ -7,7 +7,6 @@
 import os
 import socket
 import struct
-import time
 from collections.abc import AsyncIterator, Callable
 from typing import cast
 
@@ -42,11 +41,6 @@
 _SLOW_PEER_SEND_BYTES = 131_072
 
 
-def clock_ms() -> float:
-    """Return monotonic milliseconds, including the time that the system was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
-
-
 def reset_on_close(sock: socket.socket) -> None:
     """Make closing a socket reset the connection and discard unsent bytes."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
--- a/src/cicadaledge/edge/_control_state.py
+++ b/src/cicadaledge/edge/_control_state.py
@@ -5,7 +5,9 @@
 from typing import Protocol
 
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import (
+from cicadaledge.logs import PartLog
+from cicadaledge.routing import RoutingTable, ServerDirectory, ServerEntry
+from cicadaledge.store import (
     Change,
     EvidenceSeen,
     MemberSeen,
@@ -17,8 +19,6 @@
     UnreadableEntry,
     ZoneChanged,
 )
-from cicadaledge.logs import PartLog
-from cicadaledge.routing import RoutingTable, ServerDirectory, ServerEntry
 
 _log = PartLog("beliefs")
 
--- a/src/cicadaledge/edge/_crash_watch.py
+++ b/src/cicadaledge/edge/_crash_watch.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from cicadaledge.edge._channel import clock_ms
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._http_client import HttpConnection
 from cicadaledge.edge._interrupted_run import InterruptedRun
 from cicadaledge.edge._server_pool import ServerPool
--- a/src/cicadaledge/edge/_daemon.py
+++ b/src/cicadaledge/edge/_daemon.py
@@ -6,14 +6,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._connection_gate import ConnectionGate
 from cicadaledge.edge._control_state import ControlPlaneState, ControlSink, ServerSink
 from cicadaledge.edge._crash_watch import CrashDetector
 from cicadaledge.edge._departure import ShutdownSchedule
 from cicadaledge.edge._evidence_publisher import SuspectNews
-from cicadaledge.edge._follow import PollTiming, TopicFollower, TopicSink
 from cicadaledge.edge._header_codec import HeaderCodec
 from cicadaledge.edge._load_shedder import LoadShedder
 from cicadaledge.edge._loop_watch import LoopWatch
@@ -28,11 +27,17 @@
 from cicadaledge.edge._server_pool import ServerPool
 from cicadaledge.edge._settings import EdgeSettings
 from cicadaledge.edge._slow_readers import SlowReaders
-from cicadaledge.edge._source import ChangeSource, StoreTopics
-from cicadaledge.edge._store_reach import StoreAvailability
 from cicadaledge.ingress import Intake
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker, Placer, ServerHealth
+from cicadaledge.store import (
+    ChangeSource,
+    PollTiming,
+    StoreAvailability,
+    StoreTopics,
+    TopicFollower,
+    TopicSink,
+)
 from cicadaledge.wire import Listener
 
 _UPKEEP_INTERVAL_S = 1.0
--- a/src/cicadaledge/edge/_evidence_publisher.py
+++ b/src/cicadaledge/edge/_evidence_publisher.py
@@ -6,14 +6,8 @@
 import random
 
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
-from cicadaledge.edge._source import (
-    Change,
-    EvidenceSeen,
-    StoreError,
-    SuspectRegistry,
-    TrialClaimed,
-)
 from cicadaledge.logs import PartLog
+from cicadaledge.store import Change, EvidenceSeen, StoreError, SuspectRegistry, TrialClaimed
 
 # A failed publication is retried after this delay. It must not be shorter, as all routers publish
 # at the same time after an outage of the store.
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -11,7 +11,8 @@
 
 import h11
 
-from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.clock import clock_ms
+from cicadaledge.edge._channel import Channel
 from cicadaledge.edge._connecting import connect
 from cicadaledge.errors import BackendError
 
--- a/src/cicadaledge/edge/_loop_watch.py
+++ b/src/cicadaledge/edge/_loop_watch.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._load_shedder import LoadShedder
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._request_handler import RequestHandler
--- a/src/cicadaledge/edge/_metrics.py
+++ b/src/cicadaledge/edge/_metrics.py
@@ -8,7 +8,7 @@
 import aioprometheus
 from aioprometheus.renderer import render
 
-from cicadaledge.edge._epoch import StoreEpoch
+from cicadaledge.store import StoreEpoch
 
 _BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0)
 
--- a/src/cicadaledge/edge/_peers.py
+++ b/src/cicadaledge/edge/_peers.py
@@ -11,23 +11,23 @@
 
 from attrs import define, evolve
 
-from cicadaledge.edge._channel import clock_ms
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._load_shedder import LoadShedder
-from cicadaledge.edge._news import StoreRelay
 from cicadaledge.edge._rollout_exchange import FleetRoles
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import (
+from cicadaledge.logs import PartLog
+from cicadaledge.membership import rank
+from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker
+from cicadaledge.routing import ServerDirectory
+from cicadaledge.store import (
     Change,
     FleetMember,
     MemberRegistry,
     MemberSeen,
+    StoreAvailability,
     StoreError,
+    StoreRelay,
 )
-from cicadaledge.edge._store_reach import StoreAvailability
-from cicadaledge.logs import PartLog
-from cicadaledge.membership import rank
-from cicadaledge.placing import AccountShares, FleetLoad, LoadTracker
-from cicadaledge.routing import ServerDirectory
 from cicadaledge.wire import DepartingServer, LoadView, PeerLinks, RolloutView, StoreNews, ViewScope
 
 _FLEET_KEY = "cicadaledge-edge"
--- a/src/cicadaledge/edge/_poison_guard.py
+++ b/src/cicadaledge/edge/_poison_guard.py
@@ -14,17 +14,17 @@
 from contextlib import contextmanager
 from typing import Any
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._fingerprint import digest_prefix, fingerprint
 from cicadaledge.edge._interrupted_run import InterruptedRun
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._prompt_part_guard import PromptPartGuard
-from cicadaledge.edge._source import CrashEvidence
 from cicadaledge.edge._wall_clock import wall_ms
 from cicadaledge.errors import RefusalError
 from cicadaledge.logs import PartLog
+from cicadaledge.store import CrashEvidence
 from cicadaledge.suspects import Evidence, SuspectTracker, TrialClaim
 
 # Evidence of a crash expires after this time, within which operators can look into it. It is the
--- a/src/cicadaledge/edge/_process.py
+++ b/src/cicadaledge/edge/_process.py
@@ -13,8 +13,8 @@
 from cicadaledge.edge._daemon import FINAL_WAIT_S, EdgeRouter
 from cicadaledge.edge._header_codec import HeaderCodec
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import StoreTopics
 from cicadaledge.logs import LineWriter
+from cicadaledge.store import StoreTopics
 
 # Thresholds of the garbage collector. It starts a collection once this many more objects (the first
 # value) were created than freed. The objects of some hundred requests reach that number, and few of
--- a/src/cicadaledge/edge/_prompt_part_guard.py
+++ b/src/cicadaledge/edge/_prompt_part_guard.py
@@ -14,9 +14,9 @@
 
 from attrs import define, field
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._interrupted_run import InterruptedRun
 from cicadaledge.edge._wall_clock import wall_ms
 from cicadaledge.errors import RefusalError
--- a/src/cicadaledge/edge/_refusal_writer.py
+++ b/src/cicadaledge/edge/_refusal_writer.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code, code_info
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._header_codec import HeaderCodec
 from cicadaledge.edge._http_client import Headers
 from cicadaledge.edge._metrics import EdgeMetrics
--- a/src/cicadaledge/edge/_request_handler.py
+++ b/src/cicadaledge/edge/_request_handler.py
@@ -7,6 +7,7 @@
 import random
 from functools import partial
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._admission import Admission
@@ -15,7 +16,6 @@
 from cicadaledge.edge._attempt_outcomes import AttemptOutcomes
 from cicadaledge.edge._caller_connections import CallerConnections
 from cicadaledge.edge._caller_service import EarlyAnswer, RequestHead
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._crash_watch import CrashDetector
 from cicadaledge.edge._departure import ShutdownSchedule
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._attempt import AttemptResult
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import (
--- a/src/cicadaledge/edge/_request_placer.py
+++ b/src/cicadaledge/edge/_request_placer.py
@@ -7,11 +7,11 @@
 
 from attrs import define
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._admission import Admission
 from cicadaledge.edge._answer_times import AnswerTimes
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._departure import LEAVING_RETRY_MS, ShutdownSchedule
 from cicadaledge.edge._poison_guard import PoisonRequestGuard
--- a/src/cicadaledge/edge/_request_reader.py
+++ b/src/cicadaledge/edge/_request_reader.py
@@ -4,9 +4,10 @@
 
 import h11
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import Code
 from cicadaledge.edge._caller_service import CallerService, EarlyAnswer, HeadCheck, RequestHead
-from cicadaledge.edge._channel import Channel, clock_ms
+from cicadaledge.edge._channel import Channel
 from cicadaledge.edge._response_writer import send_events
 from cicadaledge.ingress import (
     BodyError,
--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -13,11 +13,10 @@
 
 from attrs import define, field, frozen
 
-from cicadaledge.edge._channel import clock_ms
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._rollout_guard import RolloutGuard
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import StatusTopic, StoreError
 from cicadaledge.edge._wall_clock import wall_ms
 from cicadaledge.logs import PartLog
 from cicadaledge.membership import rank
@@ -29,6 +28,7 @@
     RolloutState,
     RolloutStatus,
 )
+from cicadaledge.store import StatusTopic, StoreError
 from cicadaledge.wire import RolloutCell, RolloutView, ViewScope
 
 _UNKNOWN_AGE = -1
--- a/src/cicadaledge/edge/_rollout_guard.py
+++ b/src/cicadaledge/edge/_rollout_guard.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._active_request import ActiveRequest
 from cicadaledge.edge._attempt import Attempt, AttemptEnd, AttemptResult
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._settings import EdgeSettings
-from cicadaledge.edge._source import Change, RolloutOrdered, RolloutStatusSeen
 from cicadaledge.edge._wall_clock import wall_ms
 from cicadaledge.rollouts import AnswerOutcome, RolloutKeeper, RolloutState
 from cicadaledge.routing import ServerEntry
+from cicadaledge.store import Change, RolloutOrdered, RolloutStatusSeen
 
 _OK = 200
 _FIRST_ERROR = 500
--- a/src/cicadaledge/edge/_slow_readers.py
+++ b/src/cicadaledge/edge/_slow_readers.py
@@ -11,9 +11,9 @@
 
 from attrs import define, field, frozen
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.edge._caller_connection import CallerConnection
 from cicadaledge.edge._caller_connections import CallerConnections
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._settings import SlowReaderSettings
 from cicadaledge.logs import PartLog
--- a/src/cicadaledge/platform/_decode.py
+++ b/src/cicadaledge/platform/_decode.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from cicadaledge.edge import CrashEvidence, FleetMember
 from cicadaledge.platform._fields import Fields, check_header_name
 from cicadaledge.rollouts import RolloutOrder, RolloutState, RolloutStatus
 from cicadaledge.routing import (
@@ -19,6 +18,7 @@
     Version,
     with_objectives,
 )
+from cicadaledge.store import CrashEvidence, FleetMember
 from cicadaledge.suspects import MAX_TRIALS, Evidence, PartEvidence, TrialClaim
 
 _ROUTE_KINDS = {
--- a/src/cicadaledge/platform/_encode.py
+++ b/src/cicadaledge/platform/_encode.py
@@ -4,8 +4,8 @@
 
 import json
 
-from cicadaledge.edge import CrashEvidence, FleetMember
 from cicadaledge.rollouts import RolloutStatus
+from cicadaledge.store import CrashEvidence, FleetMember
 from cicadaledge.suspects import TrialClaim
 
 
--- a/src/cicadaledge/platform/_main.py
+++ b/src/cicadaledge/platform/_main.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from cicadaledge.edge import StoreTopics, run_edge_router
+from cicadaledge.edge import run_edge_router
 from cicadaledge.platform._header_codec import PlatformHeaderCodec
 from cicadaledge.platform._settings_file import load_edge_settings
 from cicadaledge.platform._store_client import StoreClient
 from cicadaledge.platform._topics import ControlTopic, MemberTopic, RolloutStatusTopic, ServerTopic
+from cicadaledge.store import StoreTopics
 
 
 def main() -> None:
--- a/src/cicadaledge/platform/_records.py
+++ b/src/cicadaledge/platform/_records.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from cicadaledge.edge import NO_EPOCH
+from cicadaledge.store import NO_EPOCH
 
 _LENGTH_BYTES = 4
 
--- a/src/cicadaledge/platform/_store_client.py
+++ b/src/cicadaledge/platform/_store_client.py
@@ -10,19 +10,12 @@
 
 from attrs import evolve
 
-from cicadaledge.edge import (
-    NO_EPOCH,
-    HistoryLostError,
-    HttpConnection,
-    ResponseHead,
-    StoreEpoch,
-    StoreError,
-    clock_ms,
-    timeout_after_reads,
-)
+from cicadaledge.clock import clock_ms
+from cicadaledge.edge import HttpConnection, ResponseHead, timeout_after_reads
 from cicadaledge.errors import BackendError
 from cicadaledge.logs import PartLog
 from cicadaledge.platform._records import KeyedRecord, RecordPage, encode_record, read_page
+from cicadaledge.store import NO_EPOCH, HistoryLostError, StoreEpoch, StoreError
 
 _OK = 200
 _GONE = 410
--- a/src/cicadaledge/platform/_topics.py
+++ b/src/cicadaledge/platform/_topics.py
@@ -5,23 +5,6 @@
 import hashlib
 from typing import ClassVar
 
-from cicadaledge.edge import (
-    Change,
-    ChangePage,
-    CrashEvidence,
-    EvidenceSeen,
-    FleetMember,
-    MemberSeen,
-    RolloutOrdered,
-    RolloutStatusSeen,
-    ServerChanged,
-    ServerRemoved,
-    SuspectRegistry,
-    TableChanged,
-    TrialClaimed,
-    UnreadableEntry,
-    ZoneChanged,
-)
 from cicadaledge.platform._decode import (
     decode_evidence,
     decode_member,
@@ -40,6 +23,23 @@
 from cicadaledge.platform._records import KeyedRecord, RecordPage, read_page
 from cicadaledge.platform._store_client import StoreClient
 from cicadaledge.rollouts import RolloutStatus
+from cicadaledge.store import (
+    Change,
+    ChangePage,
+    CrashEvidence,
+    EvidenceSeen,
+    FleetMember,
+    MemberSeen,
+    RolloutOrdered,
+    RolloutStatusSeen,
+    ServerChanged,
+    ServerRemoved,
+    SuspectRegistry,
+    TableChanged,
+    TrialClaimed,
+    UnreadableEntry,
+    ZoneChanged,
+)
 from cicadaledge.suspects import TrialClaim
 
 # The reason why a record is unreadable is cut to this length, as it is written to a log line.
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -9,7 +9,8 @@
 
 from attrs import define, frozen
 
-from cicadaledge.edge import Headers, RequestHead, ResponseWriter, clock_ms
+from cicadaledge.clock import clock_ms
+from cicadaledge.edge import Headers, RequestHead, ResponseWriter
 from cicadaledge.standins._http_service import HttpService
 
 _HANG_S = 3600.0
--- /dev/null
+++ b/src/cicadaledge/store/__init__.py
@@ -0,0 +1,60 @@
+"""Follows the topics of the store: changes, relayed pages, the store's epoch and its outages."""
+
+from cicadaledge.store._epoch import NO_EPOCH, StoreEpoch
+from cicadaledge.store._follow import PollTiming, TopicFollower, TopicSink
+from cicadaledge.store._news import StoreRelay
+from cicadaledge.store._reach import StoreAvailability
+from cicadaledge.store._source import (
+    Change,
+    ChangePage,
+    ChangeSource,
+    CrashEvidence,
+    EvidenceSeen,
+    FleetMember,
+    HistoryLostError,
+    MemberRegistry,
+    MemberSeen,
+    RolloutOrdered,
+    RolloutStatusSeen,
+    ServerChanged,
+    ServerRemoved,
+    StatusTopic,
+    StoreError,
+    StoreTopics,
+    SuspectRegistry,
+    TableChanged,
+    TrialClaimed,
+    UnreadableEntry,
+    ZoneChanged,
+)
+
+__all__ = [
+    "NO_EPOCH",
+    "Change",
+    "ChangePage",
+    "ChangeSource",
+    "CrashEvidence",
+    "EvidenceSeen",
+    "FleetMember",
+    "HistoryLostError",
+    "MemberRegistry",
+    "MemberSeen",
+    "PollTiming",
+    "RolloutOrdered",
+    "RolloutStatusSeen",
+    "ServerChanged",
+    "ServerRemoved",
+    "StatusTopic",
+    "StoreAvailability",
+    "StoreEpoch",
+    "StoreError",
+    "StoreRelay",
+    "StoreTopics",
+    "SuspectRegistry",
+    "TableChanged",
+    "TopicFollower",
+    "TopicSink",
+    "TrialClaimed",
+    "UnreadableEntry",
+    "ZoneChanged",
+]
--- a/src/cicadaledge/edge/_epoch.py
+++ b/src/cicadaledge/store/_epoch.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from cicadaledge.edge._channel import clock_ms
+from cicadaledge.clock import clock_ms
 from cicadaledge.logs import PartLog
 
 # Epoch of answers and pages without one: the store has no epochs, or a router of a former build,
--- a/src/cicadaledge/edge/_follow.py
+++ b/src/cicadaledge/store/_follow.py
@@ -8,11 +8,12 @@
 
 from attrs import evolve, frozen
 
-from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._epoch import NO_EPOCH
-from cicadaledge.edge._metrics import EdgeMetrics
-from cicadaledge.edge._news import StoreRelay
-from cicadaledge.edge._source import (
+from cicadaledge.clock import clock_ms
+from cicadaledge.logs import PartLog
+from cicadaledge.store._epoch import NO_EPOCH
+from cicadaledge.store._news import StoreRelay
+from cicadaledge.store._reach import StoreAvailability
+from cicadaledge.store._source import (
     Change,
     ChangePage,
     ChangeSource,
@@ -20,8 +21,6 @@
     StoreError,
     UnreadableEntry,
 )
-from cicadaledge.edge._store_reach import StoreAvailability
-from cicadaledge.logs import PartLog
 from cicadaledge.wire import StoreNews
 
 # A slow store responds within this time after the long-poll wait. If the last proof is older than
@@ -75,6 +74,13 @@
         """Prepare for a complete read from a store that was restored from an older copy."""
 
 
+class SkippedEntryCounter(Protocol):
+    """Counts entries of the store that are not used."""
+
+    def count_skipped_entries(self, topic: str, why: str, count: int = 1) -> None:
+        """Count entries of a topic that are not used."""
+
+
 class TopicFollower:
     """Follows one topic forever: reads all current entries first, then each new record.
 
@@ -84,7 +90,7 @@
         timing: How often the topic is read.
         relay: Relayed pages of the zone.
         availability: Availability of the store, shared by the followers of all topics.
-        metrics: Counts entries that cannot be used.
+        metrics: Counts entries that cannot be used; they are only logged without it.
     """
 
     def __init__(
@@ -94,14 +100,14 @@
         timing: PollTiming,
         relay: StoreRelay,
         availability: StoreAvailability,
-        metrics: EdgeMetrics | None = None,
+        metrics: SkippedEntryCounter | None = None,
     ) -> None:
         self._source = source
         self._sink = sink
         self._timing = timing
         self._relay = relay
         self._availability = availability
-        self._metrics = metrics or EdgeMetrics()
+        self._metrics = metrics
         self._offset: int | None = None
         self._failed = False
         self._reads = 0
@@ -241,16 +247,20 @@
         try:
             self._sink.apply(change, now_ms)
         except Exception as error:  # noqa: BLE001 - one change must not end the reading of all
-            self._metrics.count_skipped_entries(self.topic, "failed")
+            self._count_skipped("failed", 1)
             _log.warning(
                 "Change could not be applied and is skipped.", topic=self.topic, error=repr(error)
             )
 
+    def _count_skipped(self, why: str, count: int) -> None:
+        if self._metrics is not None:
+            self._metrics.count_skipped_entries(self.topic, why, count)
+
     def _report_unreadable(self, entries: list[UnreadableEntry]) -> None:
         """Count the unreadable entries of a page, and log the first."""
         if not entries:
             return
-        self._metrics.count_skipped_entries(self.topic, "foreign", len(entries))
+        self._count_skipped("foreign", len(entries))
         _log.warning(
             "Entries of the store cannot be decoded and are not used.",
             topic=self.topic,
--- a/src/cicadaledge/edge/_news.py
+++ b/src/cicadaledge/store/_news.py
@@ -13,10 +13,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._source import ChangePage
-from cicadaledge.edge._store_reach import StoreAvailability
+from cicadaledge.clock import clock_ms
 from cicadaledge.logs import PartLog
+from cicadaledge.store._reach import StoreAvailability
+from cicadaledge.store._source import ChangePage
 from cicadaledge.wire import StoreNews
 
 # At most this many timestamps, the latest ones, are kept for each peer. Fewer arrive during a long
--- a/src/cicadaledge/edge/_store_reach.py
+++ b/src/cicadaledge/store/_reach.py
@@ -9,8 +9,8 @@
 import asyncio
 import random
 
-from cicadaledge.edge._channel import clock_ms
-from cicadaledge.edge._epoch import StoreEpoch
+from cicadaledge.clock import clock_ms
+from cicadaledge.store._epoch import StoreEpoch
 
 # The first failures are retried after this delay, which keeps calls that fail at once within the
 # store's rate limits.
--- a/src/cicadaledge/edge/_source.py
+++ b/src/cicadaledge/store/_source.py
@@ -6,10 +6,10 @@
 
 from attrs import field, frozen
 
-from cicadaledge.edge._epoch import NO_EPOCH, StoreEpoch
 from cicadaledge.errors import CicadaledgeError
 from cicadaledge.rollouts import RolloutOrder, RolloutStatus
 from cicadaledge.routing import RoutingTable, ServerEntry
+from cicadaledge.store._epoch import NO_EPOCH, StoreEpoch
 from cicadaledge.suspects import Evidence, PartEvidence, TrialClaim
 
 
--- a/tests/alone/limited_router.py
+++ b/tests/alone/limited_router.py
@@ -11,7 +11,7 @@
 from attrs import define, evolve, field
 from edge_world import FAST, HOST, ZONES, free_port, request_headers, small_world
 
-from cicadaledge.edge import BoundSettings, HttpConnection, StoreTopics, run_edge_router
+from cicadaledge.edge import BoundSettings, HttpConnection, run_edge_router
 from cicadaledge.errors import BackendError
 from cicadaledge.platform import (
     ControlTopic,
@@ -23,6 +23,7 @@
 )
 from cicadaledge.settings import Address
 from cicadaledge.standins import NODE_FILE_VARIABLE, NodeFile
+from cicadaledge.store import StoreTopics
 
 MEGABYTE = 1_048_576
 # Memory of the VM in these tests, in MiB. It is below that of the smallest VM, so that a small
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,7 +46,7 @@
 @pytest.fixture(autouse=True)
 def edge_event_loop(request):
     """Run the tests of the edge router on uvloop, as its process does."""
-    if "edge" not in request.node.path.parts:
+    if not {"edge", "store"} & set(request.node.path.parts):
         yield
         return
     previous_policy = asyncio.get_event_loop_policy()
--- a/tests/edge/edge_world.py
+++ b/tests/edge/edge_world.py
@@ -20,8 +20,6 @@
     ResponseHead,
     SheddingSettings,
     SlowReaderSettings,
-    StoreError,
-    StoreTopics,
     TimingSettings,
 )
 from cicadaledge.errors import BackendError
@@ -43,6 +41,7 @@
     platform_pool,
     platform_route,
 )
+from cicadaledge.store import StoreError, StoreTopics
 
 HOST = "127.0.0.1"
 KEY = "key-of-banksia"
--- a/tests/edge/router_process.py
+++ b/tests/edge/router_process.py
@@ -12,7 +12,7 @@
 
 from edge_world import FAST, HOST, SETTINGS, evolve, free_port
 
-from cicadaledge.edge import BoundSettings, StoreTopics, run_edge_router
+from cicadaledge.edge import BoundSettings, run_edge_router
 from cicadaledge.errors import BackendError
 from cicadaledge.platform import (
     ControlTopic,
@@ -22,6 +22,7 @@
     StoreClient,
 )
 from cicadaledge.settings import Address
+from cicadaledge.store import StoreTopics
 
 NAME = "router-9"
 # Callers wait no longer for their connection to be accepted, or for their request to be read.
--- a/tests/edge/test_control_state.py
+++ b/tests/edge/test_control_state.py
@@ -5,13 +5,9 @@
 from attrs import evolve
 from edge_world import ENTRY, FAST, KEY, SETTINGS, configuration, small_world
 
-from cicadaledge.edge import (
-    BoundSettings,
-    ControlPlaneState,
-    ServerChanged,
-    ServerRemoved,
-)
+from cicadaledge.edge import BoundSettings, ControlPlaneState
 from cicadaledge.standins import platform_route
+from cicadaledge.store import ServerChanged, ServerRemoved
 
 LONG_OUTAGE_MS = SETTINGS.timing.lapse_outage_ms
 OTHER = evolve(ENTRY, server="desk-1")
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -7,11 +7,12 @@
 import pytest
 from edge_world import request_headers, small_world
 
-from cicadaledge.edge import Channel, HttpConnection, StoreError
+from cicadaledge.edge import Channel, HttpConnection
 from cicadaledge.edge._event_splitter import EventSplitter
 from cicadaledge.edge._held import BufferBudget, BufferedBody
 from cicadaledge.platform import StoreClient
 from cicadaledge.standins import BackendFaults
+from cicadaledge.store import StoreError
 
 HOST = "127.0.0.1"
 MEGABYTE = 1_048_576
--- a/tests/edge/test_news.py
+++ b/tests/edge/test_news.py
@@ -7,10 +7,10 @@
 from attrs import evolve
 from edge_world import ENTRY, FAST, KEY, SETTINGS, small_world
 
-from cicadaledge.edge import (
-    BoundSettings,
+from cicadaledge.edge import BoundSettings, ControlPlaneState, clock_ms
+from cicadaledge.membership import rank
+from cicadaledge.store import (
     ChangePage,
-    ControlPlaneState,
     PollTiming,
     ServerChanged,
     ServerRemoved,
@@ -19,9 +19,7 @@
     StoreRelay,
     TopicFollower,
     ZoneChanged,
-    clock_ms,
 )
-from cicadaledge.membership import rank
 from cicadaledge.wire import StoreNews
 
 STRICT = BoundSettings(grace_ms=3_000, revoke_ms=900)
--- a/tests/edge/test_rollout_exchange.py
+++ b/tests/edge/test_rollout_exchange.py
@@ -4,7 +4,7 @@
 
 from edge_world import SETTINGS, evolve
 
-from cicadaledge.edge import ControlPlaneState, StoreError
+from cicadaledge.edge import ControlPlaneState
 from cicadaledge.edge._metrics import EdgeMetrics
 from cicadaledge.edge._rollout_exchange import FleetRoles, RolloutExchange
 from cicadaledge.edge._rollout_guard import RolloutGuard
@@ -15,6 +15,7 @@
     RolloutState,
     RolloutStatus,
 )
+from cicadaledge.store import StoreError
 from cicadaledge.wire import LoadView, NameTable, ViewScope, decode_message, encode_message
 
 ROLLOUTS = RolloutSettings(is_enabled=True)
--- a/tests/edge/test_store_epoch.py
+++ b/tests/edge/test_store_epoch.py
@@ -9,10 +9,13 @@
 from edge_world import ENTRY, FAST, KEY, SETTINGS, small_world
 from test_news import TIMES, Sink, Topic, relayed_page
 
-from cicadaledge.edge import (
+from cicadaledge.edge import ControlPlaneState, clock_ms
+from cicadaledge.edge._control_state import ControlSink, ServerSink
+from cicadaledge.edge._wall_clock import wall_ms
+from cicadaledge.platform import decode_table
+from cicadaledge.store import (
     NO_EPOCH,
     ChangePage,
-    ControlPlaneState,
     FleetMember,
     HistoryLostError,
     MemberSeen,
@@ -26,12 +29,8 @@
     TopicFollower,
     TrialClaimed,
     ZoneChanged,
-    clock_ms,
 )
-from cicadaledge.edge import _epoch as epoch_module
-from cicadaledge.edge._control_state import ControlSink, ServerSink
-from cicadaledge.edge._wall_clock import wall_ms
-from cicadaledge.platform import decode_table
+from cicadaledge.store import _epoch as epoch_module
 
 SETTLE_MS = SETTINGS.timing.epoch_settle_ms
 REWRITE_MS = SETTINGS.timing.operator_rewrite_ms
--- a/tests/platform/test_evidence.py
+++ b/tests/platform/test_evidence.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from cicadaledge.edge import CrashEvidence, EvidenceSeen, TrialClaimed
 from cicadaledge.platform import StoreClient
 from cicadaledge.platform._decode import decode_evidence, decode_trial_claim
 from cicadaledge.platform._topics import SuspectTopic
 from cicadaledge.standins import PlatformStore
+from cicadaledge.store import CrashEvidence, EvidenceSeen, TrialClaimed
 from cicadaledge.suspects import Evidence, PartEvidence, TrialClaim
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cicadaledge.edge import EvidenceSeen, MemberSeen, ServerChanged, TableChanged, UnreadableEntry
 from cicadaledge.platform import ControlTopic, MemberTopic, ServerTopic, StoreClient
 from cicadaledge.platform._topics import SuspectTopic
 from cicadaledge.standins import PlatformStore
+from cicadaledge.store import EvidenceSeen, MemberSeen, ServerChanged, TableChanged, UnreadableEntry
 
 CLIENT = StoreClient("127.0.0.1", 1)
 SERVER = {
--- a/tests/platform/test_rollout_records.py
+++ b/tests/platform/test_rollout_records.py
@@ -7,7 +7,6 @@
 from test_adapter import NODE
 from test_odd_entries import SERVER
 
-from cicadaledge.edge import RolloutOrdered, RolloutStatusSeen, UnreadableEntry
 from cicadaledge.platform import (
     ControlTopic,
     RolloutStatusTopic,
@@ -19,6 +18,7 @@
 )
 from cicadaledge.rollouts import RolloutOrder, RolloutState, RolloutStatus
 from cicadaledge.standins import PlatformStore
+from cicadaledge.store import RolloutOrdered, RolloutStatusSeen, UnreadableEntry
 
 
 def read_settings(text, tmp_path, monkeypatch):
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -10,9 +10,10 @@
 import pytest
 import uvloop
 
-from cicadaledge.edge import NO_EPOCH, HistoryLostError, ResponseHead, StoreError
+from cicadaledge.edge import ResponseHead
 from cicadaledge.platform import StoreClient
 from cicadaledge.standins import PlatformStore
+from cicadaledge.store import NO_EPOCH, HistoryLostError, StoreError
 
 
 def test_a_call_without_an_answer_drops_all_idle_connections():
--- a/tests/edge/test_follow.py
+++ b/tests/store/test_follow.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from cicadaledge.edge import (
+from cicadaledge.clock import clock_ms
+from cicadaledge.store import (
     ChangePage,
     PollTiming,
     StoreAvailability,
     StoreRelay,
     TopicFollower,
     _follow,
-    clock_ms,
 )
 
 TIMES = PollTiming(wait_ms=50, pause_ms=5, silence_ms=200, first_pauses_ms=(300.0,))
--- a/tests/edge/test_store_reach.py
+++ b/tests/store/test_reach.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from cicadaledge.edge import (
+from cicadaledge.clock import clock_ms
+from cicadaledge.store import (
     ChangePage,
     PollTiming,
     StoreAvailability,
     StoreError,
     StoreRelay,
     TopicFollower,
-    clock_ms,
 )
 
 OUTAGE_S = 3.0
