--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -8,8 +8,8 @@
 
 from attrs import frozen
 
+from cicadaledge.clock import clock_ms
 from cicadaledge.codes import NOT_RUN_STATUSES
-from cicadaledge.edge._channel import clock_ms
 from cicadaledge.edge._event_splitter import EventBoundary, EventSplitter, ResumeMismatchError
 from cicadaledge.edge._header_codec import HeaderCodec, ResponseSignals
 from cicadaledge.edge._held import BufferBudget, BufferedBody
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from cicadaledge.edge._active_request import ActiveRequest
-    from cicadaledge.edge._caller_connection import ResponseWriter
+    from cicadaledge.edge._response_writer import ResponseWriter
 
 # Late responses to earlier requests are skipped on a connection. After more of them than this, the
 # connection is closed and the request counts as lost.
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -9,7 +9,8 @@
 
 from attrs import define, frozen
 
-from cicadaledge.edge import Headers, RequestHead, ResponseWriter, clock_ms
+from cicadaledge.clock import clock_ms
+from cicadaledge.edge import Headers, RequestHead, ResponseWriter
 from cicadaledge.standins._http_service import HttpService
 
 _HANG_S = 3600.0
@@ -270,7 +271,7 @@
         if not self.faults.endless:
             return
         data = self.faults.endless * (_ENDLESS_WRITE_BYTES // len(self.faults.endless) + 1)
-        channel = writer._connection.channel
+        channel = writer.channel
         while run.sent_bytes < _ENDLESS_LIMIT_BYTES and not channel.is_lost:
             writer.send_raw(data)
             run.sent_bytes += len(data)
