Keep a prompt's last shared part in the rank of engines beside its suspected parts

After an ordinary crash the parts of many prompts are suspect for a moment. Ranked by these alone, all prompts that share one would have gone to the same engine.

--- a/src/cicadaledge/placing/_ranking.py
+++ b/src/cicadaledge/placing/_ranking.py
@@ -17,9 +17,11 @@
 class EngineRanking:
     """Ranks the engines of a service by rendezvous hash of a prompt's last shared part.
 
-    Prompts with parts that are suspected of crashing servers are ranked by all of these instead.
+    For prompts with parts that are suspected of crashing servers, these enter the hash as well.
     Otherwise prompts that share only their last part with one that crashes servers would go to the
-    same engine as it does, until no engine is left that can answer them and thereby clear them.
+    same engine as it does, until no engine is left that can answer them and thereby clear them. The
+    last part stays in the hash, as after an ordinary crash the parts of many prompts are suspect for
+    a moment, which one engine could not take.
 
     An engine on which work lasts longer ranks first for fewer prompts. Orders are cached until the
     set of usable servers or their speed levels change.
@@ -58,7 +60,7 @@
             self._generation = generation
         shared = call.shared_parts
         last_part = shared[-1].digest if shared else call.request_id
-        key = (service, " ".join(suspect_parts) or last_part)
+        key = (service, " ".join((last_part, *suspect_parts)))
         order = self._orders.get(key)
         if order is None:
             order = sorted(
