--- a/tests/edge/test_fatal_prompt_parts.py
+++ b/tests/edge/test_fatal_prompt_parts.py
@@ -95,6 +95,7 @@
 
 def test_two_prompt_parts_that_crash_servers_are_both_refused():
     """All prompts end alike, so that the sound ones followed the others to each engine that crashed."""
+
     async def scenario():
         async with small_world(pools=8, routers=3) as world:
             make_fatal(world, FATAL, "dead0002")
