--- a/src/cicadaledge/review/_changes.py
+++ b/src/cicadaledge/review/_changes.py
@@ -57,16 +57,16 @@
 ) -> list[Change]:
     former, later = _by_name(before), _by_name(after)
     changes = []
-    for (name, _), entry in later.items():
-        if (name, _) not in former:
-            keys = tuple(_key_details(None, entry))
-            changes.append(Change(section, name, Action.ADDED, keys))
-        elif details := tuple(_details(former[name, _], entry)):
-            changes.append(Change(section, name, Action.CHANGED, details))
-    for (name, _), entry in former.items():
-        if (name, _) not in later:
-            keys = tuple(_key_details(entry, None))
-            changes.append(Change(section, name, Action.REMOVED, keys))
+    for key, entry in later.items():
+        if key not in former:
+            details = tuple(_key_details(None, entry))
+            changes.append(Change(section, entry.name, Action.ADDED, details))
+        elif details := tuple(_details(former[key], entry)):
+            changes.append(Change(section, entry.name, Action.CHANGED, details))
+    for key, entry in former.items():
+        if key not in later:
+            details = tuple(_key_details(entry, None))
+            changes.append(Change(section, entry.name, Action.REMOVED, details))
     return changes
 
 
