Convert columns of load views by one pair of hooks; drop state that can be derived

Three pairs of hooks differed only in their record type and the name of a field. The growth of the admitted rate and the switch of the rollout exchange were kept beside what they follow from, and the log of an attempt took two of its fields instead of the attempt. No change of behaviour.

--- a/src/cicadaledge/edge/_attempt_outcomes.py
+++ b/src/cicadaledge/edge/_attempt_outcomes.py
@@ -110,9 +110,7 @@
             self._metrics.observe_first_byte((attempt.first_byte_ms - started_ms) / 1000)
         if result.end is AttemptEnd.ANSWERED:
             self._metrics.observe_answer((ended_ms - request.call.started_ms) / 1000)
-        self._request_log.log_attempt_ended(
-            request, chosen, result, attempt.first_byte_ms, attempt.longest_pause_ms, started_ms
-        )
+        self._request_log.log_attempt_ended(request, chosen, attempt, result, started_ms)
 
     def _record_health(self, request: ActiveRequest, server: str, *, failed: bool) -> None:
         peers = [one.server for one in self._control_state.directory.usable(request.service.name)]
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -6,7 +6,7 @@
 
 from cicadaledge.clock import clock_ms
 from cicadaledge.edge._active_request import ActiveRequest
-from cicadaledge.edge._attempt import AttemptResult
+from cicadaledge.edge._attempt import Attempt, AttemptResult
 from cicadaledge.edge._control_state import ControlPlaneState
 from cicadaledge.logs import PartLog
 from cicadaledge.placing import (
@@ -94,18 +94,16 @@
     def log_attempt_ended(
         request: ActiveRequest,
         chosen: Chosen,
+        attempt: Attempt,
         result: AttemptResult,
-        first_byte_ms: float | None,
-        longest_pause_ms: float,
         sent_ms: float,
     ) -> None:
         """Log how an attempt ended.
 
         Args:
-            first_byte_ms: Time of the first byte of the response, or None.
-            longest_pause_ms: Longest time between two reads of a streamed response.
             sent_ms: Time at which the attempt started.
         """
+        first_byte_ms = attempt.first_byte_ms
         _log.info(
             "Attempt to run the request on a server has ended.",
             request_id=request.call.request_id,
@@ -116,7 +114,7 @@
             reason=result.reason,
             predicted_ms=round(chosen.predicted_ms),
             first_ms=first_byte_ms and round(first_byte_ms - sent_ms),
-            longest_pause_ms=round(longest_pause_ms),
+            longest_pause_ms=round(attempt.longest_pause_ms),
             took_ms=round(clock_ms() - sent_ms),
         )
 
--- a/src/cicadaledge/edge/_rollout_exchange.py
+++ b/src/cicadaledge/edge/_rollout_exchange.py
@@ -115,7 +115,6 @@
         self._peers = peers
         self._fleet = fleet
         self._load = load
-        self._is_enabled = settings.rollouts.is_enabled
         self._topic = topic
         self._metrics = metrics
         self._now_ms = now_ms
@@ -124,7 +123,7 @@
 
     def tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the background tasks; there are none where the settings do not ask for rollouts."""
-        return [self.keep_decided] if self._is_enabled else []
+        return [self.keep_decided] if self._settings.is_enabled else []
 
     async def keep_decided(self) -> None:
         """Decide on all rollouts and exchange counts, forever."""
--- a/src/cicadaledge/placing/_capacity.py
+++ b/src/cicadaledge/placing/_capacity.py
@@ -43,7 +43,7 @@
         self._load = load
         self._health = health
         self._unused = unused
-        self._growth = 1.0
+        self._free = 0.0
         self._begun_per_s = 0.0
         self._latest_per_s = 0.0
         self._updated_ms = -math.inf
@@ -56,7 +56,7 @@
     @property
     def used_fraction(self) -> float | None:
         """Mean fraction of the engines' slots or backlog in use at the last update, if any."""
-        return None if math.isinf(self._updated_ms) else 2.0 - self._growth
+        return None if math.isinf(self._updated_ms) else 1.0 - self._free
 
     def admissible_per_s(
         self, services: Iterable[Service], configured_per_s: float, now_ms: float
@@ -71,10 +71,10 @@
         if configured_per_s <= 0:
             return 0.0
         if now_ms - self._updated_ms >= _UPDATE_INTERVAL_MS:
-            self._growth = 1.0 + self._free_fraction(services, now_ms)
+            self._free = self._free_fraction(services, now_ms)
             self._begun_per_s = self._load.begun_per_s(now_ms)
             self._updated_ms = now_ms
-        self._latest_per_s = max(configured_per_s, self._begun_per_s * self._growth)
+        self._latest_per_s = max(configured_per_s, self._begun_per_s * (1.0 + self._free))
         return self._latest_per_s
 
     def _free_fraction(self, services: Iterable[Service], now_ms: float) -> float:
--- a/src/cicadaledge/wire/_codec.py
+++ b/src/cicadaledge/wire/_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from pathlib import Path
 from typing import Any
 
@@ -83,40 +84,29 @@
     return _current_table.name(value)
 
 
-def _unstructure_server_uses(uses: list[ServerUse]) -> dict[str, Any]:
-    names = [_current_table.index(use.server) for use in uses]
-    return {"servers": names, "figures": to_columns(ServerUse, uses)}
-
-
-def _structure_server_uses(value: dict[str, Any], message_type: Any) -> list[ServerUse]:
-    names = [_current_table.name(index) for index in value["servers"]]
-    return from_columns(ServerUse, names, value["figures"])
-
-
-def _unstructure_account_uses(uses: list[AccountUse]) -> dict[str, Any]:
-    names = [_current_table.index(use.account) for use in uses]
-    return {"accounts": names, "figures": to_columns(AccountUse, uses)}
-
-
-def _structure_account_uses(value: dict[str, Any], message_type: Any) -> list[AccountUse]:
-    names = [_current_table.name(index) for index in value["accounts"]]
-    return from_columns(AccountUse, names, value["figures"])
+def _column_hooks(record_type: type[Any], names_field: str) -> tuple[Any, Any]:
+    """Return hooks that convert records to the names in their first fields and columns of figures.
 
+    Args:
+        names_field: Field of the schema that holds the names.
+    """
+    name_of = attrgetter(attrs.fields(record_type)[0].name)
 
-def _unstructure_speeds(reports: list[SpeedReport]) -> dict[str, Any]:
-    names = [_current_table.index(report.server) for report in reports]
-    return {"servers": names, "figures": to_columns(SpeedReport, reports)}
+    def unstructure(records: list[Any]) -> dict[str, Any]:
+        names = [_current_table.index(name_of(record)) for record in records]
+        return {names_field: names, "figures": to_columns(record_type, records)}
 
+    def structure(value: dict[str, Any], message_type: Any) -> list[Any]:
+        names = [_current_table.name(index) for index in value[names_field]]
+        return from_columns(record_type, names, value["figures"])
 
-def _structure_speeds(value: dict[str, Any], message_type: Any) -> list[SpeedReport]:
-    names = [_current_table.name(index) for index in value["servers"]]
-    return from_columns(SpeedReport, names, value["figures"])
+    return unstructure, structure
 
 
 _COLUMN_HOOKS: dict[str, tuple[Any, Any]] = {
-    "servers": (_unstructure_server_uses, _structure_server_uses),
-    "accounts": (_unstructure_account_uses, _structure_account_uses),
-    "speeds": (_unstructure_speeds, _structure_speeds),
+    "servers": _column_hooks(ServerUse, "servers"),
+    "accounts": _column_hooks(AccountUse, "accounts"),
+    "speeds": _column_hooks(SpeedReport, "servers"),
 }
 
 
