--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -507,13 +507,17 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # A script that is ended still ends the processes that it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             async with asyncio.timeout(seconds):
                 return await case(Path(folder), record)
 
     try:
         outcome = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001 - any failure of the set-up is "could not run"
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - "could not run"
         record.close(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
     text = {BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "could not run"}
