--- a/review/6/case.py
+++ b/review/6/case.py
@@ -42,7 +42,7 @@
 WORK_S = (0.045, 0.135)
 DEADLINE_MS = 2_500
 ROUTERS = 7  # as on ciucur-host
-CLIENTS = 28
+CLIENTS = 21
 # As in the site file: {kind = "garble", how = "extra late", share = 0.6, x = 0.03, for_s = 5.0}
 FAULTY_RUNNERS = 1  # of two
 EXTRA_SHARE = 0.03
