--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -41,12 +41,20 @@
     return time.monotonic() * 1000
 
 
+_taken: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return consecutive free ports below those that the kernel gives to outgoing connections."""
+    """Return consecutive free ports below those that the kernel gives to outgoing connections.
+
+    None is returned twice, as a process may not listen yet on those that it was given.
+    """
     chooser = random.Random(os.getpid() ^ time.time_ns())
     for _ in range(200):
         first = chooser.randrange(12_000, 30_000)
         ports = list(range(first, first + count))
+        if _taken.intersection(ports):
+            continue
         with contextlib.ExitStack() as stack:
             try:
                 for port in ports:
@@ -55,6 +63,7 @@
                     sock.bind((HOST, port))
             except OSError:
                 continue
+            _taken.update(ports)
             return ports
     raise OSError("no free ports")
 
