--- a/review/6/case.py
+++ b/review/6/case.py
@@ -48,7 +48,7 @@
 EXTRA_SHARE = 0.03
 WINDOW_S = 5.0
 PAUSE_S = 1.0
-WINDOWS = 16
+WINDOWS = 15
 
 
 class Desk(Runner):
