--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -16,6 +16,7 @@
 import resource
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,14 @@
     return time.monotonic() * 1000
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 _taken: set[int] = set()
 
 
@@ -216,11 +225,11 @@
         """Answer the calls of one connection."""
         while (call := await read_message(reader)) is not None:
             if self.away:
-                writer.transport.abort()
+                reset(writer)
                 return
             status, body = await self._answer(call)
             if self.away:
-                writer.transport.abort()
+                reset(writer)
                 return
             writer.write(answer_bytes(status, {"Store-Era": str(self.era)}, body))
             await writer.drain()
