Log the connection of each attempt and the late responses skipped on it

The logs did not tell whether the refusal that was believed was a late one to another request, to an earlier sending of the same request on this connection, or came from elsewhere. The line for the end of an attempt now has the number of its connection and how many late responses to other requests were skipped on it.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -100,7 +100,8 @@
 
     Attributes:
         resume_after: Id of the last event that the caller has received, or None.
-        was_sent: Whether the request was written to a connection.
+        connection_number: Number of the connection that the request was written to, or None.
+        late_responses: Number of responses to other requests that were skipped on it.
         first_byte_ms: Time of the first byte of the response, or None.
         last_byte_ms: Time of the latest byte of a streamed response, or None.
         longest_pause_ms: Longest time between two reads of a streamed response.
@@ -122,7 +123,8 @@
         on_begun: Callable[[], None],
     ) -> None:
         self.resume_after: str | None = None
-        self.was_sent = False
+        self.connection_number: int | None = None
+        self.late_responses = 0
         self.first_byte_ms: float | None = None
         self.last_byte_ms: float | None = None
         self.longest_pause_ms = 0.0
@@ -140,7 +142,6 @@
         self._on_signals = on_signals
         self._on_begun = on_begun
         self._has_begun = False
-        self._skipped_responses = 0
 
     async def run(self) -> AttemptResult:
         """Run the attempt and return how it ended; the caller may have a partial response."""
@@ -176,7 +177,7 @@
             call, self._chosen.server, self._request.account_name, left_ms, self.resume_after
         )
         connection.send(call.method, call.target, headers, call.body)
-        self.was_sent = True
+        self.connection_number = connection.number
         ran_before = self._request.may_have_run
         self._request.may_have_run = True
         head, signals = await self._read_matching_head(connection)
@@ -217,14 +218,14 @@
             if signals.not_run and signals.request_id is None:
                 return head, signals
             await connection.read_body(_MAX_SKIPPED_BYTES)
-            self._skipped_responses += 1
+            self.late_responses += 1
             if not connection.skip_response():
                 break
         raise BackendError(f"{connection.peer} answered another request", sent=True)
 
     def _is_only_request(self, connection: HttpConnection) -> bool:
         """Return whether this is the only request that the connection has carried."""
-        return not connection.exchanges and not self._skipped_responses
+        return not connection.exchanges and not self.late_responses
 
     async def _discard_unproven_refusal(
         self, connection: HttpConnection, head: ResponseHead, signals: ResponseSignals
--- a/src/cicadaledge/edge/_attempt_outcomes.py
+++ b/src/cicadaledge/edge/_attempt_outcomes.py
@@ -59,7 +59,7 @@
         self, request: ActiveRequest, chosen: Chosen, attempt: Attempt, started_ms: float
     ) -> None:
         """Record an attempt that was cancelled, as the caller left or its time was over."""
-        if attempt.was_sent:
+        if attempt.connection_number is not None:
             run = _interrupted_run(request, attempt)
             self._crash_detector.record_unanswered(
                 chosen.server, run, started_ms, connection_lost=False
--- a/src/cicadaledge/edge/_http_client.py
+++ b/src/cicadaledge/edge/_http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 
 import h11
@@ -38,6 +39,8 @@
 # A longer stated timeout counts as this: hosts and networks on the way may forget a connection.
 _MAX_IDLE_LIMIT_MS = 30_000.0
 
+_numbers = itertools.count(1)
+
 
 class ResponseHead:
     """Status and headers of a response."""
@@ -80,12 +83,14 @@
         peer: Name of the peer in error messages.
 
     Attributes:
+        number: Identifies the connection among all that the process has opened.
         exchanges: Number of completed exchanges.
     """
 
     def __init__(self, channel: Channel, peer: str) -> None:
         self.peer = peer
         self.channel = channel
+        self.number = next(_numbers)
         self.exchanges = 0
         self.last_used_ms = clock_ms()
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
--- a/src/cicadaledge/edge/_request_log.py
+++ b/src/cicadaledge/edge/_request_log.py
@@ -109,6 +109,8 @@
             request_id=request.call.request_id,
             route=request.route.name,
             server=chosen.server.server,
+            connection=attempt.connection_number,
+            late_responses=attempt.late_responses,
             end=result.end.value,
             status=result.status,
             reason=result.reason,
