Send no request twice on one connection

A full server's refusal came a second time, late, on the connection on which the router had sent the same booking again. The id of a request names the request, not one sending of it, so the copy was taken for the response to the second sending, and "may have run" was taken back.

A request now keeps the numbers of the connections that it was sent on and gets none of them again, so that an id names one sending on each connection. If all idle connections are among them, a new one replaces the longest idle: refusals add no connections, which servers limit.

--- a/src/cicadaledge/edge/_active_request.py
+++ b/src/cicadaledge/edge/_active_request.py
@@ -23,6 +23,7 @@
         expires_ms: Time at which the request times out.
         tried_servers: Names of the servers that could not be reached or failed the request.
         reached_servers: Names of the servers that it was sent to.
+        used_connections: Numbers of the connections that it was sent on.
         attempts: Number of attempts that may have run it.
         longest_attempt_ms: Duration of the longest of these attempts.
         may_have_run: Whether a server may have executed the request.
@@ -43,6 +44,7 @@
     expires_ms: float
     tried_servers: set[str] = field(factory=set)
     reached_servers: set[str] = field(factory=set)
+    used_connections: set[int] = field(factory=set)
     attempts: int = 0
     longest_attempt_ms: float = 0.0
     may_have_run: bool = False
--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -147,7 +147,11 @@
         """Run the attempt and return how it ended; the caller may have a partial response."""
         server = self._chosen.server
         try:
-            connection = await self._pool.acquire(server, repeatable=self._request.route.idempotent)
+            connection = await self._pool.acquire(
+                server,
+                repeatable=self._request.route.idempotent,
+                excluded=self._request.used_connections,
+            )
         except BackendError as error:
             return AttemptResult(AttemptEnd.UNREACHABLE, str(error))
         except PoolExhaustedError as error:
@@ -178,6 +182,7 @@
         )
         connection.send(call.method, call.target, headers, call.body)
         self.connection_number = connection.number
+        self._request.used_connections.add(connection.number)
         ran_before = self._request.may_have_run
         self._request.may_have_run = True
         head, signals = await self._read_matching_head(connection)
--- a/src/cicadaledge/edge/_server_pool.py
+++ b/src/cicadaledge/edge/_server_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Collection
 
 from cicadaledge.edge._http_client import HttpConnection
 from cicadaledge.edge._settings import EdgeSettings
@@ -46,7 +47,9 @@
     def __len__(self) -> int:
         return len(self._open) + self._opening
 
-    async def acquire(self, server: ServerEntry, *, repeatable: bool) -> HttpConnection:
+    async def acquire(
+        self, server: ServerEntry, *, repeatable: bool, excluded: Collection[int] = ()
+    ) -> HttpConnection:
         """Return a connection to a server.
 
         A request that can be repeated gets the connection that has been idle longest, so that others
@@ -54,23 +57,37 @@
 
         Args:
             repeatable: Whether a request that is lost with its connection can be sent again.
+            excluded: Numbers of the connections that the request was sent on before. A late copy of
+                a response there would have the id of the request.
 
         Raises:
             BackendError: The server cannot be reached.
             PoolExhaustedError: All connections are in use.
         """
         idle = self._idle.get((server.server, server.born_ms), deque())
-        index = 0 if repeatable else -1
-        while idle:
-            connection = idle[index]
+        for connection in list(idle) if repeatable else list(reversed(idle)):
             if not repeatable and connection.idle_ms >= _NON_IDEMPOTENT_IDLE_LIMIT_MS:
                 break
-            del idle[index]
+            if connection.number in excluded:
+                continue
+            idle.remove(connection)
             if connection.is_ready():
                 return connection
             self._close(connection)
+        self._close_longest_idle(idle, excluded)
         return await self._connect(server)
 
+    def _close_longest_idle(self, idle: deque[HttpConnection], numbers: Collection[int]) -> None:
+        """Close one of the numbered connections, so that a new one can take its place.
+
+        Otherwise, a request that a full server refuses again and again would add a connection each
+        time, and servers reset connections beyond a limit.
+        """
+        connection = next((one for one in idle if one.number in numbers), None)
+        if connection is not None:
+            idle.remove(connection)
+            self._close(connection)
+
     async def _connect(self, server: ServerEntry) -> HttpConnection:
         self._evict_if_full()
         self._opening += 1
--- a/src/cicadaledge/standins/_platform_backend.py
+++ b/src/cicadaledge/standins/_platform_backend.py
@@ -10,7 +10,7 @@
 from attrs import define, frozen
 
 from cicadaledge.clock import clock_ms
-from cicadaledge.edge import Headers, RequestHead, ResponseWriter
+from cicadaledge.edge import Channel, Headers, RequestHead, ResponseWriter
 from cicadaledge.standins._http_service import HttpService
 
 _HANG_S = 3600.0
@@ -19,6 +19,7 @@
 _ENDLESS_LIMIT_BYTES = 96 * 1_048_576
 _ENDLESS_WRITE_BYTES = 65_536
 _RESTART_DELAY_S = 0.4
+_FULL = 503
 
 
 @define
@@ -68,6 +69,9 @@
 
     Args:
         full: Refuse requests as not executed.
+        full_once: Refuse each request in this way when it arrives for the first time.
+        late_copies: Send this many copies of each refusal again, before the answer to the next
+            request on its connection.
         error: Answer with status 500.
         refused_with: Run the request, then refuse it with this status as if it had not run.
         reset: Reset the connection after running the request.
@@ -88,6 +92,8 @@
     """
 
     full: bool = False
+    full_once: bool = False
+    late_copies: int = 0
     error: bool = False
     refused_with: int | None = None
     reset: bool = False
@@ -122,6 +128,7 @@
         announced_slots: Number of slots in its heartbeats.
         crash_marker: A target that contains this crashes the server; None for no target.
         crash_parts: The server crashes when it begins to answer a prompt with one of these parts.
+        resent: Ids of requests that arrived again on a connection that had carried them.
         ended_ms: Times of its crashes.
         on_crash: Called on each crash.
         on_restart: Called when it listens again as a new incarnation.
@@ -151,6 +158,7 @@
         self.refused = 0
         self.refusals: list[Refusal] = []
         self.born_ms = 1_000
+        self.resent: list[str] = []
         self.announced_slots = 8
         self.crash_marker: str | None = None
         self.crash_parts: frozenset[str] = frozenset()
@@ -158,6 +166,8 @@
         self.on_crash: Callable[[PlatformBackend], None] = _do_nothing
         self.on_restart: Callable[[PlatformBackend], None] = _do_nothing
         self._sequence = 0
+        self._late_responses: dict[Channel, bytes] = {}
+        self._carried: dict[Channel, set[str]] = {}
         self._restart_task: asyncio.Task[None] | None = None
 
     def heartbeat(self, state: str = "ready", cold_ms: int = 0) -> dict[str, Any]:
@@ -204,11 +214,14 @@
 
     async def answer(self, head: RequestHead, body: bytes, writer: ResponseWriter) -> None:
         """Run one request, or refuse it."""
+        writer.send_raw(self._late_responses.pop(writer.channel, b""))
         headers: dict[str, str] = {}
         for name, value in head.headers:
             headers.setdefault(name.decode().lower(), value.decode("latin-1"))
+        request_id = headers.get("attempt-id", "")
+        self._record_arrival(request_id, writer.channel)
         response_headers = [
-            (b"Attempt-Id", headers.get("attempt-id", "").encode()),
+            (b"Attempt-Id", request_id.encode()),
             *self._signal_headers(),
         ]
         expected = headers.get("expect-instance", self.instance)
@@ -218,15 +231,10 @@
                 421, [*response_headers, (b"Instance-Id", self.instance.encode())], b""
             )
             return
-        if self.faults.full:
-            self.refused += 1
-            if self.faults.pause_s is not None:
-                response_headers.append((b"Retry-After", f"{self.faults.pause_s:g}".encode()))
-            request_id = headers.get("attempt-id", "")
-            self.refusals.append(Refusal(request_id, clock_ms(), self.faults.pause_s or 0.0))
-            await writer.send_response(503, [*response_headers, (b"Not-Executed", b"1")], b"full")
+        if self._is_full_for(request_id):
+            await self._refuse(request_id, response_headers, writer)
             return
-        run = Run(headers.get("attempt-id", ""), head.method, head.target, headers, body)
+        run = Run(request_id, head.method, head.target, headers, body)
         run.at_ms = clock_ms()
         run.announced_leaving = self.faults.leaving
         self.runs.append(run)
@@ -239,6 +247,29 @@
         finally:
             run.ended_ms = clock_ms()
 
+    def _record_arrival(self, request_id: str, channel: Channel) -> None:
+        carried = self._carried.setdefault(channel, set())
+        if request_id in carried:
+            self.resent.append(request_id)
+        carried.add(request_id)
+
+    def _is_full_for(self, request_id: str) -> bool:
+        if self.faults.full or not self.faults.full_once:
+            return self.faults.full
+        return all(refusal.request_id != request_id for refusal in self.refusals)
+
+    async def _refuse(self, request_id: str, headers: Headers, writer: ResponseWriter) -> None:
+        self.refused += 1
+        if self.faults.pause_s is not None:
+            headers = [*headers, (b"Retry-After", f"{self.faults.pause_s:g}".encode())]
+        headers = [*headers, (b"Not-Executed", b"1")]
+        self.refusals.append(Refusal(request_id, clock_ms(), self.faults.pause_s or 0.0))
+        await writer.send_response(_FULL, headers, b"full")
+        if self.faults.late_copies:
+            lines = b"".join(b"%s: %s\r\n" % header for header in headers)
+            copy = b"HTTP/1.1 %d Full\r\n%bContent-Length: 4\r\n\r\nfull" % (_FULL, lines)
+            self._late_responses[writer.channel] = copy * self.faults.late_copies
+
     async def _run(self, run: Run, writer: ResponseWriter) -> None:
         faults = self.faults
         if self.crash_marker is not None and self.crash_marker in run.target:
--- a/tests/edge/test_recheck_before_sending.py
+++ b/tests/edge/test_recheck_before_sending.py
@@ -10,8 +10,8 @@
     acquire = router._pool.acquire
     called_for = []
 
-    async def delayed_acquire(server, *, repeatable):
-        connection = await acquire(server, repeatable=repeatable)
+    async def delayed_acquire(server, **how):
+        connection = await acquire(server, **how)
         if not called_for:
             called_for.append(server.server)
             meanwhile(server)
--- a/tests/edge/test_server_pool.py
+++ b/tests/edge/test_server_pool.py
@@ -126,6 +126,32 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_request_sent_again_takes_a_new_connection_in_place_of_one_it_was_sent_on(repeatable):
+    """Servers reset connections beyond a limit, so refusals must not add connections."""
+
+    async def play():
+        server = ThreadedServer()
+        entry = evolve(ENTRY, host=HOST, port=server.port)
+        pool = ServerPool(SETTINGS)
+        connections = [await pool.acquire(entry, repeatable=True) for _ in range(2)]
+        for connection in connections:
+            await exchange_on(pool, entry, connection)
+        used = {connections[0].number}
+        other = await pool.acquire(entry, repeatable=repeatable, excluded=used)
+        assert other is connections[1]
+        await exchange_on(pool, entry, other)
+        for _ in range(3):
+            used.add(other.number)
+            other = await pool.acquire(entry, repeatable=repeatable, excluded=used)
+            assert other.number not in used
+            assert len(pool) == 2
+            await exchange_on(pool, entry, other)
+        server.close()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize(("answer", "kept"), [(ANSWER, 0), (ANSWER_WITH_TIMEOUT, 1)])
 def test_the_newest_connection_is_kept_for_as_long_as_its_server_states(answer, kept):
     """In a large fleet, a router sends a server a request every few seconds."""
