Apply no signals of late responses to other requests

A refusal that asks for a pause began the pause anew with each late copy of it, so that a server was left idle longer than it had asked for. The signals in a head were applied before its id was compared. They are applied now if the response is to this request, or has no id. A late response repeats one whose signals were applied when it came first.

test_a_late_refusal_does_not_begin_a_pause_again fails with the edge before.

--- a/src/cicadaledge/edge/_attempt.py
+++ b/src/cicadaledge/edge/_attempt.py
@@ -95,7 +95,8 @@
         buffer_budget: Limits the memory for buffered responses.
         may_send: Returns whether the request may still be sent. Called immediately before sending,
             because the process can have been suspended since the server was chosen.
-        on_signals: Called with the signals in the head of each response.
+        on_signals: Called with the signals in the head of each response, except late ones to other
+            requests.
         on_begun: Called when the server has been streaming an answer for a while.
 
     Attributes:
@@ -213,12 +214,18 @@
     async def _read_matching_head(
         self, connection: HttpConnection
     ) -> tuple[ResponseHead, ResponseSignals]:
-        """Return the head of the response to this request, skipping late responses to others."""
+        """Return the head of the response to this request, skipping late responses to others.
+
+        A late response repeats one whose signals were applied when it came first. They may no longer
+        hold.
+        """
+        request_id = self._request.call.request_id
         for _ in range(_MAX_STALE_RESPONSES + 1):
             head = await connection.read_head()
             signals = self._codec.read_signals(head)
-            self._on_signals(signals)
-            if signals.request_id == self._request.call.request_id:
+            if signals.request_id in (None, request_id):
+                self._on_signals(signals)
+            if signals.request_id == request_id:
                 return head, signals
             if signals.not_run and signals.request_id is None:
                 return head, signals
--- a/tests/edge/test_late_refusals.py
+++ b/tests/edge/test_late_refusals.py
@@ -70,3 +70,21 @@
     """Send a request whose caller waits for 0.6 s at most."""
     with contextlib.suppress(BackendError):
         await world.call(target, model=model, headers={"Deadline_Ms": "600"})
+
+
+# Guards against servers that were left idle: the pause that a refusal had asked for began again with
+# each late copy of the refusal.
+def test_a_late_refusal_does_not_begin_a_pause_again():
+    async def play():
+        async with small_world() as world:
+            desk = world.runners[0]
+            desk.faults = BackendFaults(full=True, late_copies=1, pause_s=0.5)
+            refused = await world.call("/look/1", headers={"Deadline_Ms": "300"})
+            assert refused.status == 503
+            desk.faults = BackendFaults()
+            await asyncio.sleep(0.7)
+            for target in ("/look/2", "/look/3"):
+                answer = await world.call(target, headers={"Deadline_Ms": "300"})
+                assert answer.status == 200
+
+    asyncio.run(play())
