--- a/src/cicadaledge/soak/__init__.py
+++ b/src/cicadaledge/soak/__init__.py
@@ -7,6 +7,7 @@
     BUSY_LOOP_KINDS,
     FAULT_KINDS,
     INVALID_ENTRY_KINDS,
+    LATE_REFUSAL_KINDS,
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
@@ -25,6 +26,7 @@
 __all__ = [
     "BUSY_LOOP_KINDS",
     "INVALID_ENTRY_KINDS",
+    "LATE_REFUSAL_KINDS",
     "FAULT_KINDS",
     "MISLEADING_ANSWER_KINDS",
     "PARTIAL_OUTAGE_KINDS",
--- a/src/cicadaledge/soak/_deployment.py
+++ b/src/cicadaledge/soak/_deployment.py
@@ -310,9 +310,11 @@
         """Move the records of a server's incarnation to the observations."""
         backend = server.backend
         self.observations.runs += [(server.name, run) for run in backend.runs]
-        self.observations.records.append(ServerRecord(server.name, backend.runs, backend.refusals))
+        self.observations.records.append(
+            ServerRecord(server.name, backend.runs, backend.refusals, backend.resent)
+        )
         self.observations.crashes_ms += backend.ended_ms
-        backend.runs, backend.refusals, backend.ended_ms = [], [], []
+        backend.runs, backend.refusals, backend.resent, backend.ended_ms = [], [], [], []
 
     def start_router(self, router: RouterProcess) -> None:
         """Start a router's process, with its output appended to its log file."""
--- a/src/cicadaledge/soak/_faults.py
+++ b/src/cicadaledge/soak/_faults.py
@@ -29,6 +29,7 @@
 _RESTORE_COUNTS = (1, 2)
 _UNTRUSTED_CLIENT_COUNTS = (0, 2)
 _ROLLOUT_COUNTS = (0, 1)
+_LATE_REFUSAL_COUNTS = (0, 2)
 _PAUSES_S = (0.3, 1.5, 4.0, 10.0)
 # Killed processes are started again after this time, as their platform does.
 _RESTART_S = 0.2
@@ -37,6 +38,7 @@
 _COLD_AFTERWARDS_S = 1.0
 # Routers have read an entry after this time: a heartbeat and the interval between two reads.
 _ENTRY_READ_S = 1.5
+_MAX_LATE_COPIES = 2  # Routers skip this many late responses.
 _REFUSING_S = 0.4  # A server that asks for a pause refuses all requests for this time.
 # A slow link delays each chunk of data by this much, which is twice a round trip between regions.
 _LINK_DELAY_MS = 120.0
@@ -87,6 +89,7 @@
     restores: bool = False,
     untrusted_clients: bool = False,
     rollouts: bool = False,
+    late_refusals: bool = False,
 ) -> list[PlannedFault]:
     """Return the faults of a seed, ordered by time.
 
@@ -102,6 +105,7 @@
         restores: Add at least one of `RESTORE_KINDS` in the same way.
         untrusted_clients: Add some of `UNTRUSTED_CLIENT_KINDS` in the same way.
         rollouts: Add one of `ROLLOUT_KINDS` to half of the rounds in the same way.
+        late_refusals: Add some of `LATE_REFUSAL_KINDS` in the same way.
     """
     rng = random.Random(seed)
     if count is None:
@@ -116,6 +120,7 @@
         (restores, "restores", _RESTORE_COUNTS, RESTORE_KINDS),
         (untrusted_clients, "clients", _UNTRUSTED_CLIENT_COUNTS, UNTRUSTED_CLIENT_KINDS),
         (rollouts, "rollouts", _ROLLOUT_COUNTS, ROLLOUT_KINDS),
+        (late_refusals, "late", _LATE_REFUSAL_COUNTS, LATE_REFUSAL_KINDS),
     )
     for is_drawn, name, counts, kinds in more:
         if is_drawn:
@@ -415,6 +420,11 @@
         variant = fault.random_number // 7 % len(_MISLEADING_FAULTS)
         await self._answer_with(_MISLEADING_FAULTS[variant], fault)
 
+    async def refuse_late(self, fault: PlannedFault) -> None:
+        """Make a server refuse each request once, and repeat its refusals late."""
+        copies = fault.random_number // 7 % _MAX_LATE_COPIES + 1
+        await self._answer_with(BackendFaults(full_once=True, late_copies=copies), fault)
+
     async def _answer_with(self, faults: BackendFaults, fault: PlannedFault) -> None:
         server = self._server(fault)
         async with self._lock(server.name):
@@ -599,6 +609,9 @@
 ROLLOUT_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
     kind: FaultInjector.roll_out for kind in (GOOD, BAD, BAD_LATER)
 }
+LATE_REFUSAL_KINDS: dict[str, Callable[[FaultInjector, PlannedFault], Awaitable[None]]] = {
+    "refuse-late": FaultInjector.refuse_late,
+}
 _ALL_KINDS = (
     FAULT_KINDS
     | BUSY_LOOP_KINDS
@@ -609,4 +622,5 @@
     | RESTORE_KINDS
     | UNTRUSTED_CLIENT_KINDS
     | ROLLOUT_KINDS
+    | LATE_REFUSAL_KINDS
 )
--- a/src/cicadaledge/soak/_observations.py
+++ b/src/cicadaledge/soak/_observations.py
@@ -205,6 +205,11 @@
             by_id.setdefault(run.request_id, []).append((server, run))
         found = [*self.failures]
         found += self._find_unsolicited_runs()
+        found += [
+            f"resent: {record.name} got {request_id} again on the same connection"
+            for record in self.records
+            for request_id in record.resent
+        ]
         for sent in self.sent.values():
             runs = by_id.get(sent.request_id, [])
             found += self._find_repeated_runs(sent, runs)
@@ -270,7 +275,7 @@
         servers = [server for server, _ in runs]
         if not sent.idempotent and len(runs) > 1:
             return [f"twice: {sent.request_id} {sent.target} ran at {servers}"]
-        if sent.status in NOT_RUN_STATUSES and runs and not sent.idempotent:
+        if sent.status in NOT_RUN_STATUSES and runs:
             return [f"refused: {sent.request_id} was answered {sent.status} and ran at {servers}"]
         return []
 
--- a/src/cicadaledge/soak/_round.py
+++ b/src/cicadaledge/soak/_round.py
@@ -50,6 +50,7 @@
         restores: Whether the store has epochs and is restored from an older copy.
         untrusted_clients: Whether small crowds send requests that stay incomplete.
         rollouts: Whether half of the rounds order a rollout of a service to a new version.
+        late_refusals: Whether servers repeat refusals late.
         size: Size of the deployment.
     """
 
@@ -66,6 +67,7 @@
     restores: bool = True
     untrusted_clients: bool = True
     rollouts: bool = True
+    late_refusals: bool = True
     size: SoakSize = SoakSize()
 
 
@@ -104,6 +106,7 @@
         restores=plan.restores,
         untrusted_clients=plan.untrusted_clients,
         rollouts=plan.rollouts,
+        late_refusals=plan.late_refusals,
     )
     world = SoakWorld(plan.size, directory)
     if plan.partial_outages:
--- a/src/cicadaledge/soak/_server_signals.py
+++ b/src/cicadaledge/soak/_server_signals.py
@@ -18,11 +18,16 @@
 
 @define
 class ServerRecord:
-    """What one incarnation of a server received."""
+    """What one incarnation of a server received.
+
+    Args:
+        resent: Ids of requests that arrived again on a connection that had carried them.
+    """
 
     name: str
     runs: list[Run]
     refusals: list[Refusal]
+    resent: list[str] = field(factory=list)
 
 
 @define
--- a/tests/soak/test_round.py
+++ b/tests/soak/test_round.py
@@ -6,6 +6,7 @@
     BUSY_LOOP_KINDS,
     FAULT_KINDS,
     INVALID_ENTRY_KINDS,
+    LATE_REFUSAL_KINDS,
     MISLEADING_ANSWER_KINDS,
     PARTIAL_OUTAGE_KINDS,
     RESTORE_KINDS,
@@ -74,6 +75,7 @@
         "restores": False,
         "untrusted_clients": False,
         "rollouts": False,
+        "late_refusals": False,
     }
     return SoakPlan(seed, **{"size": size, **usual, **changes})
 
@@ -181,6 +183,24 @@
     assert drawn == set(ROLLOUT_KINDS)
 
 
+def test_late_refusals_do_not_change_the_other_faults_of_a_seed():
+    for seed in range(60):
+        plain = draw_faults(seed, 7, 8.0, busy=True, rollouts=True)
+        more = draw_faults(seed, 7, 8.0, busy=True, rollouts=True, late_refusals=True)
+        assert [fault for fault in more if fault.kind not in LATE_REFUSAL_KINDS] == plain
+
+
+# Guards against bookings that run twice, or are refused though they ran, as a late refusal was taken
+# for the response to the same request, sent again.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [0, 4])
+def test_late_refusals_reach_no_caller(seed, tmp_path):
+    result = run_round(plan(seed, faults=0, busy=False, late_refusals=True), tmp_path)
+    assert "refuse-late" in {fault.kind for fault in result.faults}
+    assert result.broken == []
+    assert result.statuses["200"] > 50
+
+
 # Guards against a slow version that is completed because heartbeats excuse its answers.
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", [57031])
@@ -281,6 +301,7 @@
             restores=False,
             untrusted_clients=False,
             rollouts=False,
+            late_refusals=False,
         ),
         tmp_path,
     )
@@ -301,6 +322,7 @@
             restores=False,
             untrusted_clients=False,
             rollouts=False,
+            late_refusals=False,
         ),
         tmp_path,
     )
@@ -320,6 +342,7 @@
             restores=False,
             untrusted_clients=False,
             rollouts=False,
+            late_refusals=False,
         ),
         tmp_path,
     )
