Read the log to its end before a plan is unknown or the audit trail is shown

Both calls now wait until what the log holds is applied; a log that cannot be read gives 5004 with not_run, or the trail so far.

--- a/src/cicadaledge/router/_control_log.py
+++ b/src/cicadaledge/router/_control_log.py
@@ -37,6 +37,7 @@
 # applied.
 _RETRY_S = 0.25
 _READ_BACK_S = 4.0
+_LOG_RETRY_AFTER_MS = 1_000
 _RELAY_PERIOD_S = 0.5
 _SNAPSHOT_PERIOD_S = 15.0
 _SNAPSHOT_RECORDS = 200
@@ -134,9 +135,7 @@
             RefusalError: The plan is unknown, in conflict or already decided, or the
                 confirmation was not read back from the log in time.
         """
-        plan = self._context.state.plans.get(plan_id)
-        if plan is None:
-            raise self._unknown_plan(plan_id)
+        plan = await self._find_plan(plan_id)
         record = Confirm(plan_id, plan.digest, operator, wall_ms())
         try:
             offset = await self.append(record)
@@ -150,6 +149,17 @@
             raise _log_refusal(error) from error
         return self._outcome(plan_id, offset)
 
+    async def audit(self) -> list[AuditEntry]:
+        """Return all decisions that the log holds, or those known so far if it is unavailable."""
+        try:
+            await self._catch_up()
+        except (LogError, TimeoutError) as error:
+            _log.warning(
+                "Log was not read to its end; the audit trail may lack the newest entries.",
+                error=str(error),
+            )
+        return self._context.state.audit
+
     def _apply_page(self, page: LogPage) -> bool:
         state = self._context.state
         if page.first_offset > state.offset + 1:
@@ -200,6 +210,30 @@
         if state.offset == reply.offset:
             self._replace_state(state)
 
+    async def _find_plan(self, plan_id: str) -> Plan:
+        state = self._context.state
+        if plan_id not in state.plans and plan_id not in state.decided:
+            # Another router may have appended the plan a moment ago.
+            try:
+                await self._catch_up()
+            except (LogError, TimeoutError) as error:
+                raise RefusalError(
+                    Code.LOG_UNAVAILABLE,
+                    f"plan {plan_id!r} is not known here, and the log was not read to its end",
+                    run_state=RunState.NOT_RUN,
+                    retry_after_ms=_LOG_RETRY_AFTER_MS,
+                ) from error
+        plan = self._context.state.plans.get(plan_id)
+        if plan is None:
+            raise self._unknown_plan(plan_id)
+        return plan
+
+    async def _catch_up(self) -> None:
+        """Wait until all records that the log holds now are applied."""
+        next_offset = self._context.state.offset + 1
+        page = await self._context.in_thread(self._context.log.read, CONTROL_STREAM, next_offset, 0)
+        await self._read_back(page.end_offset - 1)
+
     async def _read_back(self, offset: int) -> None:
         async with asyncio.timeout(_READ_BACK_S), self._applied:
             await self._applied.wait_for(lambda: self._context.state.offset >= offset)
@@ -242,4 +276,6 @@
     not_appended = isinstance(error, LogError) and not isinstance(error, LogUnavailableError)
     run_state = RunState.NOT_RUN if not_appended else RunState.MAY_HAVE_RUN
     detail = str(error) if isinstance(error, CicadaledgeError) else ""
-    return RefusalError(Code.LOG_UNAVAILABLE, detail, run_state=run_state, retry_after_ms=1000)
+    return RefusalError(
+        Code.LOG_UNAVAILABLE, detail, run_state=run_state, retry_after_ms=_LOG_RETRY_AFTER_MS
+    )
--- a/src/cicadaledge/router/_operators.py
+++ b/src/cicadaledge/router/_operators.py
@@ -91,7 +91,7 @@
         return future.result(_CALL_TIMEOUT_S)
 
     async def _audit(self) -> list[Any]:
-        return [_unstructure(entry) for entry in self._context.state.audit]
+        return [_unstructure(entry) for entry in await self._control_log.audit()]
 
     async def _status(self) -> dict[str, Any]:
         context = self._context
