--- a/src/cicadaledge/loadtool/_deployment.py
+++ b/src/cicadaledge/loadtool/_deployment.py
@@ -2,27 +2,18 @@
 
 from __future__ import annotations
 
-import itertools
-import os
-import socket
 from pathlib import Path
 from typing import Any
 
 import attrs
 from attrs import field, frozen
 
+from cicadaledge.loadtool._ports import HOST, free_ports
 from cicadaledge.settings import load_yaml, structure_settings
 from cicadaledge.world import configuration_from_dict, configuration_to_dict, key_digest
 
 OPERATOR = "olive"
 FLEET_KEY = "development-fleet-key"
-HOST = "127.0.0.1"
-_LOWEST_PORT = 10_000
-_BLOCKS = 40
-# The last block ends at port 19,999, because edge tests and soak rounds use the ports above.
-_PORTS_PER_BLOCK = 250
-_block_start = _LOWEST_PORT + os.getpid() % _BLOCKS * _PORTS_PER_BLOCK
-_port_candidates = itertools.cycle(range(_block_start, _block_start + _PORTS_PER_BLOCK))
 
 
 @frozen
@@ -110,34 +101,6 @@
     return f"dev-operator-{operator}"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that no process listens on now.
-
-    They come from a range chosen by process id, below the ephemeral ports, so that
-    processes running at the same time rarely collide.
-
-    Raises:
-        OSError: The range of this process has too few free ports.
-    """
-    ports: list[int] = []
-    for port in itertools.islice(_port_candidates, _PORTS_PER_BLOCK):
-        if _is_free(port):
-            ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise OSError("not enough free ports in the port range of this process")
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 @frozen
 class ProcessSpec:
     """One process to start, with its command-line arguments and settings."""
--- a/src/cicadaledge/loadtool/_launcher.py
+++ b/src/cicadaledge/loadtool/_launcher.py
@@ -16,7 +16,6 @@
 
 from cicadaledge.config import CONTROL_STREAM, Publish, encode_record
 from cicadaledge.loadtool._deployment import (
-    HOST,
     OPERATOR,
     DeploymentPlan,
     DeploymentSpec,
@@ -24,6 +23,7 @@
     operator_key,
     plan_deployment,
 )
+from cicadaledge.loadtool._ports import HOST
 from cicadaledge.log import HttpLogClient
 from cicadaledge.settings import Address
 from cicadaledge.world import configuration_from_dict
