Let tasks of links end when they are cancelled as a step completes

The stacks of all tasks show a dialer and an accepted link that were cancelled once and went on to read messages. asyncio.wait_for of Python 3.11 returns the result when its coroutine completes in the turn of the loop in which the task is cancelled, and the cancellation is lost.

A router whose dialling was stopped, or that ended, at that moment kept the link, and its process could outlive its grace. The tasks of links and of load polls use asyncio.timeout, which keeps cancellations. The four tests failed before, for the connection and the handshake on both event loops.

--- a/src/cicadaledge/router/_home_router.py
+++ b/src/cicadaledge/router/_home_router.py
@@ -126,7 +126,8 @@
                 await self._poll_once(server)
             event = self._poll_now[name]
             try:
-                await asyncio.wait_for(event.wait(), period_s)
+                async with asyncio.timeout(period_s):
+                    await event.wait()
             except TimeoutError:
                 pass
             event.clear()
--- a/src/cicadaledge/wire/_links.py
+++ b/src/cicadaledge/wire/_links.py
@@ -206,8 +206,10 @@
         address = (host, port)
         while address not in self._stopping:
             try:
-                connecting = asyncio.open_connection(host, port)
-                reader, writer = await asyncio.wait_for(connecting, _CONNECT_TIMEOUT_S)
+                # asyncio.wait_for of Python 3.11 ignores a cancellation in the turn of the loop in
+                # which its coroutine has completed, so asyncio.timeout is used instead.
+                async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(host, port)
                 self._established.add(address)
                 await self._serve(reader, writer, dialed=True)
             except (OSError, TimeoutError):
@@ -242,8 +244,8 @@
     ) -> None:
         link = None
         try:
-            handshake = self._handshake(reader, writer, dialed=dialed)
-            link = await asyncio.wait_for(handshake, _HANDSHAKE_TIMEOUT_S)
+            async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
+                link = await self._handshake(reader, writer, dialed=dialed)
             if link is not None and self._register(link):
                 await self._receive(link)
         except (FrameError, OSError, TimeoutError, asyncio.IncompleteReadError):
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -64,6 +64,40 @@
     assert logged == []
 
 
+# Guards against links that outlive their router, and processes that do not end: a task that was
+# cancelled in the turn of the loop in which its handshake or connection was complete went on.
+@pytest.mark.parametrize("step", ["open_connection", "_handshake"])
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_dialer_that_is_cancelled_as_a_step_completes_ends(loop, step, monkeypatch):
+    async def scenario():
+        first, second = (PeerLinks(name, 1, "key", *[lambda *_: None] * 3) for name in "ab")
+        await second.listen(HOST, 0)
+        owner = asyncio if step == "open_connection" else first
+        complete = getattr(owner, step)
+        cancelled = []
+
+        async def complete_and_cancel(*args, **kwargs):
+            result = await complete(*args, **kwargs)
+            if not cancelled:
+                dialer = first._dialers[HOST, second._listener.port]
+                cancelled.append(dialer)
+                asyncio.get_running_loop().call_soon(dialer.cancel)
+            return result
+
+        monkeypatch.setattr(owner, step, complete_and_cancel)
+        first.dial(HOST, second._listener.port)
+        async with asyncio.timeout(5.0):
+            while not cancelled:
+                await asyncio.sleep(0.01)
+        ended, _ = await asyncio.wait(cancelled, timeout=2.0)
+        assert len(ended) == 1
+        await first.close()
+        await second.close()
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(scenario())
+
+
 @pytest.mark.parametrize("second_after_s", [0.0, 0.03, 0.1])
 def test_links_dialed_from_both_sides_are_reduced_to_one(second_after_s):
     async def scenario():
