Set up callers that wait for a held-up loop only

A router with room and time for them closed connections of callers, or answered them 503: its event loop was held up for over 250 ms between accepting and setting up a connection, as it got no processor time, and whatever had waited for longer than that was rejected first. The limit is there for callers that wait behind others in an overload. What one turn can set up is set up now, the newest first, and the limit is applied to the rest, so that a flood is refused as before.

--- a/src/cicadaledge/edge/_connection_gate.py
+++ b/src/cicadaledge/edge/_connection_gate.py
@@ -29,8 +29,8 @@
 class ConnectionGate:
     """Accepts callers while there is room for them, and refuses the others immediately.
 
-    The listener also rejects those that wait longer than `max_wait_ms` for the setup of their
-    connection, and the oldest ones when too many wait.
+    The listener also rejects those that wait behind others for longer than `max_wait_ms`, and the
+    oldest ones when too many wait.
 
     Args:
         callers: The accepted connections.
--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -35,7 +35,7 @@
 
     @property
     def max_wait_ms(self) -> float:
-        """Longest time that a connection waits for its setup before it is rejected."""
+        """Longest time that a connection waits behind others before it is rejected."""
 
     def has_room(self) -> bool:
         """Return whether one more connection may be set up."""
@@ -189,15 +189,19 @@
             asyncio.get_running_loop().call_soon(self._admit)
 
     def _admit(self) -> None:
-        """Set up some of the waiting connections and reject those that have waited too long."""
+        """Set up some of the waiting connections, then reject those that have waited too long.
+
+        A turn of the loop can last longer than the limit for waiting. What waits no longer for others
+        is set up all the same.
+        """
         self._is_admit_scheduled = False
-        self._reject_surplus()
         for _ in range(min(_SETUPS_PER_TURN, len(self._pending))):
             sock = self._pending.pop()
             if self._admission.has_room():
                 self._set_up(sock)
             else:
                 self._admission.reject(sock)
+        self._reject_surplus()
         self._schedule_admit()
 
     def _reject_surplus(self) -> None:
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import socket
+import time
 from itertools import pairwise
 
 import pytest
@@ -204,6 +205,56 @@
     asyncio.run(scenario())
 
 
+# Guards against callers that get no answer, or 503, from a router with room and time for them: its loop
+# was held up between accepting their connections and setting them up.
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize(("callers", "rejected"), [(1, 0), (4, 0), (12, 8)])
+def test_callers_that_waited_for_a_held_up_loop_are_set_up_as_far_as_one_turn_allows(
+    callers, rejected, loop, monkeypatch
+):
+    class Admission:
+        max_wait_ms = 250.0
+        rejected = 0
+
+        def has_room(self):
+            return True
+
+        def reject(self, sock):
+            sock.close()
+            self.rejected += 1
+
+    async def scenario():
+        admission = Admission()
+        set_up = []
+
+        class Protocol(asyncio.Protocol):
+            def connection_made(self, transport):
+                set_up.append(transport)
+
+        listener = Listener(Protocol, admission=admission)
+        schedule_admit = listener._schedule_admit
+
+        def schedule_admit_after_a_pause():
+            asyncio.get_running_loop().call_soon(time.sleep, 0.4)
+            schedule_admit()
+
+        listener.start(HOST, 0)
+        with contextlib.ExitStack() as stack:
+            for _ in range(callers):
+                stack.enter_context(socket.create_connection((HOST, listener.port)))
+            monkeypatch.setattr(listener, "_schedule_admit", schedule_admit_after_a_pause)
+            async with asyncio.timeout(5.0):
+                while len(set_up) + admission.rejected < callers:
+                    await asyncio.sleep(0.005)
+            assert (len(set_up), admission.rejected) == (callers - rejected, rejected)
+            for transport in set_up:
+                transport.abort()
+        listener.close()
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(scenario())
+
+
 def test_drain_accepts_pending_connections():
     """Otherwise a stopping router resets requests that wait in the backlog of a busy event loop."""
 
