--- a/src/cicadaledge/wire/_listener.py
+++ b/src/cicadaledge/wire/_listener.py
@@ -191,8 +191,8 @@
     def _admit(self) -> None:
         """Set up some of the waiting connections, then reject those that have waited too long.
 
-        A turn of the loop can last longer than the limit for waiting. What waits no longer for others
-        is set up all the same.
+        Connections that this turn can set up are not rejected for their wait: a long turn of the
+        event loop delays them even if no others wait.
         """
         self._is_admit_scheduled = False
         for _ in range(min(_SETUPS_PER_TURN, len(self._pending))):
