--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -33,6 +33,23 @@
         return getattr(self._sock, name)
 
 
+class CountingAdmission:
+    """Has room for all connections or for none, and counts those that it rejects."""
+
+    max_wait_ms = 250.0
+
+    def __init__(self, *, room):
+        self.rejected = 0
+        self._room = room
+
+    def has_room(self):
+        return self._room
+
+    def reject(self, sock):
+        sock.close()
+        self.rejected += 1
+
+
 class CountingSocket:
     """A listening socket that counts accepted connections."""
 
@@ -176,19 +193,8 @@
     """The kernel dropped them, so that a router short of CPU time neither served nor refused them."""
     callers = 400
 
-    class RejectAll:
-        max_wait_ms = 250.0
-        rejected = 0
-
-        def has_room(self):
-            return False
-
-        def reject(self, sock):
-            sock.close()
-            self.rejected += 1
-
     async def scenario():
-        admission = RejectAll()
+        admission = CountingAdmission(room=False)
         listener = Listener(asyncio.Protocol, admission=admission)
         listener.start(HOST, 0)
         with contextlib.ExitStack() as stack:
@@ -212,19 +218,8 @@
 def test_callers_that_waited_for_a_held_up_loop_are_set_up_as_far_as_one_turn_allows(
     callers, rejected, loop, monkeypatch
 ):
-    class Admission:
-        max_wait_ms = 250.0
-        rejected = 0
-
-        def has_room(self):
-            return True
-
-        def reject(self, sock):
-            sock.close()
-            self.rejected += 1
-
     async def scenario():
-        admission = Admission()
+        admission = CountingAdmission(room=True)
         set_up = []
 
         class Protocol(asyncio.Protocol):
